--- /dev/null
+++ b/agent/actor.go
@@ -0,0 +1,231 @@
+package agent
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/starter"
+	"github.com/pomeloferry/pomeloferry/worker"
+)
+
+// The messages of the ledger's actor.
+type (
+	// tick asks for a look at what has lapsed.
+	tick struct{}
+	// drain begins a planned stop.
+	drain struct{}
+	// idleQuestion asks whether the ledger is idle.
+	idleQuestion struct{}
+	// dumpQuestion asks for a starter.Dump.
+	dumpQuestion struct{}
+	// linkOpened tells of a new link to an entry.
+	linkOpened struct {
+		link   *courier.Link
+		number uint64
+	}
+	// linkMessage carries a message from an entry.
+	linkMessage struct {
+		link *courier.Link
+		msg  any
+	}
+	// linkClosed tells that a link has ended.
+	linkClosed struct{ link *courier.Link }
+	// upstreamAnnounced carries the upstream's announcement.
+	upstreamAnnounced struct{ announcement worker.Announcement }
+	// taskDone carries the end of a task.
+	taskDone struct {
+		record     courier.Record
+		notStarted bool
+	}
+)
+
+// entryLink is one open link as the actor sees it.
+type entryLink struct {
+	link   *courier.Link
+	number uint64
+	// entry is empty until the entry has answered the first announcement.
+	entry string
+}
+
+// ledgerActor owns the ledger.
+type ledgerActor struct {
+	agent    *Agent
+	ledger   *starter.Ledger
+	links    map[*courier.Link]*entryLink
+	byEntry  map[string]*entryLink
+	upstream worker.Announcement
+	// upstreamAt is when the upstream last announced itself.
+	upstreamAt time.Time
+	beatAt     time.Time
+}
+
+func newLedgerActor(a *Agent) *ledgerActor {
+	return &ledgerActor{
+		agent:   a,
+		ledger:  starter.NewLedger(a.deps.Clock, a.identity),
+		links:   make(map[*courier.Link]*entryLink),
+		byEntry: make(map[string]*entryLink),
+	}
+}
+
+// Receive implements actor.Actor.
+func (s *ledgerActor) Receive(ctx actor.Context) {
+	switch m := ctx.Message().(type) {
+	case tick:
+		s.tick()
+	case drain:
+		s.ledger.SetDraining()
+		s.announceAll()
+	case idleQuestion:
+		ctx.Respond(s.ledger.Idle())
+	case dumpQuestion:
+		ctx.Respond(s.ledger.Dump())
+	case linkOpened:
+		if m.link.Ended() {
+			break
+		}
+		s.links[m.link] = &entryLink{link: m.link, number: m.number}
+		s.announce(s.links[m.link])
+	case linkMessage:
+		s.receive(m)
+	case linkClosed:
+		s.close(m.link)
+	case upstreamAnnounced:
+		s.setUpstream(m.announcement)
+	case taskDone:
+		s.taskDone(m)
+	}
+	s.drain()
+}
+
+func (s *ledgerActor) tick() {
+	now := s.agent.deps.Clock.Now()
+	s.ledger.Tick()
+	if s.upstream.Slots > 0 && now.Sub(s.upstreamAt) > UpstreamLapse {
+		s.agent.deps.Log.Warn("upstream lapsed")
+		s.setUpstream(worker.Announcement{})
+	}
+	if now.Sub(s.beatAt) >= HeartbeatInterval {
+		s.announceAll()
+	}
+}
+
+func (s *ledgerActor) announceAll() {
+	s.beatAt = s.agent.deps.Clock.Now()
+	for _, l := range s.links {
+		s.announce(l)
+	}
+}
+
+func (s *ledgerActor) announce(l *entryLink) {
+	msg := s.ledger.Announce(l.entry)
+	msg.LinkNumber = l.number
+	for id := range s.byEntry {
+		msg.Acked = append(msg.Acked, id)
+	}
+	l.link.Send(msg)
+}
+
+func (s *ledgerActor) setUpstream(u worker.Announcement) {
+	changed := u.Slots != s.upstream.Slots || u.Leaving != s.upstream.Leaving || u.Address != s.upstream.Address
+	s.upstream = u
+	s.upstreamAt = s.agent.deps.Clock.Now()
+	s.agent.runner.setUpstream(u.Address, u.Connections)
+	s.ledger.SetUpstream(starter.Upstream{
+		Address:  u.Address,
+		Slots:    u.Slots,
+		Services: u.Services,
+		Leaving:  u.Leaving,
+	})
+	if changed {
+		s.announceAll()
+	}
+}
+
+func (s *ledgerActor) receive(m linkMessage) {
+	l := s.links[m.link]
+	if l == nil {
+		return
+	}
+	if r, ok := m.msg.(*courier.AnnounceReply); ok {
+		s.answered(l, *r)
+		return
+	}
+	if l.entry == "" || s.byEntry[l.entry] != l {
+		return // A link that another one of the same entry has replaced.
+	}
+	switch msg := m.msg.(type) {
+	case *courier.Claim:
+		s.ledger.Claim(l.entry, *msg)
+	case *courier.Start:
+		s.ledger.Start(l.entry, *msg)
+	case *courier.Acked:
+		s.ledger.Acked(*msg)
+	case *courier.Demand:
+		s.ledger.Demand(l.entry, *msg)
+	case *courier.Decline:
+		s.ledger.Decline(l.entry, *msg)
+	case *courier.Stop:
+		s.ledger.Stop(*msg)
+	}
+}
+
+// answered takes an entry's answer to an announcement. The first one on a link
+// names the entry; an older link to the same entry is closed.
+func (s *ledgerActor) answered(l *entryLink, r courier.AnnounceReply) {
+	if l.entry == "" {
+		l.entry = r.Entry.ID
+		if old := s.byEntry[l.entry]; old != nil {
+			s.close(old.link)
+			old.link.Close()
+		}
+		s.byEntry[l.entry] = l
+		s.ledger.LinkUp(l.entry, l.number)
+		s.agent.links.named(l.link, r.Entry)
+		s.ledger.Confirm(r)
+		s.announceAll()
+	} else {
+		s.ledger.Confirm(r)
+	}
+	s.agent.links.learn(r.Entries)
+}
+
+func (s *ledgerActor) close(link *courier.Link) {
+	l := s.links[link]
+	if l == nil {
+		return
+	}
+	delete(s.links, link)
+	if l.entry != "" && s.byEntry[l.entry] == l {
+		delete(s.byEntry, l.entry)
+		s.ledger.LinkDown(l.entry, l.number)
+	}
+}
+
+func (s *ledgerActor) taskDone(m taskDone) {
+	if m.notStarted {
+		s.ledger.Refused(m.record.Task)
+		return
+	}
+	s.ledger.Finish(m.record)
+}
+
+// drain carries out what the ledger decided.
+func (s *ledgerActor) drain() {
+	for _, e := range s.ledger.Drain() {
+		switch e := e.(type) {
+		case starter.Send:
+			s.agent.count("messages_out", fmt.Sprintf("%T", e.Msg))
+			if l := s.byEntry[e.To]; l != nil {
+				l.link.Send(e.Msg)
+			}
+		case starter.Run:
+			s.agent.runner.start(e.Task)
+		case starter.Halt:
+			s.agent.runner.halt(e.Task)
+		}
+	}
+}
--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,167 @@
+// Package agent is the process beside each upstream. It takes the upstream's
+// announcements, keeps links to the entries, and lets a starter.Ledger decide
+// which tasks start. One actor owns the ledger; links, the runner of tasks and
+// the HTTP interface send it typed messages through its bounded mailbox.
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/google/uuid"
+	"github.com/oklog/run"
+
+	"github.com/pomeloferry/pomeloferry/announcer"
+	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/provider"
+	"github.com/pomeloferry/pomeloferry/starter"
+)
+
+const (
+	// HeartbeatInterval is the time between two announcements to an entry.
+	HeartbeatInterval = 500 * time.Millisecond
+	// TickInterval is the time between two looks at what has lapsed.
+	TickInterval = 20 * time.Millisecond
+	// UpstreamLapse is how long an upstream counts as present after its last
+	// announcement.
+	UpstreamLapse = 2 * time.Second
+	// DrainLimit bounds the wait of a planned stop.
+	DrainLimit = 65 * time.Second
+	// mailboxSize bounds the messages that wait for the actor.
+	mailboxSize = 4096
+	// askTimeout bounds the wait for the actor's answer to a question.
+	askTimeout = 2 * time.Second
+)
+
+// Config describes one agent.
+type Config struct {
+	ID         string
+	DataCentre string
+	Rack       string
+	// Listen is where the upstream and operators reach the agent.
+	Listen string
+	// Entries lists link addresses of entries. Others are learned.
+	Entries []string
+}
+
+// Agent is one agent process.
+type Agent struct {
+	deps     provider.Deps
+	cfg      Config
+	listener net.Listener
+	identity starter.Identity
+	system   *actor.ActorSystem
+	pid      *actor.PID
+	links    *linkSet
+	runner   *runner
+	stop     chan struct{}
+}
+
+// NewAgent returns an agent that listens already.
+func NewAgent(deps provider.Deps, cfg Config) (*Agent, error) {
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, &Error{Op: "listen", Kind: Unusable, Err: err}
+	}
+	deps = deps.WithField("agent", cfg.ID).WithField("data_centre", cfg.DataCentre)
+	a := &Agent{
+		deps:     deps,
+		cfg:      cfg,
+		listener: listener,
+		identity: starter.Identity{
+			Agent:       cfg.ID,
+			Incarnation: uuid.NewString(),
+			DataCentre:  cfg.DataCentre,
+			Rack:        cfg.Rack,
+		},
+		system: announcer.NewSystem(deps),
+		stop:   make(chan struct{}),
+	}
+	a.runner = newRunner(deps, a.post)
+	a.links = newLinkSet(a)
+	return a, nil
+}
+
+// Run serves until ctx ends, then drains: running tasks finish and their
+// results reach the owners before the links close.
+func (a *Agent) Run(ctx context.Context) error {
+	props := actor.PropsFromProducer(
+		func() actor.Actor { return newLedgerActor(a) },
+		actor.WithMailbox(actor.Bounded(mailboxSize)),
+	)
+	a.pid = a.system.Root.Spawn(props)
+	defer a.system.Shutdown()
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	server := &http.Server{Handler: a.handler(), ReadHeaderTimeout: 5 * time.Second}
+
+	var g run.Group
+	g.Add(func() error { return a.drainAfter(ctx, inner) }, func(error) { cancel() })
+	g.Add(func() error { return server.Serve(a.listener) }, func(error) { _ = server.Close() })
+	g.Add(func() error { return a.tick(inner) }, func(error) { cancel() })
+	g.Add(func() error { return a.links.run(inner) }, func(error) { cancel() })
+	a.deps.Log.WithField("listen", a.listener.Addr().String()).Info("agent started")
+	err := g.Run()
+	a.deps.Log.Info("agent stopped")
+	return err
+}
+
+// drainAfter waits for the planned stop and then for an idle ledger.
+func (a *Agent) drainAfter(ctx, inner context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-inner.Done():
+		return nil
+	}
+	a.deps.Log.Info("agent draining")
+	a.post(drain{})
+	limit := a.deps.Clock.After(DrainLimit)
+	for {
+		answer, err := a.ask(idleQuestion{})
+		if idle, ok := answer.(bool); err == nil && ok && idle {
+			return nil
+		}
+		select {
+		case <-limit:
+			return nil
+		case <-a.deps.Clock.After(TickInterval):
+		}
+	}
+}
+
+func (a *Agent) tick(ctx context.Context) error {
+	t := a.deps.Clock.NewTicker(TickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.Chan():
+			a.post(tick{})
+		}
+	}
+}
+
+// post sends msg to the ledger's actor. It waits while the mailbox is full.
+func (a *Agent) post(msg any) { a.system.Root.Send(a.pid, msg) }
+
+func (a *Agent) ask(question any) (any, error) {
+	return a.system.Root.RequestFuture(a.pid, question, askTimeout).Result()
+}
+
+// Receive implements courier.Handler for links to entries.
+func (a *Agent) Receive(l *courier.Link, msg any) {
+	a.post(linkMessage{link: l, msg: msg})
+}
+
+// Closed implements courier.Handler.
+func (a *Agent) Closed(l *courier.Link) {
+	a.post(linkClosed{link: l})
+	a.links.closed(l)
+}
+
+// Addr returns where the upstream and operators reach the agent.
+func (a *Agent) Addr() string { return a.listener.Addr().String() }
--- /dev/null
+++ b/agent/http.go
@@ -0,0 +1,58 @@
+package agent
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/pomeloferry/pomeloferry/worker"
+)
+
+// handler returns the interface for the upstream and for operators.
+func (a *Agent) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /announce", a.serveAnnounce)
+	mux.HandleFunc("GET /dump", a.serveDump)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		a.deps.Metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	return mux
+}
+
+func (a *Agent) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	var an worker.Announcement
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&an); err != nil {
+		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if an.Slots < 1 || an.Connections < 1 || an.Address == "" {
+		http.Error(w, "announcement: Address, Slots and Connections are needed", http.StatusBadRequest)
+		return
+	}
+	a.post(upstreamAnnounced{announcement: an})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (a *Agent) serveDump(w http.ResponseWriter, _ *http.Request) {
+	dump, err := a.Dump()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	_ = e.Encode(dump)
+}
+
+// Dump returns the state of the ledger, for operators.
+func (a *Agent) Dump() (any, error) { return a.ask(dumpQuestion{}) }
+
+func (a *Agent) count(name, label string) {
+	a.deps.Metrics.GetOrCreateCounter(fmt.Sprintf("pomeloferry_agent_%s_total{type=%q}", name, label)).Inc()
+}
--- /dev/null
+++ b/agent/link.go
@@ -0,0 +1,180 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+)
+
+const (
+	// redialBase and redialMost bound the pause before a link is opened
+	// again; the pause doubles with each failure and is jittered.
+	redialBase = 50 * time.Millisecond
+	redialMost = 2 * time.Second
+	// forgetAfter drops an address that nobody has named for so long.
+	forgetAfter = time.Minute
+)
+
+// address is one place where an entry may be reached.
+type address struct {
+	target string
+	seed   bool
+	// named is when an entry last named the address.
+	named time.Time
+	link  *courier.Link
+	// entry is the entry last found there.
+	entry    string
+	dialing  bool
+	failures int
+	next     time.Time
+}
+
+// linkSet keeps one link open to each known entry.
+type linkSet struct {
+	agent *Agent
+
+	mu        sync.Mutex
+	addresses map[string]*address
+	// number counts the links of this incarnation.
+	number uint64
+}
+
+func newLinkSet(a *Agent) *linkSet {
+	s := &linkSet{agent: a, addresses: make(map[string]*address)}
+	for _, target := range a.cfg.Entries {
+		s.addresses[target] = &address{target: target, seed: true}
+	}
+	return s
+}
+
+// run dials what is due until ctx ends, and then closes all links.
+func (s *linkSet) run(ctx context.Context) error {
+	t := s.agent.deps.Clock.NewTicker(TickInterval)
+	defer t.Stop()
+	for {
+		for _, a := range s.due() {
+			go s.dial(ctx, a)
+		}
+		select {
+		case <-ctx.Done():
+			s.closeAll()
+			return nil
+		case <-t.Chan():
+		}
+	}
+}
+
+// due returns the addresses to dial now.
+func (s *linkSet) due() []*address {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.agent.deps.Clock.Now()
+	var out []*address
+	for key, a := range s.addresses {
+		if !a.seed && a.link == nil && now.Sub(a.named) > forgetAfter {
+			delete(s.addresses, key)
+			continue
+		}
+		if a.link != nil || a.dialing || now.Before(a.next) || s.linkedElsewhere(a) {
+			continue
+		}
+		a.dialing = true
+		out = append(out, a)
+	}
+	return out
+}
+
+// linkedElsewhere reports whether the entry last found at a has a link
+// through another address.
+func (s *linkSet) linkedElsewhere(a *address) bool {
+	if a.entry == "" {
+		return false
+	}
+	for _, b := range s.addresses {
+		if b != a && b.link != nil && b.entry == a.entry {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *linkSet) dial(ctx context.Context, a *address) {
+	link, err := courier.Dial(ctx, a.target, s.agent)
+	if number, ok := s.opened(a, link, err); ok {
+		s.agent.post(linkOpened{link: link, number: number})
+	}
+}
+
+// opened notes the result of a dial and numbers the link.
+func (s *linkSet) opened(a *address, link *courier.Link, err error) (uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.dialing = false
+	if err != nil || link.Ended() {
+		s.backOff(a)
+		return 0, false
+	}
+	s.number++
+	a.link = link
+	return s.number, true
+}
+
+func (s *linkSet) backOff(a *address) {
+	pause := min(redialBase<<min(a.failures, 10), redialMost)
+	a.failures++
+	jitter := time.Duration(rand.Int64N(int64(pause)))
+	a.next = s.agent.deps.Clock.Now().Add(pause/2 + jitter)
+}
+
+// named notes which entry answers on a link.
+func (s *linkSet) named(l *courier.Link, e courier.EntryInfo) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.addresses {
+		if a.link == l {
+			a.entry = e.ID
+			a.failures = 0
+		}
+	}
+}
+
+// learn adds the link addresses of entries that another entry has named.
+func (s *linkSet) learn(entries []courier.EntryInfo) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range entries {
+		a := s.addresses[e.Link]
+		if a == nil {
+			a = &address{target: e.Link, entry: e.ID}
+			s.addresses[e.Link] = a
+		}
+		a.named = s.agent.deps.Clock.Now()
+	}
+}
+
+func (s *linkSet) closed(l *courier.Link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.addresses {
+		if a.link == l {
+			a.link = nil
+			s.backOff(a)
+		}
+	}
+}
+
+func (s *linkSet) closeAll() {
+	s.mu.Lock()
+	links := make([]*courier.Link, 0, len(s.addresses))
+	for _, a := range s.addresses {
+		links = append(links, a.link)
+	}
+	s.mu.Unlock()
+	for _, l := range slices.DeleteFunc(links, func(l *courier.Link) bool { return l == nil }) {
+		l.Close()
+	}
+}
--- /dev/null
+++ b/agent/runner.go
@@ -0,0 +1,139 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/provider"
+	"github.com/pomeloferry/pomeloferry/worker"
+)
+
+const (
+	// runGrace is how long past the task's deadline the runner waits for the
+	// upstream before it gives the task up as lost.
+	runGrace = 5 * time.Second
+	// stopTimeout bounds the call that stops a task.
+	stopTimeout = 2 * time.Second
+)
+
+// target is the upstream as the runner reaches it.
+type target struct {
+	address     string
+	connections int
+	client      *http.Client
+}
+
+// runner calls the upstream, one goroutine for each running task. The ledger
+// bounds their number by the upstream's slots.
+type runner struct {
+	deps   provider.Deps
+	post   func(any)
+	target atomic.Pointer[target]
+}
+
+func newRunner(deps provider.Deps, post func(any)) *runner {
+	r := &runner{deps: deps, post: post}
+	r.target.Store(&target{client: &http.Client{}})
+	return r
+}
+
+// setUpstream directs later tasks to address over at most n connections.
+func (r *runner) setUpstream(address string, n int) {
+	old := r.target.Load()
+	if old.address == address && old.connections == n {
+		return
+	}
+	transport := &http.Transport{MaxConnsPerHost: n, MaxIdleConnsPerHost: n}
+	r.target.Store(&target{address: address, connections: n, client: &http.Client{Transport: transport}})
+	old.client.CloseIdleConnections()
+}
+
+// start runs t and posts its end.
+func (r *runner) start(t courier.StartTask) {
+	go func() { r.post(r.run(t)) }()
+}
+
+func (r *runner) run(t courier.StartTask) taskDone {
+	done := taskDone{record: courier.Record{Task: t.Task, Digest: t.Digest}}
+	ctx, cancel := context.WithDeadline(context.Background(), t.Deadline.Add(runGrace))
+	defer cancel()
+	var result worker.RunResult
+	err := r.call(ctx, "/run", worker.RunRequest{
+		Job:     t.Task.Job,
+		Index:   t.Task.Index,
+		Service: t.Service,
+		Payload: t.Payload,
+	}, &result)
+	switch {
+	case notDialed(err):
+		done.notStarted = true
+	case err != nil:
+		r.deps.Log.WithError(err).WithField("job", t.Task.Job).Warn("task lost")
+		done.record.Outcome = courier.Lost
+	case result.NotStarted:
+		done.notStarted = true
+	case result.Error != "":
+		done.record.Outcome = courier.Errored
+		done.record.Result, _ = json.Marshal(result.Error)
+	default:
+		done.record.Outcome = courier.Succeeded
+		done.record.Result = result.Result
+	}
+	return done
+}
+
+// notDialed reports whether err means that no byte of the call was sent.
+func notDialed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// halt asks the upstream to stop a task.
+func (r *runner) halt(id courier.TaskID) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		err := r.call(ctx, "/stop", worker.RunRequest{Job: id.Job, Index: id.Index}, nil)
+		if err != nil {
+			r.deps.Log.WithError(err).WithField("job", id.Job).Warn("task not stopped")
+		}
+	}()
+}
+
+func (r *runner) call(ctx context.Context, path string, req worker.RunRequest, reply any) error {
+	t := r.target.Load()
+	body, err := json.Marshal(req)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	// The body is wrapped so that the client cannot send it again by itself.
+	once := struct{ *bytes.Reader }{bytes.NewReader(body)}
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.address+path, once)
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	hr.ContentLength = int64(len(body))
+	resp, err := t.client.Do(hr)
+	if err != nil {
+		return errors.Wrap(err, "call upstream")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("upstream answered %s", resp.Status)
+	}
+	if reply == nil {
+		return nil
+	}
+	if err := json.NewDecoder(resp.Body).Decode(reply); err != nil {
+		return errors.Wrap(err, "decode")
+	}
+	return nil
+}
--- /dev/null
+++ b/announcer/announcer.go
@@ -0,0 +1,60 @@
+// Package announcer tells the world outside a process what the process does:
+// it connects the actor library to the process's own log, and writes state
+// dumps when a signal asks for one.
+package announcer
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"github.com/pomeloferry/pomeloferry/provider"
+)
+
+// NewSystem returns an actor system that logs to the process's log.
+func NewSystem(deps provider.Deps) *actor.ActorSystem {
+	handler := slog.NewJSONHandler(deps.Log.Logger.Out, &slog.HandlerOptions{Level: slog.LevelError})
+	return actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
+		return slog.New(handler)
+	}))
+}
+
+// Dumper is a process whose state can be written out.
+type Dumper interface {
+	Dump() (any, error)
+}
+
+// DumpOnSignal logs the state of d whenever the process gets SIGUSR1, until
+// ctx ends.
+func DumpOnSignal(ctx context.Context, deps provider.Deps, d Dumper) {
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, syscall.SIGUSR1)
+	defer signal.Stop(ch)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ch:
+			logDump(deps, d)
+		}
+	}
+}
+
+func logDump(deps provider.Deps, d Dumper) {
+	dump, err := d.Dump()
+	if err != nil {
+		deps.Log.WithError(err).Warn("no dump")
+		return
+	}
+	raw, err := json.Marshal(dump)
+	if err != nil {
+		deps.Log.WithError(err).Warn("no dump")
+		return
+	}
+	deps.Log.WithField("dump", json.RawMessage(raw)).Info("state dump")
+}
--- /dev/null
+++ b/commander/commander.go
@@ -0,0 +1,75 @@
+// Package commander is the command line. It translates flags and settings into
+// the configurations of the other packages and holds no other logic.
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/sirupsen/logrus"
+
+	"github.com/pomeloferry/pomeloferry/provider"
+)
+
+// environment is what every command gets.
+type environment struct {
+	ctx  context.Context
+	deps provider.Deps
+	out  io.Writer
+}
+
+// commandLine lists the commands and the flags that they share.
+type commandLine struct {
+	LogLevel string `enum:"debug,info,warn,error" default:"info" help:"Least severe log lines to write (${enum})."`
+
+	Entry    entryCommand    `cmd:"" help:"Run an entry: takes callers' requests and owns submissions."`
+	Agent    agentCommand    `cmd:"" help:"Run an agent: starts tasks on the upstream beside it."`
+	Store    storeCommand    `cmd:"" help:"Run a stand-in for the platform's key-value service."`
+	Upstream upstreamCommand `cmd:"" help:"Run a stand-in for an upstream."`
+	Demo     demoCommand     `cmd:"" help:"Run a whole deployment on loopback, submit jobs and stop."`
+	Submit   submitCommand   `cmd:"" help:"Submit a job and print its answer."`
+	State    stateCommand    `cmd:"" help:"Print the state of a job."`
+	Cancel   cancelCommand   `cmd:"" help:"Cancel a job."`
+	Dump     dumpCommand     `cmd:"" help:"Print the state of a process."`
+	Settings settingsCommand `cmd:"" help:"Check a settings file."`
+}
+
+// Main runs the command line in args and returns the exit status.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var cl commandLine
+	status := -1
+	parser, err := kong.New(&cl,
+		kong.Name("pomeloferry"),
+		kong.Description("Dispatches sub-second tasks to workers."),
+		kong.Writers(stdout, stderr),
+		kong.Exit(func(code int) { status = code }),
+	)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return 1
+	}
+	kctx, err := parser.Parse(args)
+	if status >= 0 {
+		return status
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, "pomeloferry:", err)
+		return 2
+	}
+	deps := provider.NewDeps(stderr)
+	level, err := logrus.ParseLevel(cl.LogLevel)
+	if err == nil {
+		deps.Log.Logger.SetLevel(level)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := kctx.Run(&environment{ctx: ctx, deps: deps, out: stdout}); err != nil {
+		fmt.Fprintln(stderr, "pomeloferry:", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/commander/process.go
@@ -0,0 +1,184 @@
+package commander
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/oklog/run"
+
+	"github.com/pomeloferry/pomeloferry/agent"
+	"github.com/pomeloferry/pomeloferry/announcer"
+	"github.com/pomeloferry/pomeloferry/configurer"
+	"github.com/pomeloferry/pomeloferry/dispatcher"
+	"github.com/pomeloferry/pomeloferry/keeper"
+	"github.com/pomeloferry/pomeloferry/receiver"
+	"github.com/pomeloferry/pomeloferry/storer"
+	"github.com/pomeloferry/pomeloferry/worker"
+)
+
+const (
+	// agentMemoryLimit is the soft limit of an agent's heap, in bytes.
+	agentMemoryLimit = 48 << 20
+	// stopGrace bounds the end of a stand-in's last requests.
+	stopGrace = 65 * time.Second
+)
+
+// processFlags name one process of a deployment.
+type processFlags struct {
+	Settings string `required:"" type:"existingfile" help:"Settings file of the deployment."`
+	ID       string `required:"" name:"id" help:"Which process of the settings to run."`
+}
+
+type entryCommand struct {
+	processFlags
+	Order     string `enum:"arrival,deadline,fewest" default:"arrival" help:"Which waiting job starts first (${enum})."`
+	Placement string `enum:"late,polling" default:"late" help:"How free slots are found (${enum})."`
+}
+
+// Run implements the command.
+func (c *entryCommand) Run(env *environment) error {
+	s, err := configurer.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	e, err := s.Entry(c.ID)
+	if err != nil {
+		return errors.Wrap(err, c.Settings)
+	}
+	r, err := receiver.NewReceiver(env.deps, receiver.Config{
+		ID:         e.ID,
+		DataCentre: e.DataCentre,
+		Listen:     e.Listen,
+		Link:       e.Link,
+		Peers:      s.LinkAddresses(),
+		Trust:      s.Trust,
+		Seed:       uint64(time.Now().UnixNano()),
+		Order:      order(c.Order),
+		Placement:  placement(c.Placement),
+	}, keeper.NewClient(s.Store))
+	if err != nil {
+		return errors.Wrapf(err, "settings %s: entry %s", c.Settings, c.ID)
+	}
+	go announcer.DumpOnSignal(env.ctx, env.deps, r)
+	return r.Run(env.ctx)
+}
+
+func order(name string) dispatcher.Order {
+	switch name {
+	case "deadline":
+		return dispatcher.EarliestDeadline{}
+	case "fewest":
+		return dispatcher.FewestLeft{}
+	}
+	return dispatcher.Arrival{}
+}
+
+func placement(name string) dispatcher.Placement {
+	if name == "polling" {
+		return dispatcher.Polling{}
+	}
+	return dispatcher.LateBinding{}
+}
+
+type agentCommand struct{ processFlags }
+
+// Run implements the command.
+func (c *agentCommand) Run(env *environment) error {
+	s, err := configurer.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	a, err := s.Agent(c.ID)
+	if err != nil {
+		return errors.Wrap(err, c.Settings)
+	}
+	debug.SetMemoryLimit(agentMemoryLimit)
+	p, err := agent.NewAgent(env.deps, agent.Config{
+		ID:         a.ID,
+		DataCentre: a.DataCentre,
+		Rack:       a.Rack,
+		Listen:     a.Listen,
+		Entries:    s.LinkAddresses(),
+	})
+	if err != nil {
+		return errors.Wrapf(err, "settings %s: agent %s", c.Settings, c.ID)
+	}
+	go announcer.DumpOnSignal(env.ctx, env.deps, p)
+	return p.Run(env.ctx)
+}
+
+type storeCommand struct {
+	Listen string `default:"127.0.0.1:23790" help:"Host and port to serve."`
+}
+
+// Run implements the command.
+func (c *storeCommand) Run(env *environment) error {
+	return serve(env.ctx, c.Listen, storer.NewStore(env.deps.Clock).Handler(), nil)
+}
+
+type upstreamCommand struct{ processFlags }
+
+// Run implements the command.
+func (c *upstreamCommand) Run(env *environment) error {
+	s, err := configurer.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	u, err := s.Upstream(c.ID)
+	if err != nil {
+		return errors.Wrap(err, c.Settings)
+	}
+	a, err := s.Agent(u.Agent)
+	if err != nil {
+		return errors.Wrap(err, c.Settings)
+	}
+	w := worker.NewWorker(env.deps, worker.Config{
+		Announcement: worker.Announcement{
+			Address:     u.Listen,
+			Slots:       u.Slots,
+			Connections: u.Connections,
+			Services:    u.Services,
+		},
+		Agent: a.Listen,
+	})
+	return serve(env.ctx, u.Listen, w.Handler(), w)
+}
+
+// serve serves h at addr until ctx ends. A worker w, if any, announces itself
+// meanwhile, and leaves before the server stops.
+func serve(ctx context.Context, addr string, h http.Handler, w *worker.Worker) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrapf(err, "listen at %s", addr)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var g run.Group
+	g.Add(func() error { return server.Serve(listener) }, func(error) { _ = server.Close() })
+	g.Add(func() error {
+		select {
+		case <-ctx.Done():
+		case <-inner.Done():
+			return nil
+		}
+		limit, stop := context.WithTimeout(inner, stopGrace)
+		defer stop()
+		if w != nil {
+			w.Leave(limit)
+		}
+		return nil
+	}, func(error) { cancel() })
+	if w != nil {
+		g.Add(func() error { return w.Announce(inner) }, func(error) { cancel() })
+	}
+	err = g.Run()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/courier/courier.go
@@ -0,0 +1,214 @@
+// Package courier carries typed messages between the processes of the system.
+// Messages travel as JSON-RPC notifications over one TCP connection, a Link.
+// A Link delivers in order and at most once. When it breaks, or stays silent
+// for longer than SilenceLimit, it closes for good, and the owner of the
+// connection opens a new one.
+package courier
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"reflect"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const (
+	// SilenceLimit closes a link on which nothing arrived for so long. Both
+	// sides send a heartbeat several times in this span.
+	SilenceLimit = 1500 * time.Millisecond
+	// DialTimeout bounds the opening of a link.
+	DialTimeout = 500 * time.Millisecond
+	// OutboxSize is the number of messages that wait for a slow receiver
+	// before the link is closed.
+	OutboxSize = 8192
+)
+
+// Handler receives what arrives on a link. Its methods are called from one
+// goroutine of the link, in order.
+type Handler interface {
+	// Receive takes one message, a pointer to a type of this package.
+	Receive(l *Link, msg any)
+	// Closed is called once, after the last Receive.
+	Closed(l *Link)
+}
+
+// messageTypes maps the method of a notification to its message type.
+var messageTypes = typesByName(
+	Announce{}, AnnounceReply{}, Claim{}, ClaimReply{}, Superseded{}, Start{},
+	Refuse{}, Finished{}, Acked{}, Demand{}, Offer{}, Decline{}, Stop{},
+	PeerHello{}, Relay{}, RelayReply{}, RelayLeave{}, RelayQuery{},
+)
+
+func typesByName(values ...any) map[string]reflect.Type {
+	m := make(map[string]reflect.Type, len(values))
+	for _, v := range values {
+		t := reflect.TypeOf(v)
+		m[t.Name()] = t
+	}
+	return m
+}
+
+// Link is one connection to another process.
+type Link struct {
+	conn   *jsonrpc2.Conn
+	socket net.Conn
+	outbox chan any
+	closed chan struct{}
+	once   sync.Once
+	h      Handler
+}
+
+// NewLink starts a link over socket. The link closes socket in the end.
+func NewLink(ctx context.Context, socket net.Conn, h Handler) *Link {
+	l := &Link{
+		socket: socket,
+		outbox: make(chan any, OutboxSize),
+		closed: make(chan struct{}),
+		h:      h,
+	}
+	ready := make(chan struct{})
+	stream := jsonrpc2.NewBufferedStream(&limitedConn{Conn: socket}, jsonrpc2.VarintObjectCodec{})
+	receive := func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) {
+		<-ready
+		l.receive(r)
+	}
+	l.conn = jsonrpc2.NewConn(ctx, stream, handlerFunc(receive), jsonrpc2.SetLogger(quietLogger{}))
+	close(ready)
+	go l.write(ctx)
+	go l.watch()
+	return l
+}
+
+// Dial opens a link to addr.
+func Dial(ctx context.Context, addr string, h Handler) (*Link, error) {
+	d := net.Dialer{Timeout: DialTimeout}
+	socket, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial %s", addr)
+	}
+	return NewLink(ctx, socket, h), nil
+}
+
+// Send queues msg, a value of a message type. It never blocks: a link whose
+// outbox is full is closed, since its receiver has stopped reading.
+func (l *Link) Send(msg any) {
+	select {
+	case <-l.closed:
+	case l.outbox <- msg:
+	default:
+		l.Close()
+	}
+}
+
+// Close ends the link. Messages still queued are dropped.
+func (l *Link) Close() {
+	l.once.Do(func() {
+		close(l.closed)
+		_ = l.socket.Close()
+		_ = l.conn.Close()
+	})
+}
+
+// Done is closed when the link has ended.
+func (l *Link) Done() <-chan struct{} { return l.closed }
+
+// Ended reports whether the link has ended.
+func (l *Link) Ended() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *Link) write(ctx context.Context) {
+	for {
+		select {
+		case <-l.closed:
+			return
+		case msg := <-l.outbox:
+			if err := l.notify(ctx, msg); err != nil {
+				l.Close()
+				return
+			}
+		}
+	}
+}
+
+// notify sends msg as one string, since the JSON-RPC library reorders the keys
+// of objects in params, and payloads have to arrive unchanged.
+func (l *Link) notify(ctx context.Context, msg any) error {
+	var raw strings.Builder
+	e := json.NewEncoder(&raw)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(msg); err != nil {
+		return err
+	}
+	return l.conn.Notify(ctx, reflect.TypeOf(msg).Name(), raw.String())
+}
+
+func (l *Link) watch() {
+	<-l.conn.DisconnectNotify()
+	l.Close()
+	l.h.Closed(l)
+}
+
+func (l *Link) receive(r *jsonrpc2.Request) {
+	t, ok := messageTypes[r.Method]
+	if !ok || r.Params == nil {
+		return
+	}
+	msg := reflect.New(t).Interface()
+	if err := decode(*r.Params, msg); err != nil {
+		l.Close()
+		return
+	}
+	l.h.Receive(l, msg)
+}
+
+func decode(params json.RawMessage, msg any) error {
+	var raw string
+	if err := json.Unmarshal(params, &raw); err != nil {
+		return err
+	}
+	return json.Unmarshal([]byte(raw), msg)
+}
+
+type handlerFunc func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request)
+
+// Handle implements jsonrpc2.Handler.
+func (f handlerFunc) Handle(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) { f(ctx, c, r) }
+
+// quietLogger drops the library's notes on closed connections.
+type quietLogger struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (quietLogger) Printf(string, ...any) {}
+
+// limitedConn ends reads and writes that wait longer than SilenceLimit.
+type limitedConn struct {
+	net.Conn
+}
+
+// Read implements io.Reader.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(SilenceLimit)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// Write implements io.Writer.
+func (c *limitedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(SilenceLimit)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
--- /dev/null
+++ b/courier/message.go
@@ -0,0 +1,388 @@
+package courier
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pomeloferry/pomeloferry/router"
+)
+
+// Term orders the successive owners of a partition. The zero Term is lower
+// than every term that an owner claims.
+type Term struct {
+	// Number rises with each claim of the partition.
+	Number uint64
+	// Holder is the entry that claimed the term; it breaks ties.
+	Holder string
+}
+
+// Less reports whether t is lower than u.
+func (t Term) Less(u Term) bool {
+	if t.Number != u.Number {
+		return t.Number < u.Number
+	}
+	return t.Holder < u.Holder
+}
+
+// TaskID identifies one task of one submission for good.
+type TaskID struct {
+	// Job is the identity of the submission: team, a slash, and key.
+	Job string
+	// Index is the task's place in the submission, from 0.
+	Index int
+}
+
+// Outcome tells how a started task ended.
+type Outcome string
+
+// The outcomes of a started task.
+const (
+	// Running means that the task has started and has not ended.
+	Running Outcome = "Running"
+	// Succeeded means that the upstream returned a result.
+	Succeeded Outcome = "Succeeded"
+	// Errored means that the upstream ran the task and reported an error.
+	Errored Outcome = "Errored"
+	// Lost means that the task started and nobody can tell how it ended.
+	Lost Outcome = "Lost"
+	// Stopped means that the task started and was stopped by a cancellation.
+	Stopped Outcome = "Stopped"
+)
+
+// Record is what an agent knows about one task that it has started.
+type Record struct {
+	Task    TaskID
+	Digest  uint64
+	Outcome Outcome
+	Result  json.RawMessage `json:",omitempty"`
+}
+
+// Refusal is the reason why an agent did not start a task. A refused task has
+// not started and cannot start from that message any more.
+type Refusal string
+
+// The reasons of an agent's refusal.
+const (
+	RefusedBusy     Refusal = "Busy"
+	RefusedDraining Refusal = "Draining"
+	RefusedNotFresh Refusal = "NotFresh"
+	RefusedTakenOut Refusal = "TakenOut"
+	RefusedTerm     Refusal = "StaleTerm"
+	RefusedLink     Refusal = "StaleLink"
+	RefusedDeadline Refusal = "DeadlinePassed"
+	RefusedUpstream Refusal = "NotStartedByUpstream"
+)
+
+// EntryInfo names an entry and where other processes reach it.
+type EntryInfo struct {
+	ID string
+	// Link is the host and port that agents and other entries connect to.
+	Link string
+}
+
+// Load is an agent's report of its slots. Every message from an agent to an
+// entry carries one, so that owners learn of free slots without asking.
+type Load struct {
+	// Free counts the slots that any owner may start into now.
+	Free int
+	// Seen counts the tasks of this link's Start messages handled so far. An
+	// owner subtracts what it sent since from Free.
+	Seen uint64
+}
+
+// Announce is an agent's heartbeat to an entry. The first one on a link makes
+// the agent known.
+type Announce struct {
+	Agent       string
+	Incarnation string
+	DataCentre  string
+	Rack        string
+	Slots       int
+	Services    []string
+	Draining    bool
+	// LinkNumber identifies this link among all links of the incarnation.
+	LinkNumber uint64
+	// Acked lists the entries that have this incarnation in their roster.
+	Acked []string
+	// BundleVersion is the version that the agent works under.
+	BundleVersion uint64
+	// Stamp is the agent's own clock, as the time since its start.
+	Stamp time.Duration
+	Load  Load
+}
+
+// AgentPolicy is the part of a configuration bundle that agents need.
+type AgentPolicy struct {
+	BundleVersion uint64
+	// OutDataCentres lists the data centres where nothing may start.
+	OutDataCentres []string
+}
+
+// AnnounceReply is an entry's answer to Announce.
+type AnnounceReply struct {
+	Entry   EntryInfo
+	Entries []EntryInfo
+	// Stamp is the Stamp of the Announce that this answers.
+	Stamp time.Duration
+	// Fresh tells whether the entry could confirm its bundle version at all.
+	Fresh bool
+	// Age is how long before the receipt of the Announce the entry last
+	// confirmed that no newer bundle was accepted.
+	Age time.Duration
+	// BundleVersion is the version that was confirmed.
+	BundleVersion uint64
+	// Policy is set when the agent's version differs.
+	Policy *AgentPolicy `json:",omitempty"`
+	// Terms holds the highest term known for each partition, on the first
+	// answer of a link, so that a restarted agent refuses old owners.
+	Terms []Term `json:",omitempty"`
+}
+
+// Claim asks an agent to refuse lower terms for some partitions, and to
+// report what it has started in them.
+type Claim struct {
+	Term       Term
+	Partitions []router.Partition
+}
+
+// ClaimReply answers Claim. Partitions where the agent knows a higher term are
+// in Refused with that term; the others are fenced.
+type ClaimReply struct {
+	Term       Term
+	Partitions []router.Partition
+	Refused    map[router.Partition]Term `json:",omitempty"`
+	Records    []Record                  `json:",omitempty"`
+	Load       Load
+}
+
+// Superseded tells an entry that another one has claimed its partitions.
+type Superseded struct {
+	Term       Term
+	Partitions []router.Partition
+}
+
+// StartTask asks for one task to be started.
+type StartTask struct {
+	Task     TaskID
+	Digest   uint64
+	Service  string
+	Deadline time.Time
+	Term     Term
+	Payload  json.RawMessage
+}
+
+// Start asks an agent to start tasks into free slots, or to refuse them.
+type Start struct {
+	// LinkNumber is the LinkNumber of the Announce on the same link. An agent
+	// refuses other links, so that a message left in a buffer starts nothing.
+	LinkNumber    uint64
+	BundleVersion uint64
+	// Offer is the offered slot that the first task uses, or 0.
+	Offer uint64 `json:",omitempty"`
+	Tasks []StartTask
+}
+
+// Refuse reports the tasks of a Start that were not started.
+type Refuse struct {
+	Tasks  []TaskID
+	Reason Refusal
+	// Term is the higher term when Reason is RefusedTerm.
+	Term Term
+	Load Load
+}
+
+// Finished reports tasks that have ended.
+type Finished struct {
+	Records []Record
+	// Offer is a slot held for the receiver for a short time, or 0.
+	Offer uint64 `json:",omitempty"`
+	Load  Load
+}
+
+// Acked tells an agent that the results of tasks have arrived.
+type Acked struct {
+	Tasks []TaskID
+}
+
+// Demand tells an agent that an owner has tasks waiting for a slot.
+type Demand struct {
+	// Waiting counts the tasks. Zero withdraws the demand.
+	Waiting int
+	// Age is how long the first of them has waited.
+	Age time.Duration
+}
+
+// Offer holds a free slot for an owner with waiting tasks.
+type Offer struct {
+	Offer uint64
+	Load  Load
+}
+
+// Decline gives an offered slot back unused.
+type Decline struct {
+	Offer uint64
+}
+
+// Stop asks an agent to stop the running tasks of a job.
+type Stop struct {
+	Tasks []TaskID
+}
+
+// Task is one task of a submission.
+type Task struct {
+	Payload json.RawMessage
+	// Declared is the caller's estimate of the run time, in milliseconds.
+	DeclaredMillis int `json:",omitempty"`
+}
+
+// Submission is a caller's request. A resubmission repeats it, with a higher
+// Attempt and all other fields unchanged.
+type Submission struct {
+	Team    string
+	Key     string
+	Service string
+	// Attempt is 1 the first time the caller sends the submission, and rises
+	// with each time it sends it again.
+	Attempt int
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Detached keeps the job running when its caller leaves.
+	Detached bool `json:",omitempty"`
+	Tasks    []Task
+}
+
+// Job returns the identity of the submission.
+func (s Submission) Job() string { return s.Team + "/" + s.Key }
+
+// State is the state of a job as its caller sees it.
+type State string
+
+// The states of a job. Complete, Failed and NotRun are final answers.
+const (
+	// Complete means that every task succeeded and all results are present.
+	Complete State = "Complete"
+	// Failed means that the job is over without a whole answer, and that some
+	// tasks may have run.
+	Failed State = "Failed"
+	// NotRun means that no task of the submission has started, and that none
+	// will because of this attempt or an earlier one.
+	NotRun State = "NotRun"
+	// Pending means that the job is still being worked on.
+	Pending State = "Pending"
+	// Unheard means that the asked entry knows nothing about the job.
+	Unheard State = "Unknown"
+	// Moved is never shown to callers: another entry owns the job now.
+	Moved State = "Moved"
+	// Conflict means that the key is in use by another body.
+	Conflict State = "Conflict"
+)
+
+// Reason tells why a job was not completed.
+type Reason string
+
+// The reasons in answers.
+const (
+	ReasonOverload       Reason = "Overload"
+	ReasonQuota          Reason = "TeamQuota"
+	ReasonDeadline       Reason = "DeadlinePassed"
+	ReasonCancelled      Reason = "Cancelled"
+	ReasonTaskFailed     Reason = "TaskFailed"
+	ReasonOutcomeUnknown Reason = "OutcomeUnknown"
+	ReasonNoWorker       Reason = "NoWorkerForService"
+	ReasonUnknownService Reason = "UnknownService"
+	ReasonNoBundle       Reason = "ConfigurationNotConfirmed"
+	ReasonOtherBody      Reason = "KeyUsedByAnotherBody"
+	ReasonRefusedBefore  Reason = "AttemptRefusedBefore"
+	ReasonStopping       Reason = "EntryStopping"
+)
+
+// Answer is the one answer to a submission.
+type Answer struct {
+	Job    string
+	State  State
+	Reason Reason `json:",omitempty"`
+	// Detail explains the reason in a sentence.
+	Detail string `json:",omitempty"`
+	// BundleVersion is the configuration that the answer was made under.
+	BundleVersion uint64
+	// Entry is the entry that owned the job.
+	Entry string
+	// Results holds one result a task, in order, only when State is Complete.
+	Results []json.RawMessage `json:",omitempty"`
+	// MayHaveRun lists the tasks that started or may have started, when State
+	// is Failed.
+	MayHaveRun []int `json:",omitempty"`
+	// RetryAfter is when to come back, when State is NotRun.
+	RetryAfter time.Duration `json:",omitempty"`
+	// Owner is set when State is Moved and the owner is known.
+	Owner string `json:",omitempty"`
+	// Admitted is set when State is Moved and the job had been taken on, so
+	// that tasks may have started.
+	Admitted bool `json:",omitempty"`
+}
+
+// Final reports whether the answer is one that callers receive.
+func (a Answer) Final() bool {
+	return a.State == Complete || a.State == Failed || a.State == NotRun || a.State == Conflict
+}
+
+// PeerHello is an entry's heartbeat to another entry.
+type PeerHello struct {
+	Entry EntryInfo
+	// Incarnation changes when the entry restarts.
+	Incarnation string
+	// Ready means that the entry owns partitions.
+	Ready bool
+	// Leaving asks the others to take over the entry's partitions.
+	Leaving bool
+	// RosterCertain tells that the roster holds every agent that may keep
+	// records of tasks that are not past their deadline.
+	RosterCertain bool
+	// Roster lists agent incarnations that may hold such records.
+	Roster []AgentRef
+	// Entries lists the entries that the sender knows.
+	Entries []EntryInfo
+	// BundleVersion is the version in force at the sender.
+	BundleVersion uint64
+	// Bundle is the signed bundle, when the receiver is known to lack it.
+	Bundle json.RawMessage `json:",omitempty"`
+	// VotersVersion is the version of the list of registered entries.
+	VotersVersion uint64
+	// Stamp is the sender's own clock; Echo is the last Stamp received from
+	// the receiver, to date what the sender says.
+	Stamp time.Duration
+	Echo  time.Duration
+}
+
+// AgentRef names one incarnation of an agent.
+type AgentRef struct {
+	Agent       string
+	Incarnation string
+}
+
+// Relay passes a caller's submission to the entry that owns it.
+type Relay struct {
+	// ID pairs the RelayReply with the Relay on this link.
+	ID         uint64
+	Submission Submission
+	// Resent marks a copy that may not be the first one sent to an owner.
+	Resent bool
+}
+
+// RelayReply carries the answer back.
+type RelayReply struct {
+	ID     uint64
+	Answer Answer
+}
+
+// RelayLeave tells the owner that the caller of a Relay has left.
+type RelayLeave struct {
+	ID uint64
+}
+
+// RelayQuery asks the owner for the state of a job, or cancels the job.
+type RelayQuery struct {
+	ID     uint64
+	Job    string
+	Cancel bool
+}
--- /dev/null
+++ b/dispatcher/admission.go
@@ -0,0 +1,155 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+)
+
+const (
+	// learnWeight is the weight of a new run time in the learned mean.
+	learnWeight = 0.05
+	// maxRetryAfter bounds the advice on when to come back.
+	maxRetryAfter = 60 * time.Second
+	// minRetryAfter keeps refused callers from coming back at once.
+	minRetryAfter = 50 * time.Millisecond
+	// retryBurst is the number of retries that the budget can save up.
+	retryBurst = 100
+)
+
+// admission estimates waits and keeps the quotas of teams.
+type admission struct {
+	// runTimes holds the learned mean run time of each service.
+	runTimes map[string]time.Duration
+	// teamTasks counts the unfinished tasks of each team's jobs.
+	teamTasks map[string]int
+	// promised is when the refused callers told so far will have been
+	// served; the next one is told a later time, so that a refused burst
+	// does not come back as one.
+	promised time.Time
+}
+
+func (m *admission) learn(service string, d time.Duration) {
+	if m.runTimes == nil {
+		m.runTimes = make(map[string]time.Duration)
+	}
+	old, ok := m.runTimes[service]
+	if !ok {
+		m.runTimes[service] = d
+		return
+	}
+	m.runTimes[service] = old + time.Duration(learnWeight*float64(d-old))
+}
+
+func (m *admission) runTime(o *Owner, service string) time.Duration {
+	if d, ok := m.runTimes[service]; ok {
+		return d
+	}
+	s, _ := o.bundle.Service(service)
+	return time.Duration(s.ExpectedRunMillis) * time.Millisecond
+}
+
+func (m *admission) admitted(j *job) {
+	if m.teamTasks == nil {
+		m.teamTasks = make(map[string]int)
+	}
+	m.teamTasks[j.sub.Team] += len(j.tasks)
+}
+
+func (m *admission) ended(j *job) {
+	m.teamTasks[j.sub.Team] -= len(j.tasks)
+	if m.teamTasks[j.sub.Team] <= 0 {
+		delete(m.teamTasks, j.sub.Team)
+	}
+}
+
+// check returns why r cannot be taken now, and when to come back.
+func (m *admission) check(o *Owner, r Request) (courier.Reason, time.Duration) {
+	s := r.Submission
+	n := len(s.Tasks)
+	if team, ok := o.bundle.Team(s.Team); !ok || m.teamTasks[s.Team]+n > team.TaskLimit {
+		return courier.ReasonQuota, m.comeBack(o, n)
+	}
+	if o.queue.tasks+n > o.bundle.Limits.WaitingTaskLimit {
+		return courier.ReasonOverload, m.comeBack(o, n)
+	}
+	left := s.Deadline.Sub(o.clock.Now())
+	if m.wait(o, n)+m.runTime(o, s.Service) > left {
+		return courier.ReasonOverload, m.comeBack(o, n)
+	}
+	return "", 0
+}
+
+// slotShare estimates the slots that work for this owner.
+func (o *Owner) slotShare() int {
+	inUse := 0
+	for _, a := range o.fleet.agents {
+		inUse += len(a.tasks)
+	}
+	return max(1, inUse, o.fleet.slots/max(1, len(o.view)))
+}
+
+// wait estimates the time until the last of n more tasks starts.
+func (m *admission) wait(o *Owner, n int) time.Duration {
+	ahead := o.queue.tasks + n - o.freeSlots()
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(ahead) * m.meanRun(o) / time.Duration(o.slotShare())
+}
+
+func (o *Owner) freeSlots() int {
+	free := 0
+	for _, a := range o.fleet.idle {
+		free += a.free()
+	}
+	return free
+}
+
+// meanRun returns the mean learned run time over the services.
+func (m *admission) meanRun(o *Owner) time.Duration {
+	var sum time.Duration
+	for _, s := range o.bundle.Services {
+		sum += m.runTime(o, s.Name)
+	}
+	return sum / time.Duration(max(1, len(o.bundle.Services)))
+}
+
+// comeBack returns when a refused job of n tasks should be sent again: after
+// the present backlog and after the refused jobs that were told before it.
+func (m *admission) comeBack(o *Owner, n int) time.Duration {
+	now := o.clock.Now()
+	own := time.Duration(n) * m.meanRun(o) / time.Duration(o.slotShare())
+	at := now.Add(m.wait(o, 0))
+	if m.promised.After(at) {
+		at = m.promised
+	}
+	m.promised = at.Add(own)
+	if limit := now.Add(maxRetryAfter); m.promised.After(limit) {
+		m.promised = limit
+	}
+	jitter := 1 + 0.2*o.rng.Float64()
+	after := time.Duration(float64(at.Sub(now)) * jitter)
+	return min(max(after, minRetryAfter), maxRetryAfter)
+}
+
+// retryBudget lets starts be repeated only as a share of first starts, so that
+// retries cannot multiply the load of an outage.
+type retryBudget struct {
+	// tokens counts hundredths of a retry.
+	tokens  int
+	pending int
+}
+
+func (b *retryBudget) started() { b.pending++ }
+
+// spend takes one retry out of the budget and reports whether it was there.
+func (b *retryBudget) spend(percent int) bool {
+	b.tokens = min(b.tokens+b.pending*percent, retryBurst*100)
+	b.pending = 0
+	if b.tokens < 100 {
+		return false
+	}
+	b.tokens -= 100
+	return true
+}
--- /dev/null
+++ b/dispatcher/claim.go
@@ -0,0 +1,501 @@
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/router"
+)
+
+// partitionState is the state of a partition at one entry.
+type partitionState int
+
+const (
+	// foreign means that another entry owns the partition.
+	foreign partitionState = iota
+	// claiming means that agents are being fenced; requests are parked.
+	claiming
+	// serving means that this entry owns the partition.
+	serving
+)
+
+// partition is an owner's state for one range of job identities.
+type partition struct {
+	state partitionState
+	// term is the term of the last claim here; it never falls.
+	term courier.Term
+	// missing holds the agent incarnations that may hold records of the
+	// partition and have not been fenced at term. While it is not empty,
+	// nothing may be concluded from the absence of a record.
+	missing   map[courier.AgentRef]struct{}
+	parked    []Request
+	claimedAt time.Time
+	// retryAt is when to claim again after a rival's higher term, or zero.
+	retryAt time.Time
+}
+
+// SetView takes over which entries own partitions, and which other entries
+// are alive. Partitions that fall to this entry are claimed. Partitions that
+// fall to others are served on until the others claim them.
+func (o *Owner) SetView(view, peers []string) {
+	o.wake()
+	o.peers = slices.Clone(peers)
+	if slices.Equal(o.view, view) {
+		return
+	}
+	o.view = slices.Clone(view)
+	var take []router.Partition
+	for p := range router.Partitions {
+		part := &o.partitions[p]
+		wanted := o.wants(router.Partition(p))
+		switch {
+		case wanted && part.state == foreign:
+			take = append(take, router.Partition(p))
+		case !wanted && part.state == claiming:
+			o.lose(router.Partition(p))
+		}
+	}
+	o.claim(take)
+}
+
+func (o *Owner) wants(p router.Partition) bool {
+	return router.Owner(p, o.view) == o.cfg.Entry
+}
+
+// SetRoster takes over the agents that a peer uses. Those without a link here
+// may hold records, and stay missing until they have been fenced. A certain
+// roster of a peer makes this one certain.
+func (o *Owner) SetRoster(roster []courier.AgentRef, certain bool) {
+	now := o.clock.Now()
+	for _, ref := range roster {
+		if a := o.fleet.agents[ref.Agent]; a != nil && a.ref == ref {
+			continue
+		}
+		if _, ok := o.fleet.gone[ref]; ok {
+			continue
+		}
+		o.fleet.gone[ref] = goneAgent{until: now.Add(SilentHorizon)}
+		o.addMissing(ref)
+	}
+	if certain {
+		o.SetRosterCertain()
+	}
+}
+
+// SetRosterCertain notes that no agent was used by an earlier owner that is
+// neither known here nor listed as gone.
+func (o *Owner) SetRosterCertain() {
+	now := o.clock.Now()
+	if !o.rosterCertainAt.After(now) {
+		return
+	}
+	o.rosterCertainAt = now
+	o.finishClaims(now)
+}
+
+func (o *Owner) addMissing(ref courier.AgentRef) {
+	for p := range o.partitions {
+		if part := &o.partitions[p]; part.state != foreign {
+			part.missing[ref] = struct{}{}
+		}
+	}
+}
+
+// Roster lists the agents that may hold records of tasks started from here,
+// and whether the list is complete.
+func (o *Owner) Roster() ([]courier.AgentRef, bool) {
+	var out []courier.AgentRef
+	for _, a := range o.fleet.sorted() {
+		if a.admitted {
+			out = append(out, a.ref)
+		}
+	}
+	now := o.clock.Now()
+	for ref, g := range o.fleet.gone {
+		if g.until.After(now) {
+			out = append(out, ref)
+		}
+	}
+	slices.SortFunc(out, compareRefs)
+	return out, !o.rosterCertainAt.After(now)
+}
+
+func compareRefs(a, b courier.AgentRef) int {
+	return cmp.Or(cmp.Compare(a.Agent, b.Agent), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
+// Terms returns the highest known term of each partition.
+func (o *Owner) Terms() []courier.Term { return slices.Clone(o.highest[:]) }
+
+// Serves reports how many partitions are served.
+func (o *Owner) Serves() int {
+	n := 0
+	for i := range o.partitions {
+		if o.partitions[i].state == serving {
+			n++
+		}
+	}
+	return n
+}
+
+// reclaimAll claims every partition held here anew.
+func (o *Owner) reclaimAll() {
+	var again []router.Partition
+	for i := range o.partitions {
+		p := router.Partition(i)
+		if o.partitions[i].state == foreign {
+			continue
+		}
+		if o.wants(p) {
+			again = append(again, p)
+		} else {
+			o.lose(p)
+		}
+	}
+	o.claim(again)
+}
+
+// claim fences partitions at every agent with a term above all known ones.
+func (o *Owner) claim(parts []router.Partition) {
+	if len(parts) == 0 {
+		return
+	}
+	o.counts.Claims++
+	term := courier.Term{Holder: o.cfg.Entry}
+	for _, p := range parts {
+		term.Number = max(term.Number, o.highest[p].Number)
+	}
+	term.Number++
+	now := o.clock.Now()
+	for _, p := range parts {
+		part := &o.partitions[p]
+		part.state = claiming
+		part.term = term
+		part.claimedAt = now
+		part.retryAt = time.Time{}
+		part.missing = o.everyAgent()
+		o.highest[p] = term
+	}
+	o.pauseJobs()
+	for _, a := range o.fleet.sorted() {
+		if a.linked {
+			o.sendClaim(a, courier.Claim{Term: term, Partitions: parts})
+		}
+	}
+	o.finishClaims(now)
+}
+
+func (o *Owner) sendClaim(a *agent, c courier.Claim) {
+	a.pendingClaims++
+	o.send(a.ref.Agent, c)
+}
+
+func (o *Owner) everyAgent() map[courier.AgentRef]struct{} {
+	out := make(map[courier.AgentRef]struct{}, len(o.fleet.agents)+len(o.fleet.gone))
+	for _, a := range o.fleet.agents {
+		out[a.ref] = struct{}{}
+	}
+	for ref := range o.fleet.gone {
+		out[ref] = struct{}{}
+	}
+	return out
+}
+
+// pauseJobs takes the jobs of partitions that are not served off the queue.
+func (o *Owner) pauseJobs() {
+	for _, j := range o.jobs {
+		if o.partitions[j.partition].state != serving {
+			o.queue.remove(j)
+		}
+	}
+}
+
+// finishClaims serves the partitions whose agents have all answered, or whose
+// wait is over.
+func (o *Owner) finishClaims(now time.Time) {
+	for i := range o.partitions {
+		part := &o.partitions[i]
+		if part.state != claiming || !part.retryAt.IsZero() {
+			continue
+		}
+		waited := now.Sub(part.claimedAt) >= ClaimTimeout
+		if waited || (!o.awaits(part) && !o.rosterCertainAt.After(now)) {
+			o.serve(router.Partition(i))
+		}
+	}
+}
+
+// awaits reports whether an agent may still answer the claim soon.
+func (o *Owner) awaits(part *partition) bool {
+	for ref := range part.missing {
+		if a := o.fleet.agents[ref.Agent]; a != nil && a.ref == ref {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *Owner) serve(p router.Partition) {
+	part := &o.partitions[p]
+	part.state = serving
+	for _, j := range o.jobs {
+		if j.partition == p && !j.done {
+			o.resume(j)
+		}
+	}
+	parked := part.parked
+	part.parked = nil
+	for _, r := range parked {
+		o.admit(r)
+	}
+}
+
+// resume queues a job that was known here before the partition was claimed.
+func (o *Owner) resume(j *job) {
+	if j.waitingTasks == 0 {
+		return
+	}
+	if o.gap(j.partition) {
+		o.fail(j, courier.ReasonOutcomeUnknown, "an agent that may have started tasks of this job cannot be asked")
+		return
+	}
+	o.queue.add(j, j.waitingTasks)
+}
+
+// gap reports whether tasks of p may have started that nobody here knows of.
+func (o *Owner) gap(p router.Partition) bool {
+	if o.rosterCertainAt.After(o.clock.Now()) {
+		return true
+	}
+	part := &o.partitions[p]
+	for ref := range part.missing {
+		a := o.fleet.agents[ref.Agent]
+		if a != nil && a.ref == ref {
+			return true
+		}
+		if _, ok := o.fleet.gone[ref]; ok {
+			return true
+		}
+		delete(part.missing, ref)
+	}
+	return false
+}
+
+// retryClaims claims again where a rival's term was higher.
+func (o *Owner) retryClaims(now time.Time) {
+	var again []router.Partition
+	for i := range o.partitions {
+		part := &o.partitions[i]
+		if part.state == claiming && !part.retryAt.IsZero() && !now.Before(part.retryAt) {
+			again = append(again, router.Partition(i))
+		}
+	}
+	o.claim(again)
+}
+
+// lose gives p up to whoever has claimed it. Its callers are sent on.
+func (o *Owner) lose(p router.Partition) {
+	part := &o.partitions[p]
+	part.state = foreign
+	for id, j := range o.jobs {
+		if j.partition == p {
+			o.forget(id, j)
+		}
+	}
+	for id := range o.inherited {
+		if router.PartitionOf(id) == p {
+			delete(o.inherited, id)
+		}
+	}
+	parked := part.parked
+	part.parked = nil
+	for _, r := range parked {
+		o.replyMoved(r.Waiter, p, false)
+	}
+}
+
+// forget drops a job whose partition has gone to another owner.
+func (o *Owner) forget(id string, j *job) {
+	o.queue.remove(j)
+	delete(o.jobs, id)
+	j.done = true
+	for _, w := range sortedWaiters(j) {
+		delete(o.waiters, w)
+		o.replyMoved(w, j.partition, true)
+	}
+	for ref, ids := range j.sentTasks() {
+		if a := o.fleet.agents[ref.Agent]; a != nil && a.ref == ref {
+			for _, t := range ids {
+				delete(a.tasks, t)
+			}
+		}
+	}
+}
+
+// replyMoved sends a caller on. Admitted tells that the job was taken on here.
+func (o *Owner) replyMoved(w Waiter, p router.Partition, admitted bool) {
+	o.reply(w, courier.Answer{State: courier.Moved, Owner: router.Owner(p, o.view), Admitted: admitted})
+}
+
+// loseTo gives p up to a higher term, and claims it again a little later when
+// this entry should own it.
+func (o *Owner) loseTo(p router.Partition, t courier.Term) {
+	if o.highest[p].Less(t) {
+		o.highest[p] = t
+	}
+	part := &o.partitions[p]
+	if part.state == foreign || !part.term.Less(t) {
+		return
+	}
+	o.lose(p)
+	if !o.wants(p) || o.stopping {
+		return
+	}
+	part.state = claiming
+	jitter := time.Duration(o.rng.Int64N(int64(ReclaimDelay)))
+	part.retryAt = o.clock.Now().Add(ReclaimDelay + jitter)
+}
+
+// Superseded takes an agent's word that another entry has claimed partitions.
+func (o *Owner) Superseded(s courier.Superseded) {
+	o.wake()
+	for _, p := range s.Partitions {
+		if p >= 0 && p < router.Partitions {
+			o.loseTo(p, s.Term)
+		}
+	}
+}
+
+// Claimed takes an agent's answer to a claim.
+func (o *Owner) Claimed(name string, link uint64, r courier.ClaimReply) {
+	o.wake()
+	a := o.fleet.linked(name, link)
+	if a == nil {
+		return
+	}
+	o.setLoad(a, r.Load)
+	a.pendingClaims--
+	a.claimed = a.pendingClaims == 0
+	for p, t := range r.Refused {
+		o.loseTo(p, t)
+	}
+	fenced := make(map[router.Partition]bool, len(r.Partitions))
+	for _, p := range r.Partitions {
+		if part := &o.partitions[p]; part.state != foreign && part.term == r.Term {
+			fenced[p] = true
+			delete(part.missing, a.ref)
+		}
+	}
+	o.mergeRecords(a, fenced, r.Records)
+	o.requeueUnheard(a, fenced)
+	o.fleet.update(a)
+	o.fleet.count()
+	o.finishClaims(o.clock.Now())
+	o.dispatch()
+}
+
+func (o *Owner) mergeRecords(a *agent, fenced map[router.Partition]bool, records []courier.Record) {
+	var ended []courier.TaskID
+	for _, rec := range records {
+		if !fenced[router.PartitionOf(rec.Task.Job)] {
+			continue
+		}
+		o.merge(a, rec)
+		if rec.Outcome != courier.Running {
+			ended = append(ended, rec.Task)
+		}
+	}
+	if len(ended) > 0 {
+		o.send(a.ref.Agent, courier.Acked{Tasks: ended})
+	}
+}
+
+// merge takes over what an agent has started.
+func (o *Owner) merge(a *agent, rec courier.Record) {
+	j := o.jobs[rec.Task.Job]
+	if j == nil {
+		o.inherit(a, rec)
+		return
+	}
+	i := rec.Task.Index
+	if j.done || i < 0 || i >= len(j.tasks) {
+		return
+	}
+	if rec.Outcome != courier.Running {
+		o.settle(j, i, rec)
+		return
+	}
+	t := &j.tasks[i]
+	if t.state == ended {
+		return
+	}
+	if t.state == waiting {
+		j.waitingTasks--
+		o.queue.took(j)
+	}
+	*t = task{state: sent, agent: a.ref, link: a.link, sentAt: o.clock.Now()}
+	a.tasks[rec.Task] = struct{}{}
+}
+
+func (o *Owner) inherit(a *agent, rec courier.Record) {
+	in := o.inherited[rec.Task.Job]
+	if in == nil {
+		in = &inheritance{digest: rec.Digest, records: make(map[int]inheritedTask)}
+		o.inherited[rec.Task.Job] = in
+	}
+	in.until = o.clock.Now().Add(RecordHorizon)
+	old, ok := in.records[rec.Task.Index]
+	if ok && old.outcome != courier.Running && rec.Outcome == courier.Running {
+		return
+	}
+	in.records[rec.Task.Index] = inheritedTask{
+		agent:   a.ref,
+		link:    a.link,
+		outcome: rec.Outcome,
+		result:  rec.Result,
+	}
+}
+
+// requeueUnheard makes tasks wait again that were sent on an earlier link and
+// never arrived: the agent refuses that link from now on.
+func (o *Owner) requeueUnheard(a *agent, fenced map[router.Partition]bool) {
+	for id := range a.tasks {
+		j := o.jobs[id.Job]
+		if j == nil || j.done {
+			delete(a.tasks, id)
+			continue
+		}
+		t := &j.tasks[id.Index]
+		if t.state != sent || t.agent != a.ref || t.link >= a.link || !fenced[j.partition] {
+			continue
+		}
+		delete(a.tasks, id)
+		o.requeue(j, id.Index)
+	}
+}
+
+func (o *Owner) dropInheritances(now time.Time) {
+	for id, in := range o.inherited {
+		if in.until.Before(now) {
+			delete(o.inherited, id)
+		}
+	}
+	for id, r := range o.refused {
+		if r.until.Before(now) {
+			delete(o.refused, id)
+		}
+	}
+}
+
+// addToClaim adds partition p to the claim of term t in claims.
+func addToClaim(claims []courier.Claim, t courier.Term, p int) []courier.Claim {
+	for i := range claims {
+		if claims[i].Term == t {
+			claims[i].Partitions = append(claims[i].Partitions, router.Partition(p))
+			return claims
+		}
+	}
+	return append(claims, courier.Claim{Term: t, Partitions: []router.Partition{router.Partition(p)}})
+}
--- /dev/null
+++ b/dispatcher/dump.go
@@ -0,0 +1,69 @@
+package dispatcher
+
+import (
+	"github.com/pomeloferry/pomeloferry/courier"
+)
+
+// Dump is an owner's state as operators see it.
+type Dump struct {
+	Counts        Counts
+	Serving       int
+	Jobs          int
+	Unfinished    int
+	WaitingTasks  int
+	Slots         int
+	RosterCertain bool
+	Agents        []AgentDump
+	Gone          []courier.AgentRef
+}
+
+// AgentDump is what an owner knows of one agent.
+type AgentDump struct {
+	Agent      string
+	DataCentre string
+	Linked     bool
+	Admitted   bool
+	Claimed    bool
+	Draining   bool
+	Out        bool
+	Ejected    bool
+	Slots      int
+	Free       int
+	Tasks      int
+}
+
+// Dump returns the state of the owner.
+func (o *Owner) Dump() Dump {
+	d := Dump{
+		Counts:        o.counts,
+		Serving:       o.Serves(),
+		Jobs:          len(o.jobs),
+		WaitingTasks:  o.queue.tasks,
+		Slots:         o.fleet.slots,
+		RosterCertain: !o.rosterCertainAt.After(o.clock.Now()),
+	}
+	for _, j := range o.jobs {
+		if !j.done {
+			d.Unfinished++
+		}
+	}
+	for _, a := range o.fleet.sorted() {
+		d.Agents = append(d.Agents, AgentDump{
+			Agent:      a.ref.Agent,
+			DataCentre: a.dataCentre,
+			Linked:     a.linked,
+			Admitted:   a.admitted,
+			Claimed:    a.claimed,
+			Draining:   a.draining,
+			Out:        a.out,
+			Ejected:    a.health.ejected,
+			Slots:      a.slots,
+			Free:       a.free(),
+			Tasks:      len(a.tasks),
+		})
+	}
+	for ref := range o.fleet.gone {
+		d.Gone = append(d.Gone, ref)
+	}
+	return d
+}
--- /dev/null
+++ b/dispatcher/fleet.go
@@ -0,0 +1,210 @@
+package dispatcher
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+)
+
+// agent is what an owner knows of one agent incarnation.
+type agent struct {
+	ref        courier.AgentRef
+	dataCentre string
+	services   []string
+	slots      int
+	// linked is false while there is no link; link numbers the last one.
+	linked bool
+	link   uint64
+	lostAt time.Time
+	// pendingClaims counts the claims on this link that are not answered;
+	// claimed means that it has fallen to zero.
+	pendingClaims int
+	claimed       bool
+	// admitted means that every other entry has the agent in its roster; it
+	// stays true for the life of the incarnation.
+	admitted bool
+	draining bool
+	out      bool
+	// sentTasks counts the tasks sent on this link.
+	sentTasks uint64
+	load      courier.Load
+	health    health
+	// tasks holds the tasks that may be running there for this owner.
+	tasks map[courier.TaskID]struct{}
+	// idleIndex is the place in the idle list, or -1.
+	idleIndex int
+}
+
+// free returns the slots that should be free when a message arrives now.
+func (a *agent) free() int {
+	return a.load.Free - int(a.sentTasks-a.load.Seen)
+}
+
+// startable reports whether new tasks may be sent to the agent.
+func (a *agent) startable() bool {
+	return a.linked && a.claimed && a.admitted && !a.draining && !a.out
+}
+
+func (a *agent) serves(service string) bool {
+	return slices.Contains(a.services, service)
+}
+
+// fleet holds the known agents, and a list of those with free slots, so that
+// the cost of a choice does not grow with their number.
+type fleet struct {
+	agents map[string]*agent
+	idle   []*agent
+	// gone holds agents that may keep records but cannot be asked.
+	gone map[courier.AgentRef]goneAgent
+	out  []string
+	// slots is the sum over the agents that take new tasks.
+	slots int
+}
+
+// goneAgent is an agent incarnation out of reach.
+type goneAgent struct {
+	until time.Time
+}
+
+func newFleet() *fleet {
+	return &fleet{
+		agents: make(map[string]*agent),
+		gone:   make(map[courier.AgentRef]goneAgent),
+	}
+}
+
+// update puts the agent into the idle list or takes it out.
+func (f *fleet) update(a *agent) {
+	idle := a.startable() && a.free() > 0 && !a.health.ejected
+	switch {
+	case idle && a.idleIndex < 0:
+		a.idleIndex = len(f.idle)
+		f.idle = append(f.idle, a)
+	case !idle && a.idleIndex >= 0:
+		f.dropIdle(a)
+	}
+}
+
+func (f *fleet) dropIdle(a *agent) {
+	last := len(f.idle) - 1
+	moved := f.idle[last]
+	f.idle[a.idleIndex] = moved
+	moved.idleIndex = a.idleIndex
+	f.idle = f.idle[:last]
+	a.idleIndex = -1
+}
+
+// remove forgets an agent that is out of reach but remembers, until then,
+// that it may keep records.
+func (f *fleet) remove(a *agent, until time.Time) {
+	if a.idleIndex >= 0 {
+		f.dropIdle(a)
+	}
+	delete(f.agents, a.ref.Agent)
+	f.gone[a.ref] = goneAgent{until: until}
+	f.count()
+}
+
+// count sums up the slots that take new tasks.
+func (f *fleet) count() {
+	f.slots = 0
+	for _, a := range f.agents {
+		if a.startable() {
+			f.slots += a.slots
+		}
+	}
+}
+
+func (f *fleet) setOut(dataCentres []string) {
+	f.out = dataCentres
+	for _, a := range f.agents {
+		a.out = slices.Contains(f.out, a.dataCentre)
+		f.update(a)
+	}
+	f.count()
+}
+
+// canServe reports whether any agent in reach runs the service.
+func (f *fleet) canServe(service string) bool {
+	for _, a := range f.agents {
+		if a.serves(service) {
+			return true
+		}
+	}
+	return false
+}
+
+// pick returns an idle agent for the service: the one with more free slots of
+// two chosen at random, which keeps several owners from choosing alike.
+func (f *fleet) pick(service string, rng *rand.Rand) *agent {
+	n := len(f.idle)
+	if n == 0 {
+		return nil
+	}
+	a, b := f.idle[rng.IntN(n)], f.idle[rng.IntN(n)]
+	if b.serves(service) && (b.free() > a.free() || !a.serves(service)) {
+		a = b
+	}
+	if a.serves(service) {
+		return a
+	}
+	for _, c := range f.idle {
+		if c.serves(service) {
+			return c
+		}
+	}
+	return nil
+}
+
+// linked returns the agent called name if link is its current link.
+func (f *fleet) linked(name string, link uint64) *agent {
+	a := f.agents[name]
+	if a == nil || !a.linked || a.link != link {
+		return nil
+	}
+	return a
+}
+
+// sortedRefs returns the known agents among the keys of m, by name.
+func (f *fleet) sortedRefs(m map[courier.AgentRef][]courier.TaskID) []*agent {
+	var out []*agent
+	for ref := range m {
+		if a := f.agents[ref.Agent]; a != nil && a.ref == ref {
+			out = append(out, a)
+		}
+	}
+	sortAgents(out)
+	return out
+}
+
+// sorted returns the agents in the order of their names.
+func (f *fleet) sorted() []*agent {
+	out := make([]*agent, 0, len(f.agents))
+	for _, a := range f.agents {
+		out = append(out, a)
+	}
+	sortAgents(out)
+	return out
+}
+
+func sortAgents(list []*agent) {
+	slices.SortFunc(list, func(a, b *agent) int { return cmp.Compare(a.ref.Agent, b.ref.Agent) })
+}
+
+// tick lets ejected agents have a probe and forgets old absences.
+func (f *fleet) tick(now time.Time) {
+	for ref, g := range f.gone {
+		if g.until.Before(now) {
+			delete(f.gone, ref)
+		}
+	}
+	for _, a := range f.agents {
+		if a.health.ejected && !now.Before(a.health.until) {
+			a.health.probe()
+			f.update(a)
+		}
+	}
+}
--- /dev/null
+++ b/dispatcher/queue.go
@@ -0,0 +1,182 @@
+package dispatcher
+
+import "container/heap"
+
+// Order ranks waiting jobs.
+type Order interface {
+	// Before reports whether a starts before b.
+	Before(a, b QueuedJob) bool
+}
+
+// QueuedJob is what an Order may look at.
+type QueuedJob struct {
+	// Sequence rises with the arrival of jobs.
+	Sequence uint64
+	// DeadlineNanos is the deadline in Unix nanoseconds.
+	DeadlineNanos int64
+	// TasksLeft counts the tasks that wait.
+	TasksLeft int
+}
+
+// Arrival starts jobs in the order of their arrival.
+type Arrival struct{}
+
+// Before implements Order.
+func (Arrival) Before(a, b QueuedJob) bool { return a.Sequence < b.Sequence }
+
+// EarliestDeadline starts the job with the earliest deadline first.
+type EarliestDeadline struct{}
+
+// Before implements Order.
+func (EarliestDeadline) Before(a, b QueuedJob) bool {
+	if a.DeadlineNanos != b.DeadlineNanos {
+		return a.DeadlineNanos < b.DeadlineNanos
+	}
+	return a.Sequence < b.Sequence
+}
+
+// FewestLeft starts the job with the fewest waiting tasks first.
+type FewestLeft struct{}
+
+// Before implements Order.
+func (FewestLeft) Before(a, b QueuedJob) bool {
+	if a.TasksLeft != b.TasksLeft {
+		return a.TasksLeft < b.TasksLeft
+	}
+	return a.Sequence < b.Sequence
+}
+
+// queue holds the jobs with waiting tasks, one heap for each service, so that
+// a service without workers does not hold up the others.
+type queue struct {
+	order    Order
+	services map[string]*jobHeap
+	// names lists the keys of services in the order of their first use.
+	names    []string
+	sequence uint64
+	// tasks counts the waiting tasks of all queued jobs.
+	tasks int
+}
+
+func newQueue(order Order) *queue {
+	return &queue{order: order, services: make(map[string]*jobHeap)}
+}
+
+// add queues j unless it is queued, and counts n more waiting tasks.
+func (q *queue) add(j *job, n int) {
+	q.tasks += n
+	h := q.services[j.sub.Service]
+	if h == nil {
+		h = &jobHeap{order: q.order}
+		q.services[j.sub.Service] = h
+		q.names = append(q.names, j.sub.Service)
+	}
+	if j.queued {
+		heap.Fix(h, j.heapIndex)
+		return
+	}
+	q.sequence++
+	j.queued = true
+	heap.Push(h, queuedJob{job: j, sequence: q.sequence})
+}
+
+// took notes that one waiting task of j is not waiting any more, and drops j
+// when none is left.
+func (q *queue) took(j *job) {
+	if !j.queued {
+		return
+	}
+	q.tasks--
+	if j.waitingTasks == 0 {
+		q.drop(j)
+		return
+	}
+	heap.Fix(q.services[j.sub.Service], j.heapIndex)
+}
+
+// remove drops j with all its waiting tasks.
+func (q *queue) remove(j *job) {
+	if !j.queued {
+		return
+	}
+	q.tasks -= j.waitingTasks
+	q.drop(j)
+}
+
+func (q *queue) drop(j *job) {
+	heap.Remove(q.services[j.sub.Service], j.heapIndex)
+	j.queued = false
+}
+
+// first returns the job of service to start next, or nil.
+func (q *queue) first(service string) *job {
+	h := q.services[service]
+	if h == nil || len(h.jobs) == 0 {
+		return nil
+	}
+	return h.jobs[0].job
+}
+
+type queuedJob struct {
+	job      *job
+	sequence uint64
+}
+
+func (q queuedJob) view() QueuedJob {
+	return QueuedJob{
+		Sequence:      q.sequence,
+		DeadlineNanos: q.job.sub.Deadline.UnixNano(),
+		TasksLeft:     q.job.waitingTasks,
+	}
+}
+
+// jobHeap implements heap.Interface.
+type jobHeap struct {
+	order Order
+	jobs  []queuedJob
+}
+
+func (h *jobHeap) Len() int           { return len(h.jobs) }
+func (h *jobHeap) Less(a, b int) bool { return h.order.Before(h.jobs[a].view(), h.jobs[b].view()) }
+
+func (h *jobHeap) Swap(a, b int) {
+	h.jobs[a], h.jobs[b] = h.jobs[b], h.jobs[a]
+	h.jobs[a].job.heapIndex = a
+	h.jobs[b].job.heapIndex = b
+}
+
+func (h *jobHeap) Push(x any) {
+	q := x.(queuedJob)
+	q.job.heapIndex = len(h.jobs)
+	h.jobs = append(h.jobs, q)
+}
+
+func (h *jobHeap) Pop() any {
+	last := len(h.jobs) - 1
+	q := h.jobs[last]
+	h.jobs[last] = queuedJob{}
+	h.jobs = h.jobs[:last]
+	return q
+}
+
+// expiryQueue orders jobs by the time at which something is due for them.
+type expiryQueue []expiry
+
+type expiry struct {
+	atNanos int64
+	job     *job
+}
+
+func (q expiryQueue) Len() int           { return len(q) }
+func (q expiryQueue) Less(a, b int) bool { return q[a].atNanos < q[b].atNanos }
+func (q expiryQueue) Swap(a, b int)      { q[a], q[b] = q[b], q[a] }
+func (q *expiryQueue) Push(x any)        { *q = append(*q, x.(expiry)) }
+
+func (q *expiryQueue) Pop() any {
+	old := *q
+	last := len(old) - 1
+	e := old[last]
+	old[last] = expiry{}
+	*q = old[:last]
+	return e
+}
--- /dev/null
+++ b/dispatcher/settle.go
@@ -0,0 +1,310 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+)
+
+// AgentUp takes the first announcement on a new link to an agent.
+func (o *Owner) AgentUp(an courier.Announce) {
+	o.wake()
+	ref := courier.AgentRef{Agent: an.Agent, Incarnation: an.Incarnation}
+	a := o.fleet.agents[an.Agent]
+	if a != nil && a.ref != ref {
+		o.loseAgent(a, RecordHorizon)
+		a = nil
+	}
+	if a == nil {
+		a = &agent{ref: ref, tasks: make(map[courier.TaskID]struct{}), idleIndex: -1}
+		o.fleet.agents[an.Agent] = a
+		delete(o.fleet.gone, ref)
+	}
+	a.linked = true
+	a.link = an.LinkNumber
+	a.sentTasks = 0
+	a.pendingClaims = 0
+	o.claimFrom(a)
+	a.claimed = a.pendingClaims == 0
+	o.AgentSeen(an)
+}
+
+// claimFrom sends one claim for each term held here.
+func (o *Owner) claimFrom(a *agent) {
+	var claims []courier.Claim
+	for i := range o.partitions {
+		part := &o.partitions[i]
+		if part.state == foreign || !part.retryAt.IsZero() {
+			continue
+		}
+		claims = addToClaim(claims, part.term, i)
+	}
+	for _, c := range claims {
+		o.sendClaim(a, c)
+	}
+}
+
+// AgentSeen takes a later announcement.
+func (o *Owner) AgentSeen(an courier.Announce) {
+	o.wake()
+	a := o.fleet.linked(an.Agent, an.LinkNumber)
+	if a == nil || a.ref.Incarnation != an.Incarnation {
+		return
+	}
+	a.dataCentre = an.DataCentre
+	a.services = an.Services
+	a.slots = an.Slots
+	a.draining = an.Draining
+	a.out = slices.Contains(o.fleet.out, a.dataCentre)
+	if !a.admitted {
+		a.admitted = containsAll(an.Acked, o.peers)
+	}
+	o.setLoad(a, an.Load)
+	o.fleet.count()
+	o.dispatch()
+}
+
+func containsAll(list, wanted []string) bool {
+	for _, id := range wanted {
+		if !slices.Contains(list, id) {
+			return false
+		}
+	}
+	return true
+}
+
+// AgentDown notes that the link to an agent has ended.
+func (o *Owner) AgentDown(name string, link uint64) {
+	o.wake()
+	a := o.fleet.linked(name, link)
+	if a == nil {
+		return
+	}
+	a.linked = false
+	a.lostAt = o.clock.Now()
+	o.fleet.update(a)
+	o.fleet.count()
+	if a.draining && len(a.tasks) == 0 {
+		o.loseAgent(a, RecordHorizon)
+	}
+}
+
+// dropLapsedAgents gives up agents that have been out of touch too long.
+func (o *Owner) dropLapsedAgents(now time.Time) {
+	for _, a := range o.fleet.sorted() {
+		if !a.linked && now.Sub(a.lostAt) >= AgentLapse {
+			o.loseAgent(a, SilentHorizon)
+		}
+	}
+}
+
+// loseAgent settles the tasks that ran at an agent that will not answer.
+func (o *Owner) loseAgent(a *agent, horizon time.Duration) {
+	o.fleet.remove(a, o.clock.Now().Add(horizon))
+	for id := range a.tasks {
+		if j := o.jobs[id.Job]; j != nil && !j.done {
+			o.settle(j, id.Index, courier.Record{Task: id, Outcome: courier.Lost})
+		}
+	}
+}
+
+// Finished takes the outcomes of tasks, and the slot that may be offered with
+// them.
+func (o *Owner) Finished(name string, link uint64, f courier.Finished) {
+	o.wake()
+	a := o.fleet.linked(name, link)
+	if a == nil {
+		return
+	}
+	o.setLoad(a, f.Load)
+	ack := courier.Acked{Tasks: make([]courier.TaskID, 0, len(f.Records))}
+	for _, rec := range f.Records {
+		delete(a.tasks, rec.Task)
+		if rec.Outcome == courier.Running {
+			continue
+		}
+		o.finishTask(a, rec)
+		ack.Tasks = append(ack.Tasks, rec.Task)
+	}
+	o.useOffer(a, f.Offer)
+	o.dispatch()
+	o.send(name, ack)
+}
+
+func (o *Owner) finishTask(a *agent, rec courier.Record) {
+	j := o.jobs[rec.Task.Job]
+	if j == nil {
+		o.inherit(a, rec)
+		return
+	}
+	i := rec.Task.Index
+	if j.done || i < 0 || i >= len(j.tasks) {
+		return
+	}
+	t := j.tasks[i]
+	if t.state == sent && rec.Outcome == courier.Succeeded {
+		o.admission.learn(j.sub.Service, o.clock.Since(t.sentAt))
+	}
+	if rec.Outcome != courier.Stopped {
+		o.judge(a, rec.Outcome == courier.Succeeded)
+	}
+	o.settle(j, i, rec)
+}
+
+// Offered takes a free slot that an agent holds for this owner.
+func (o *Owner) Offered(name string, link uint64, f courier.Offer) {
+	o.wake()
+	a := o.fleet.linked(name, link)
+	if a == nil {
+		return
+	}
+	o.setLoad(a, f.Load)
+	o.useOffer(a, f.Offer)
+}
+
+// Refused takes an agent's word that tasks have not started.
+func (o *Owner) Refused(name string, link uint64, r courier.Refuse) {
+	o.wake()
+	a := o.fleet.linked(name, link)
+	if a == nil {
+		return
+	}
+	o.setLoad(a, r.Load)
+	for _, id := range r.Tasks {
+		delete(a.tasks, id)
+		o.counts.Refused++
+		j := o.jobs[id.Job]
+		if j == nil || j.done || id.Index >= len(j.tasks) {
+			continue
+		}
+		if t := &j.tasks[id.Index]; t.state != sent || t.agent != a.ref {
+			continue
+		}
+		o.putBackRefused(a, j, id.Index, r.Reason)
+		if r.Reason == courier.RefusedTerm {
+			o.loseTo(j.partition, r.Term)
+		}
+	}
+	o.dispatch()
+}
+
+func (o *Owner) putBackRefused(a *agent, j *job, i int, reason courier.Refusal) {
+	if reason != courier.RefusedUpstream {
+		o.requeue(j, i)
+		return
+	}
+	o.judge(a, false)
+	if o.budget.spend(o.bundle.Limits.RetryPercent) {
+		o.requeue(j, i)
+		return
+	}
+	j.putBack(i)
+	o.giveUp(j, courier.ReasonOverload, "the upstreams refuse tasks and the retry budget is spent")
+}
+
+// requeue makes a sent task wait again.
+func (o *Owner) requeue(j *job, i int) {
+	j.putBack(i)
+	if o.partitions[j.partition].state == serving {
+		o.queue.add(j, 1)
+	}
+}
+
+func (o *Owner) setLoad(a *agent, l courier.Load) {
+	a.load = l
+	o.fleet.update(a)
+}
+
+// settle notes the outcome of a task, and ends the job when that decides it.
+func (o *Owner) settle(j *job, i int, rec courier.Record) {
+	wasWaiting := j.tasks[i].state == waiting
+	if !j.end(i, rec.Outcome, rec.Result) {
+		return
+	}
+	if wasWaiting {
+		o.queue.took(j)
+	}
+	switch rec.Outcome {
+	case courier.Succeeded:
+		o.counts.Succeeded++
+		if j.unfinished == 0 {
+			o.complete(j)
+		}
+	case courier.Lost:
+		o.counts.Lost++
+		o.fail(j, courier.ReasonOutcomeUnknown, "the outcome of a started task is not known")
+	case courier.Stopped:
+		o.fail(j, courier.ReasonCancelled, "a started task was stopped")
+	default:
+		o.counts.Errored++
+		o.fail(j, courier.ReasonTaskFailed, "a task failed: "+string(rec.Result))
+	}
+}
+
+func (o *Owner) complete(j *job) {
+	o.counts.Complete++
+	o.finish(j, courier.Answer{State: courier.Complete, Results: j.results()})
+}
+
+// fail ends a job of which tasks may have run.
+func (o *Owner) fail(j *job, reason courier.Reason, detail string) {
+	o.counts.Failed++
+	o.finish(j, courier.Answer{
+		State:      courier.Failed,
+		Reason:     reason,
+		Detail:     detail,
+		MayHaveRun: j.mayHaveRun(),
+	})
+}
+
+// giveUp ends a job early: as NotRun when nothing can have started, and else
+// as Failed.
+func (o *Owner) giveUp(j *job, reason courier.Reason, detail string) {
+	known := o.partitions[j.partition].state == serving
+	if !known || len(j.mayHaveRun()) > 0 {
+		o.fail(j, reason, detail)
+		return
+	}
+	o.noteRefusal(j.sub)
+	o.counts.NotRun++
+	o.finish(j, courier.Answer{
+		State:      courier.NotRun,
+		Reason:     reason,
+		Detail:     detail,
+		RetryAfter: o.admission.comeBack(o, len(j.tasks)),
+	})
+	delete(o.jobs, j.id)
+}
+
+// finish gives every caller the final answer and stops what still runs.
+func (o *Owner) finish(j *job, answer courier.Answer) {
+	answer.Job = j.id
+	answer.BundleVersion = o.bundle.Version
+	answer.Entry = o.cfg.Entry
+	o.queue.remove(j)
+	o.admission.ended(j)
+	o.stopTasks(j)
+	j.done = true
+	j.answer = answer
+	for _, w := range sortedWaiters(j) {
+		delete(o.waiters, w)
+		o.reply(w, answer)
+	}
+	j.waiters = nil
+	j.release()
+	o.due(j, j.sub.Deadline.Add(AnswerGrace))
+}
+
+func (o *Owner) stopTasks(j *job) {
+	running := j.sentTasks()
+	for _, a := range o.fleet.sortedRefs(running) {
+		ids := running[a.ref]
+		for _, id := range ids {
+			delete(a.tasks, id)
+		}
+		if a.linked {
+			o.send(a.ref.Agent, courier.Stop{Tasks: ids})
+		}
+	}
+}
--- /dev/null
+++ b/dispatcher/submit.go
@@ -0,0 +1,303 @@
+package dispatcher
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/router"
+)
+
+// Submit takes one copy of a submission. Its waiter gets exactly one Reply.
+func (o *Owner) Submit(r Request) {
+	o.wake()
+	p := router.PartitionOf(r.Submission.Job())
+	part := &o.partitions[p]
+	switch part.state {
+	case serving:
+		o.admit(r)
+		o.dispatch()
+	case claiming:
+		part.parked = append(part.parked, r)
+	default:
+		o.replyMoved(r.Waiter, p, false)
+	}
+}
+
+// admit decides on a submission whose partition is served here.
+func (o *Owner) admit(r Request) {
+	id := r.Submission.Job()
+	if j := o.jobs[id]; j != nil {
+		o.join(j, r)
+		return
+	}
+	if ref, ok := o.refused[id]; ok && r.Submission.Attempt <= ref.attempt {
+		o.refuse(r, courier.ReasonRefusedBefore, "this attempt or a later one was answered NotRun", 0)
+		return
+	}
+	if in := o.inherited[id]; in != nil {
+		o.adopt(r, in)
+		return
+	}
+	if !r.first() && o.gap(router.PartitionOf(id)) {
+		o.replyUnknown(r, nil)
+		return
+	}
+	o.admitNew(r)
+}
+
+// join adds a caller to a job that is known here.
+func (o *Owner) join(j *job, r Request) {
+	if j.digest != r.Digest {
+		o.replyConflict(r)
+		return
+	}
+	if j.done {
+		o.reply(r.Waiter, j.answer)
+		return
+	}
+	o.addWaiter(j, r.Waiter)
+}
+
+func (o *Owner) addWaiter(j *job, w Waiter) {
+	if w == 0 {
+		return
+	}
+	j.waiters[w] = struct{}{}
+	j.orphanedAt = time.Time{}
+	o.waiters[w] = j
+}
+
+// admitNew decides on a submission of which nothing has started.
+func (o *Owner) admitNew(r Request) {
+	now := o.clock.Now()
+	s := r.Submission
+	if !o.fresh() {
+		o.refuse(r, courier.ReasonNoBundle, "no configuration is confirmed at this entry", time.Second)
+		return
+	}
+	if !s.Deadline.After(now) {
+		o.refuse(r, courier.ReasonDeadline, "the deadline has passed", 0)
+		return
+	}
+	service, ok := o.bundle.Service(s.Service)
+	if !ok || len(s.Tasks) > service.TaskLimit {
+		o.refuse(r, courier.ReasonUnknownService, "the bundle in force has no such service, or a lower task limit", 0)
+		return
+	}
+	if !o.fleet.canServe(s.Service) {
+		o.refuse(r, courier.ReasonNoWorker, fmt.Sprintf("no worker runs service %q", s.Service), 5*time.Second)
+		return
+	}
+	if reason, after := o.admission.check(o, r); reason != "" {
+		o.refuse(r, reason, "the tasks waiting would take longer than the deadline allows", after)
+		return
+	}
+	j := o.addJob(r)
+	o.queue.add(j, j.waitingTasks)
+}
+
+func (o *Owner) addJob(r Request) *job {
+	j := newJob(r, o.clock.Now())
+	o.jobs[j.id] = j
+	o.admission.admitted(j)
+	o.addWaiter(j, r.Waiter)
+	o.due(j, j.sub.Deadline)
+	return j
+}
+
+// adopt continues a job of an earlier owner from what the agents reported.
+func (o *Owner) adopt(r Request, in *inheritance) {
+	if in.digest != r.Digest {
+		o.replyConflict(r)
+		return
+	}
+	n := len(r.Submission.Tasks)
+	if len(in.records) < n && o.gap(router.PartitionOf(r.Submission.Job())) {
+		o.replyUnknown(r, in)
+		return
+	}
+	delete(o.inherited, r.Submission.Job())
+	j := o.addJob(r)
+	for _, i := range sortedIndexes(in.records) {
+		o.restore(j, i, in.records[i])
+	}
+	if !j.done && j.waitingTasks > 0 {
+		o.queue.add(j, j.waitingTasks)
+	}
+}
+
+func (o *Owner) restore(j *job, i int, t inheritedTask) {
+	if i < 0 || i >= len(j.tasks) || j.done {
+		return
+	}
+	id := courier.TaskID{Job: j.id, Index: i}
+	a := o.fleet.agents[t.agent.Agent]
+	gone := a == nil || a.ref != t.agent
+	switch {
+	case t.outcome != courier.Running:
+		o.settle(j, i, courier.Record{Task: id, Outcome: t.outcome, Result: t.result})
+	case gone:
+		o.settle(j, i, courier.Record{Task: id, Outcome: courier.Lost})
+	default:
+		j.tasks[i] = task{state: sent, agent: t.agent, link: t.link, sentAt: o.clock.Now()}
+		j.waitingTasks--
+		a.tasks[id] = struct{}{}
+	}
+}
+
+// Leave notes that a caller has gone.
+func (o *Owner) Leave(w Waiter) {
+	o.wake()
+	j := o.waiters[w]
+	if j == nil {
+		o.unpark(w)
+		return
+	}
+	delete(o.waiters, w)
+	delete(j.waiters, w)
+	if len(j.waiters) == 0 && !j.sub.Detached && !j.done {
+		j.orphanedAt = o.clock.Now()
+		o.due(j, j.orphanedAt.Add(LeaveGrace))
+	}
+}
+
+func (o *Owner) unpark(w Waiter) {
+	for i := range o.partitions {
+		part := &o.partitions[i]
+		part.parked = slices.DeleteFunc(part.parked, func(r Request) bool { return r.Waiter == w })
+	}
+}
+
+// Cancel ends an unfinished job and returns its state.
+func (o *Owner) Cancel(id string) courier.Answer {
+	o.wake()
+	if j := o.jobs[id]; j != nil && !j.done {
+		o.giveUp(j, courier.ReasonCancelled, "the job was cancelled")
+		a := j.answer
+		o.dispatch()
+		return a
+	}
+	return o.State(id)
+}
+
+// State returns what is known of a job.
+func (o *Owner) State(id string) courier.Answer {
+	a := courier.Answer{Job: id, State: courier.Unheard, BundleVersion: o.bundle.Version, Entry: o.cfg.Entry}
+	p := router.PartitionOf(id)
+	if o.partitions[p].state == foreign {
+		a.State = courier.Moved
+		a.Owner = router.Owner(p, o.view)
+		return a
+	}
+	if j := o.jobs[id]; j != nil {
+		if j.done {
+			return j.answer
+		}
+		a.State = courier.Pending
+		return a
+	}
+	if o.inherited[id] != nil {
+		a.State = courier.Pending
+		a.Detail = "started by an earlier owner; submit again for the answer"
+	}
+	return a
+}
+
+// due has expireJobs look at j at a time.
+func (o *Owner) due(j *job, at time.Time) {
+	heap.Push(&o.expiry, expiry{atNanos: at.UnixNano(), job: j})
+}
+
+// expireJobs gives up jobs whose deadline has passed or whose callers have
+// left, and forgets answers that nobody can ask for any more.
+func (o *Owner) expireJobs(now time.Time) {
+	for len(o.expiry) > 0 && o.expiry[0].atNanos <= now.UnixNano() {
+		e := heap.Pop(&o.expiry).(expiry)
+		o.expireJob(e.job, now)
+	}
+}
+
+func (o *Owner) expireJob(j *job, now time.Time) {
+	switch {
+	case o.jobs[j.id] != j:
+	case j.done && !now.Before(j.sub.Deadline.Add(AnswerGrace)):
+		delete(o.jobs, j.id)
+	case j.done:
+		o.due(j, j.sub.Deadline.Add(AnswerGrace))
+	case !now.Before(j.sub.Deadline):
+		o.giveUp(j, courier.ReasonDeadline, "the deadline has passed")
+	case !j.orphanedAt.IsZero() && !now.Before(j.orphanedAt.Add(LeaveGrace)):
+		o.giveUp(j, courier.ReasonCancelled, "the caller has left")
+	}
+}
+
+func (o *Owner) refuse(r Request, reason courier.Reason, detail string, after time.Duration) {
+	o.noteRefusal(r.Submission)
+	o.counts.NotRun++
+	o.reply(r.Waiter, courier.Answer{
+		Job:        r.Submission.Job(),
+		State:      courier.NotRun,
+		Reason:     reason,
+		Detail:     detail,
+		RetryAfter: after,
+	})
+}
+
+// noteRefusal makes sure that no delayed copy of a refused attempt runs.
+func (o *Owner) noteRefusal(s courier.Submission) {
+	old := o.refused[s.Job()]
+	o.refused[s.Job()] = refusedAttempt{
+		attempt: max(old.attempt, s.Attempt),
+		until:   s.Deadline.Add(AnswerGrace),
+	}
+}
+
+func (o *Owner) replyConflict(r Request) {
+	o.reply(r.Waiter, courier.Answer{
+		Job:    r.Submission.Job(),
+		State:  courier.Conflict,
+		Reason: courier.ReasonOtherBody,
+		Detail: "Key: already used by a submission with another body; nothing of this one was started",
+	})
+}
+
+// replyUnknown answers a resubmission whose earlier copies may have run where
+// nobody can be asked.
+func (o *Owner) replyUnknown(r Request, in *inheritance) {
+	o.counts.Failed++
+	a := courier.Answer{
+		Job:    r.Submission.Job(),
+		State:  courier.Failed,
+		Reason: courier.ReasonOutcomeUnknown,
+		Detail: "an agent that may have started tasks of this job cannot be asked",
+	}
+	for i := range r.Submission.Tasks {
+		a.MayHaveRun = append(a.MayHaveRun, i)
+	}
+	if in != nil {
+		a.Detail = "some tasks are known to have started, and an agent that may have started others cannot be asked"
+	}
+	o.reply(r.Waiter, a)
+}
+
+func sortedWaiters(j *job) []Waiter {
+	out := make([]Waiter, 0, len(j.waiters))
+	for w := range j.waiters {
+		out = append(out, w)
+	}
+	slices.SortFunc(out, func(a, b Waiter) int { return cmp.Compare(a, b) })
+	return out
+}
+
+func sortedIndexes(m map[int]inheritedTask) []int {
+	out := make([]int, 0, len(m))
+	for i := range m {
+		out = append(out, i)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/launcher/launcher.go
@@ -0,0 +1,266 @@
+// Package launcher runs a whole deployment in one process on loopback, with
+// the repository's stand-ins for the store and the upstreams. The demo and the
+// tests use it.
+package launcher
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/pomeloferry/pomeloferry/agent"
+	"github.com/pomeloferry/pomeloferry/approver"
+	"github.com/pomeloferry/pomeloferry/keeper"
+	"github.com/pomeloferry/pomeloferry/provider"
+	"github.com/pomeloferry/pomeloferry/receiver"
+	"github.com/pomeloferry/pomeloferry/storer"
+	"github.com/pomeloferry/pomeloferry/worker"
+)
+
+const loopback = "127.0.0.1:0"
+
+// Approver is the name under which a launched deployment's bundles are signed.
+const Approver = "approver"
+
+// Config describes a deployment to launch.
+type Config struct {
+	Entries     int
+	Workers     int
+	Slots       int
+	Connections int
+	DataCentres []string
+	Service     string
+	Bundle      approver.Bundle
+}
+
+// process is one running part of the deployment.
+type process struct {
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	deps  provider.Deps
+	cfg   Config
+	key   ed25519.PrivateKey
+	trust approver.Trust
+
+	Store     *storer.Store
+	storeAddr string
+	Entries   []*receiver.Receiver
+	Workers   []*worker.Worker
+
+	mu        sync.Mutex
+	processes map[string]process
+}
+
+// NewDeployment starts a deployment. Stop ends it.
+func NewDeployment(deps provider.Deps, cfg Config) (*Deployment, error) {
+	public, private, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "generate key")
+	}
+	d := &Deployment{
+		deps:      deps,
+		cfg:       cfg,
+		key:       private,
+		trust:     approver.Trust{Approver: base64.StdEncoding.EncodeToString(public)},
+		Store:     storer.NewStore(deps.Clock),
+		processes: make(map[string]process),
+	}
+	if err := d.start(); err != nil {
+		d.Stop()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start() error {
+	addr, err := d.serve("store", d.Store)
+	if err != nil {
+		return err
+	}
+	d.storeAddr = addr
+	if err := d.RollOut(context.Background(), d.cfg.Bundle); err != nil {
+		return err
+	}
+	for i := range d.cfg.Entries {
+		if err := d.StartEntry(i); err != nil {
+			return err
+		}
+	}
+	for i := range d.cfg.Workers {
+		if err := d.startWorker(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// RollOut signs b and writes it into the store, if it succeeds the present
+// version there.
+func (d *Deployment) RollOut(ctx context.Context, b approver.Bundle) error {
+	signed, err := approver.Sign(b, Approver, d.key)
+	if err != nil {
+		return err
+	}
+	raw, err := json.Marshal(signed)
+	if err != nil {
+		return errors.Wrap(err, "encode bundle")
+	}
+	store := d.StoreClient()
+	old, err := store.Get(ctx, receiver.BundleKey)
+	if err != nil {
+		return err
+	}
+	ok, err := store.CompareAndSwap(ctx, receiver.BundleKey, old.Revision, raw)
+	if err == nil && !ok {
+		err = errors.New("another bundle was written meanwhile")
+	}
+	return err
+}
+
+// StoreClient returns a client of the deployment's store.
+func (d *Deployment) StoreClient() *keeper.Client { return keeper.NewClient("http://" + d.storeAddr) }
+
+// EntryName returns the ID of the i-th entry.
+func EntryName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+
+// AgentName returns the ID of the i-th agent.
+func AgentName(i int) string { return fmt.Sprintf("agent-%d", i+1) }
+
+// StartEntry starts the i-th entry, which may be a new one.
+func (d *Deployment) StartEntry(i int) error {
+	var peers []string
+	for _, e := range d.Entries {
+		if e != nil {
+			peers = append(peers, e.LinkAddr())
+		}
+	}
+	e, err := receiver.NewReceiver(d.deps, receiver.Config{
+		ID:         EntryName(i),
+		DataCentre: d.dataCentre(i),
+		Listen:     loopback,
+		Link:       loopback,
+		Peers:      peers,
+		Trust:      d.trust,
+		Seed:       uint64(i),
+	}, d.StoreClient())
+	if err != nil {
+		return err
+	}
+	if i == len(d.Entries) {
+		d.Entries = append(d.Entries, nil)
+	}
+	d.Entries[i] = e
+	d.launch(EntryName(i), e.Run)
+	return nil
+}
+
+func (d *Deployment) dataCentre(i int) string { return d.cfg.DataCentres[i%len(d.cfg.DataCentres)] }
+
+// startWorker starts the i-th upstream and the agent beside it.
+func (d *Deployment) startWorker(i int) error {
+	var links []string
+	for _, e := range d.Entries {
+		links = append(links, e.LinkAddr())
+	}
+	a, err := agent.NewAgent(d.deps, agent.Config{
+		ID:         AgentName(i),
+		DataCentre: d.dataCentre(i),
+		Rack:       fmt.Sprintf("rack-%d", i/3+1),
+		Listen:     loopback,
+		Entries:    links,
+	})
+	if err != nil {
+		return err
+	}
+	d.launch(AgentName(i), a.Run)
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	w := worker.NewWorker(d.deps, worker.Config{
+		Announcement: worker.Announcement{
+			Address:     listener.Addr().String(),
+			Slots:       d.cfg.Slots,
+			Connections: d.cfg.Connections,
+			Services:    []string{d.cfg.Service},
+		},
+		Agent: a.Addr(),
+	})
+	d.Workers = append(d.Workers, w)
+	name := fmt.Sprintf("worker-%d", i+1)
+	d.serveOn(name, listener, w.Handler())
+	d.launch(name+"-announce", w.Announce)
+	return nil
+}
+
+func (d *Deployment) serve(name string, h http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	d.serveOn(name, listener, h)
+	return listener.Addr().String(), nil
+}
+
+func (d *Deployment) serveOn(name string, listener net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	d.launch(name, func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		return server.Serve(listener)
+	})
+}
+
+// launch runs f until it returns or its context is cancelled by stop.
+func (d *Deployment) launch(name string, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := process{stop: cancel, done: make(chan struct{})}
+	d.mu.Lock()
+	d.processes[name] = p
+	d.mu.Unlock()
+	go func() {
+		defer close(p.done)
+		if err := f(ctx); err != nil && ctx.Err() == nil {
+			d.deps.Log.WithError(err).WithField("process", name).Error("process ended")
+		}
+	}()
+}
+
+// StopProcess asks one process to stop as planned and waits until it has.
+func (d *Deployment) StopProcess(name string) {
+	d.mu.Lock()
+	p, ok := d.processes[name]
+	delete(d.processes, name)
+	d.mu.Unlock()
+	if !ok {
+		return
+	}
+	p.stop()
+	<-p.done
+}
+
+// Stop ends every process.
+func (d *Deployment) Stop() {
+	d.mu.Lock()
+	list := d.processes
+	d.processes = make(map[string]process)
+	d.mu.Unlock()
+	for _, p := range list {
+		p.stop()
+	}
+	for _, p := range list {
+		<-p.done
+	}
+}
--- /dev/null
+++ b/provider/provider.go
@@ -0,0 +1,46 @@
+// Package provider holds the dependencies that every part of a process shares:
+// the clock, the log and the metrics. They are built once at start-up and
+// passed down, so that no package keeps global state.
+package provider
+
+import (
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+)
+
+// Deps is the one dependencies value of a process.
+type Deps struct {
+	// Clock is the source of time. Tests pass a fake one.
+	Clock clockwork.Clock
+	// Log writes JSON lines. It is never nil.
+	Log *logrus.Entry
+	// Metrics is served at /metrics. It is never nil.
+	Metrics *metrics.Set
+}
+
+// NewDeps returns the dependencies of a real process that logs to w.
+func NewDeps(w io.Writer) Deps {
+	log := logrus.New()
+	log.SetOutput(w)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	return Deps{
+		Clock:   clockwork.NewRealClock(),
+		Log:     logrus.NewEntry(log),
+		Metrics: metrics.NewSet(),
+	}
+}
+
+// WithField returns a copy of d whose log lines carry one more field.
+func (d Deps) WithField(key string, value any) Deps {
+	d.Log = d.Log.WithField(key, value)
+	return d
+}
+
+// WithClock returns a copy of d that reads time from clock.
+func (d Deps) WithClock(clock clockwork.Clock) Deps {
+	d.Clock = clock
+	return d
+}
--- /dev/null
+++ b/receiver/dump.go
@@ -0,0 +1,55 @@
+package receiver
+
+import (
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/dispatcher"
+)
+
+// Dump is an entry's state as operators see it.
+type Dump struct {
+	Entry         courier.EntryInfo
+	DataCentre    string
+	Incarnation   string
+	Leaving       bool
+	BundleVersion uint64
+	// ConfirmedAge is the time since the bundle was last known to be the
+	// newest one.
+	ConfirmedAge time.Duration
+	View         []string
+	Peers        []string
+	Requests     int64
+	Owner        dispatcher.Dump
+}
+
+func (c *core) dump() Dump {
+	return Dump{
+		Entry:         c.receiver.info,
+		DataCentre:    c.receiver.cfg.DataCentre,
+		Incarnation:   c.receiver.incarnation,
+		Leaving:       c.registrar.Leaving(),
+		BundleVersion: c.bundle.Version,
+		ConfirmedAge:  c.receiver.deps.Clock.Since(c.confirmed),
+		View:          c.registrar.View(),
+		Peers:         c.registrar.Peers(),
+		Requests:      c.receiver.handling.n.Load(),
+		Owner:         c.owner.Dump(),
+	}
+}
+
+// writeCounts writes the owner's totals in the form of /metrics. The cost of
+// every start is filed under the bundle version in force.
+func writeCounts(w io.Writer, d Dump) {
+	v := reflect.ValueOf(d.Owner.Counts)
+	for i := range v.NumField() {
+		name := strings.ToLower(v.Type().Field(i).Name)
+		fmt.Fprintf(w, "pomeloferry_%s_total{bundle_version=\"%d\"} %d\n", name, d.BundleVersion, v.Field(i).Uint())
+	}
+	fmt.Fprintf(w, "pomeloferry_waiting_tasks %d\n", d.Owner.WaitingTasks)
+	fmt.Fprintf(w, "pomeloferry_agents %d\n", len(d.Owner.Agents))
+}
--- /dev/null
+++ b/receiver/http.go
@@ -0,0 +1,197 @@
+package receiver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+
+	"github.com/pomeloferry/pomeloferry/approver"
+	"github.com/pomeloferry/pomeloferry/courier"
+)
+
+const (
+	// MaxBodyBytes bounds the body of a submission.
+	MaxBodyBytes = 4 << 20
+	// maxKeyBytes bounds the length of a key.
+	maxKeyBytes = 128
+	// queryTimeout bounds the answer to a question about a job.
+	queryTimeout = 3 * time.Second
+)
+
+// requestGauge counts the requests being handled.
+type requestGauge struct{ n atomic.Int64 }
+
+// Problem is the body of an answer to a bad request.
+type Problem struct {
+	// Field is the part of the request at fault.
+	Field string
+	// Detail says what was found and what is allowed.
+	Detail string
+}
+
+// handler returns the interface for callers and operators.
+func (r *Receiver) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/jobs", r.serveSubmit)
+	mux.HandleFunc("GET /v1/jobs/{team}/{key}", func(w http.ResponseWriter, req *http.Request) {
+		r.serveQuery(w, req, false)
+	})
+	mux.HandleFunc("DELETE /v1/jobs/{team}/{key}", func(w http.ResponseWriter, req *http.Request) {
+		r.serveQuery(w, req, true)
+	})
+	mux.HandleFunc("GET /dump", r.serveDump)
+	mux.HandleFunc("GET /metrics", r.serveMetrics)
+	return mux
+}
+
+func (r *Receiver) serveSubmit(w http.ResponseWriter, req *http.Request) {
+	r.handling.n.Add(1)
+	defer r.handling.n.Add(-1)
+	s, p := r.parse(http.MaxBytesReader(w, req.Body, MaxBodyBytes))
+	if p != nil {
+		writeProblem(w, *p)
+		return
+	}
+	began := r.deps.Clock.Now()
+	a := r.route(req.Context(), s)
+	r.logAnswer(a, r.deps.Clock.Since(began))
+	writeAnswer(w, a)
+}
+
+func (r *Receiver) logAnswer(a courier.Answer, took time.Duration) {
+	r.deps.Metrics.GetOrCreateCounter(fmt.Sprintf(
+		`pomeloferry_answers_total{state=%q,reason=%q,bundle_version="%d"}`, a.State, a.Reason, a.BundleVersion)).Inc()
+	r.deps.Metrics.GetOrCreateHistogram(`pomeloferry_answer_seconds`).Update(took.Seconds())
+	r.deps.Log.WithField("job", a.Job).
+		WithField("state", a.State).
+		WithField("reason", a.Reason).
+		WithField("bundle_version", a.BundleVersion).
+		WithField("millis", took.Milliseconds()).
+		Debug("answered")
+}
+
+// parse reads a submission and returns what is wrong with it, if anything.
+func (r *Receiver) parse(body interface{ Read([]byte) (int, error) }) (courier.Submission, *Problem) {
+	var s courier.Submission
+	d := json.NewDecoder(body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return s, bodyProblem(err)
+	}
+	return s, checkSubmission(s, r.deps.Clock.Now())
+}
+
+func bodyProblem(err error) *Problem {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &Problem{Field: "body", Detail: fmt.Sprintf("found more than %d bytes, allowed %d", tooLarge.Limit, tooLarge.Limit)}
+	}
+	return &Problem{Field: "body", Detail: "no submission in JSON: " + err.Error()}
+}
+
+// checkSubmission returns what is wrong with s at a time, or nil.
+func checkSubmission(s courier.Submission, now time.Time) *Problem {
+	problem := func(field, format string, args ...any) *Problem {
+		return &Problem{Field: field, Detail: fmt.Sprintf(format, args...)}
+	}
+	longest := approver.MaxDeadlineMillis * time.Millisecond
+	switch {
+	case !validName(s.Team):
+		return problem("Team", "found %q, allowed 1 to %d characters without a slash", s.Team, maxKeyBytes)
+	case !validName(s.Key):
+		return problem("Key", "found %q, allowed 1 to %d characters without a slash", s.Key, maxKeyBytes)
+	case s.Service == "":
+		return problem("Service", "found none, allowed a service of the bundle")
+	case s.Attempt < 1:
+		return problem("Attempt", "found %d, allowed 1 for the first time and more for a resubmission", s.Attempt)
+	case len(s.Tasks) < 1 || len(s.Tasks) > approver.MaxTaskLimit:
+		return problem("Tasks", "found %d, allowed 1 to %d", len(s.Tasks), approver.MaxTaskLimit)
+	case s.Deadline.IsZero():
+		return problem("Deadline", "found none, allowed a time in RFC 3339 form")
+	case !s.Deadline.After(now):
+		return problem("Deadline", "found %s, which has passed; nothing was started by this request", s.Deadline.Format(time.RFC3339Nano))
+	case s.Deadline.Sub(now) > longest:
+		return problem("Deadline", "found %s ahead, allowed %s", s.Deadline.Sub(now).Round(time.Millisecond), longest)
+	}
+	return nil
+}
+
+func validName(s string) bool {
+	return s != "" && len(s) <= maxKeyBytes && !strings.Contains(s, "/")
+}
+
+func (r *Receiver) serveQuery(w http.ResponseWriter, req *http.Request, cancel bool) {
+	ctx, stop := context.WithTimeout(req.Context(), queryTimeout)
+	defer stop()
+	job := req.PathValue("team") + "/" + req.PathValue("key")
+	a, err := r.routeQuery(ctx, job, cancel)
+	if err != nil {
+		http.Error(w, "the owner of the job does not answer", http.StatusServiceUnavailable)
+		return
+	}
+	if a.State == courier.Unheard {
+		writeJSON(w, http.StatusNotFound, a)
+		return
+	}
+	writeJSON(w, http.StatusOK, a)
+}
+
+// statusOf maps an answer to its HTTP status.
+func statusOf(a courier.Answer) int {
+	switch {
+	case a.State == courier.Complete:
+		return http.StatusOK
+	case a.State == courier.Conflict:
+		return http.StatusConflict
+	case a.State == courier.NotRun && a.Reason == courier.ReasonUnknownService:
+		return http.StatusBadRequest
+	case a.State == courier.NotRun:
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusInternalServerError
+}
+
+func writeAnswer(w http.ResponseWriter, a courier.Answer) {
+	if a.State == courier.NotRun && a.RetryAfter > 0 {
+		seconds := int(math.Ceil(a.RetryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	writeJSON(w, statusOf(a), a)
+}
+
+func writeProblem(w http.ResponseWriter, p Problem) { writeJSON(w, http.StatusBadRequest, p) }
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (r *Receiver) serveDump(w http.ResponseWriter, _ *http.Request) {
+	dump, err := r.Dump()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, http.StatusOK, dump)
+}
+
+// Dump returns the state of the entry, for operators.
+func (r *Receiver) Dump() (any, error) { return r.ask(dumpQuestion{}) }
+
+func (r *Receiver) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	if dump, err := r.ask(dumpQuestion{}); err == nil {
+		writeCounts(w, dump.(Dump))
+	}
+	r.deps.Metrics.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/receiver/peer.go
@@ -0,0 +1,199 @@
+package receiver
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/registrar"
+)
+
+// redialPause is the pause before a link to another entry is opened again.
+const redialPause = 100 * time.Millisecond
+
+// peer is another entry, reached over a link that this entry opens.
+type peer struct {
+	set    *peerSet
+	target string
+
+	mu   sync.Mutex
+	id   string
+	link *courier.Link
+	// pending holds the relayed requests without an answer, by their ID.
+	pending map[uint64]chan courier.Answer
+	lastID  uint64
+}
+
+// peerSet keeps a link open to each known entry.
+type peerSet struct {
+	receiver *Receiver
+
+	mu    sync.Mutex
+	ctx   context.Context
+	peers map[string]*peer
+}
+
+func newPeerSet(r *Receiver) *peerSet {
+	return &peerSet{receiver: r, peers: make(map[string]*peer)}
+}
+
+// run keeps the links until ctx ends.
+func (s *peerSet) run(ctx context.Context) error {
+	s.mu.Lock()
+	s.ctx = ctx
+	s.mu.Unlock()
+	for _, target := range s.receiver.cfg.Peers {
+		s.add(target, "")
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// learn adds the link addresses of entries and drops those no longer known.
+func (s *peerSet) learn(entries []courier.EntryInfo) {
+	for _, e := range entries {
+		s.add(e.Link, e.ID)
+	}
+}
+
+func (s *peerSet) add(target, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx == nil || target == s.receiver.info.Link || s.peers[target] != nil {
+		return
+	}
+	p := &peer{set: s, target: target, id: id, pending: make(map[uint64]chan courier.Answer)}
+	s.peers[target] = p
+	go p.run(s.ctx)
+}
+
+// find returns a peer with an open link to the entry called id, or nil.
+func (s *peerSet) find(id string) *peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.peers {
+		if p.linkedTo(id) {
+			return p
+		}
+	}
+	return nil
+}
+
+func (p *peer) linkedTo(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.id == id && p.link != nil
+}
+
+// run keeps the link open and sends heartbeats, until ctx ends.
+func (p *peer) run(ctx context.Context) {
+	clock := p.set.receiver.deps.Clock
+	for ctx.Err() == nil {
+		link, err := courier.Dial(ctx, p.target, p)
+		if err == nil {
+			p.setLink(link)
+			p.beat(ctx, link)
+			link.Close()
+		}
+		select {
+		case <-ctx.Done():
+		case <-clock.After(redialPause):
+		}
+	}
+}
+
+// beat sends heartbeats until the link or ctx ends.
+func (p *peer) beat(ctx context.Context, link *courier.Link) {
+	clock := p.set.receiver.deps.Clock
+	for {
+		if answer, err := p.set.receiver.ask(helloQuestion{}); err == nil {
+			link.Send(answer.(courier.PeerHello))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-link.Done():
+			return
+		case <-clock.After(registrar.HeartbeatInterval):
+		}
+	}
+}
+
+func (p *peer) setLink(l *courier.Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.Ended() {
+		return
+	}
+	p.link = l
+}
+
+// Receive implements courier.Handler.
+func (p *peer) Receive(_ *courier.Link, msg any) {
+	switch m := msg.(type) {
+	case *courier.PeerHello:
+		p.mu.Lock()
+		p.id = m.Entry.ID
+		p.mu.Unlock()
+		p.set.receiver.post(peerHeard{hello: *m})
+	case *courier.RelayReply:
+		p.mu.Lock()
+		answer := p.pending[m.ID]
+		delete(p.pending, m.ID)
+		p.mu.Unlock()
+		if answer != nil {
+			answer <- m.Answer
+		}
+	}
+}
+
+// Closed implements courier.Handler. Requests without an answer fail.
+func (p *peer) Closed(l *courier.Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link == l {
+		p.link = nil
+	}
+	for id, answer := range p.pending {
+		delete(p.pending, id)
+		close(answer)
+	}
+}
+
+// open numbers a request and sends it with send. It fails when there is no
+// link, and then nothing has been sent.
+func (p *peer) open(send func(l *courier.Link, id uint64)) (uint64, chan courier.Answer, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link == nil {
+		return 0, nil, &Error{Op: "relay", Kind: Disconnected, Err: errors.Errorf("no link to %s", p.target)}
+	}
+	p.lastID++
+	answer := make(chan courier.Answer, 1)
+	p.pending[p.lastID] = answer
+	send(p.link, p.lastID)
+	return p.lastID, answer, nil
+}
+
+// await waits for the answer. When ctx ends first, the owner is told that the
+// caller has left.
+func (p *peer) await(ctx context.Context, id uint64, answer chan courier.Answer) (courier.Answer, error) {
+	select {
+	case a, ok := <-answer:
+		if !ok {
+			return courier.Answer{}, &Error{Op: "relay", Kind: Disconnected, Err: errors.Errorf("link to %s ended", p.target)}
+		}
+		return a, nil
+	case <-ctx.Done():
+		p.mu.Lock()
+		delete(p.pending, id)
+		if p.link != nil {
+			p.link.Send(courier.RelayLeave{ID: id})
+		}
+		p.mu.Unlock()
+		return courier.Answer{}, ctx.Err()
+	}
+}
--- /dev/null
+++ b/receiver/route.go
@@ -0,0 +1,141 @@
+package receiver
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/dispatcher"
+)
+
+const (
+	// routePause is the pause before a request is routed again.
+	routePause = 20 * time.Millisecond
+	// answerGrace is how long past the deadline the owner's answer is awaited.
+	answerGrace = 250 * time.Millisecond
+)
+
+// newRequest returns s as a request to its owner.
+func newRequest(s courier.Submission, resent bool, w dispatcher.Waiter) dispatcher.Request {
+	return dispatcher.Request{Submission: s, Digest: digest(s), Resent: resent, Waiter: w}
+}
+
+// digest hashes what a resubmission must repeat.
+func digest(s courier.Submission) uint64 {
+	s.Attempt = 0
+	raw, err := json.Marshal(s)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(raw)
+}
+
+// route brings s to its owner, wherever that moves, and returns the final
+// answer. It gives up a little after the deadline, or when ctx ends.
+func (r *Receiver) route(ctx context.Context, s courier.Submission) courier.Answer {
+	limit, cancel := context.WithDeadline(ctx, s.Deadline.Add(answerGrace))
+	defer cancel()
+	admitted := false
+	for {
+		a, sent, err := r.routeOnce(limit, s, admitted)
+		if err == nil && a.State != courier.Moved {
+			return a
+		}
+		admitted = admitted || a.Admitted || (sent && err != nil)
+		select {
+		case <-limit.Done():
+			return r.unanswered(s, admitted)
+		case <-r.deps.Clock.After(routePause):
+		}
+	}
+}
+
+// routeOnce asks the entry that should own s. It reports whether anything was
+// sent to it.
+func (r *Receiver) routeOnce(ctx context.Context, s courier.Submission, resent bool) (courier.Answer, bool, error) {
+	a, err := r.submitHere(ctx, s, resent)
+	if err != nil || a.State != courier.Moved || a.Admitted {
+		return a, true, err
+	}
+	p := r.peers.find(a.Owner)
+	if p == nil {
+		return a, false, nil
+	}
+	id, answer, err := p.open(func(l *courier.Link, id uint64) {
+		l.Send(courier.Relay{ID: id, Submission: s, Resent: resent})
+	})
+	if err != nil {
+		return courier.Answer{}, false, err
+	}
+	a, err = p.await(ctx, id, answer)
+	return a, true, err
+}
+
+// submitHere offers s to the owner in this process.
+func (r *Receiver) submitHere(ctx context.Context, s courier.Submission, resent bool) (courier.Answer, error) {
+	answer := make(chan courier.Answer, 1)
+	opened := make(chan dispatcher.Waiter, 1)
+	r.post(submit{request: newRequest(s, resent, 0), answer: answer, opened: opened})
+	select {
+	case a := <-answer:
+		return a, nil
+	case <-ctx.Done():
+		go func() { r.post(leave{waiter: <-opened}) }()
+		return courier.Answer{}, ctx.Err()
+	}
+}
+
+// unanswered is the answer when no owner gave one in time.
+func (r *Receiver) unanswered(s courier.Submission, admitted bool) courier.Answer {
+	a := courier.Answer{Job: s.Job(), Entry: r.cfg.ID, Reason: courier.ReasonDeadline}
+	if !admitted {
+		a.State = courier.NotRun
+		a.Detail = "no owner could be reached before the deadline"
+		a.RetryAfter = time.Second
+		return a
+	}
+	a.State = courier.Failed
+	a.Detail = "the owner was lost and none answered before the deadline"
+	for i := range s.Tasks {
+		a.MayHaveRun = append(a.MayHaveRun, i)
+	}
+	return a
+}
+
+// routeQuery asks the owner for the state of a job, or cancels the job.
+func (r *Receiver) routeQuery(ctx context.Context, job string, cancel bool) (courier.Answer, error) {
+	for {
+		a, err := r.queryOnce(ctx, job, cancel)
+		if err == nil && a.State != courier.Moved {
+			return a, nil
+		}
+		select {
+		case <-ctx.Done():
+			return a, ctx.Err()
+		case <-r.deps.Clock.After(routePause):
+		}
+	}
+}
+
+func (r *Receiver) queryOnce(ctx context.Context, job string, cancel bool) (courier.Answer, error) {
+	answer := make(chan courier.Answer, 1)
+	r.post(query{job: job, cancel: cancel, answer: answer})
+	a := <-answer
+	if a.State != courier.Moved {
+		return a, nil
+	}
+	p := r.peers.find(a.Owner)
+	if p == nil {
+		return a, nil
+	}
+	id, relayed, err := p.open(func(l *courier.Link, id uint64) {
+		l.Send(courier.RelayQuery{ID: id, Job: job, Cancel: cancel})
+	})
+	if err != nil {
+		return a, err
+	}
+	return p.await(ctx, id, relayed)
+}
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,175 @@
+// Package registrar keeps, at one entry, which other entries exist, which are
+// alive, and which of them own partitions. Entries hear of each other through
+// the platform's store and through each other; whether one is alive is decided
+// by its heartbeats alone.
+//
+// A Registrar is not safe for concurrent use.
+package registrar
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+)
+
+const (
+	// HeartbeatInterval is the time between two heartbeats to an entry.
+	HeartbeatInterval = 500 * time.Millisecond
+	// Lapse is how long an entry counts as alive after its last heartbeat.
+	Lapse = 2 * time.Second
+	// JoinDelay is how long a new entry listens before it owns partitions.
+	JoinDelay = time.Second
+	// ForgetAfter drops the address of an entry that nobody has heard of.
+	ForgetAfter = time.Minute
+)
+
+// member is what is known of another entry.
+type member struct {
+	info        courier.EntryInfo
+	incarnation string
+	ready       bool
+	leaving     bool
+	// heard is when the last heartbeat came; named is when the address was
+	// last given by the store or by another entry.
+	heard time.Time
+	named time.Time
+}
+
+// Registrar is the aggregate of one entry's view of the others.
+type Registrar struct {
+	clock   clockwork.Clock
+	self    courier.EntryInfo
+	started time.Time
+	leaving bool
+	members map[string]*member
+}
+
+// NewRegistrar returns a registrar that knows only its own entry.
+func NewRegistrar(clock clockwork.Clock, self courier.EntryInfo) *Registrar {
+	return &Registrar{
+		clock:   clock,
+		self:    self,
+		started: clock.Now(),
+		members: make(map[string]*member),
+	}
+}
+
+// SetLeaving takes this entry out of the view for good.
+func (g *Registrar) SetLeaving() { g.leaving = true }
+
+// Leaving reports whether this entry is leaving.
+func (g *Registrar) Leaving() bool { return g.leaving }
+
+// Ready reports whether this entry owns partitions.
+func (g *Registrar) Ready() bool {
+	return !g.leaving && g.clock.Since(g.started) >= JoinDelay
+}
+
+// Learn notes that other entries exist.
+func (g *Registrar) Learn(entries []courier.EntryInfo) {
+	for _, e := range entries {
+		if e.ID == g.self.ID || e.ID == "" {
+			continue
+		}
+		m := g.members[e.ID]
+		if m == nil {
+			m = &member{}
+			g.members[e.ID] = m
+		}
+		m.info = e
+		m.named = g.clock.Now()
+	}
+}
+
+// Heard takes a heartbeat.
+func (g *Registrar) Heard(h courier.PeerHello) {
+	if h.Entry.ID == g.self.ID {
+		return
+	}
+	g.Learn([]courier.EntryInfo{h.Entry})
+	m := g.members[h.Entry.ID]
+	m.incarnation = h.Incarnation
+	m.ready = h.Ready
+	m.leaving = h.Leaving
+	m.heard = g.clock.Now()
+}
+
+// Tick forgets entries that nobody has heard of for long.
+func (g *Registrar) Tick() {
+	now := g.clock.Now()
+	for id, m := range g.members {
+		if now.Sub(m.heard) > ForgetAfter && now.Sub(m.named) > ForgetAfter {
+			delete(g.members, id)
+		}
+	}
+}
+
+func (g *Registrar) alive(m *member) bool {
+	return g.clock.Since(m.heard) < Lapse
+}
+
+// View returns the entries that own partitions, in order.
+func (g *Registrar) View() []string {
+	var out []string
+	if g.Ready() {
+		out = append(out, g.self.ID)
+	}
+	for id, m := range g.members {
+		if g.alive(m) && m.ready && !m.leaving {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Peers returns the other entries that are alive, in order. A leaving one is
+// among them only while it still runs.
+func (g *Registrar) Peers() []string {
+	var out []string
+	for id, m := range g.members {
+		if g.alive(m) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Known returns the other entries that have been named, in order.
+func (g *Registrar) Known() []courier.EntryInfo {
+	var out []courier.EntryInfo
+	for _, m := range g.members {
+		out = append(out, m.info)
+	}
+	slices.SortFunc(out, compareInfos)
+	return out
+}
+
+// Alive returns this entry, unless it is leaving, and the live others.
+func (g *Registrar) Alive() []courier.EntryInfo {
+	var out []courier.EntryInfo
+	if !g.leaving {
+		out = append(out, g.self)
+	}
+	for _, m := range g.members {
+		if g.alive(m) && !m.leaving {
+			out = append(out, m.info)
+		}
+	}
+	slices.SortFunc(out, compareInfos)
+	return out
+}
+
+func compareInfos(a, b courier.EntryInfo) int {
+	switch {
+	case a.ID < b.ID:
+		return -1
+	case a.ID > b.ID:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/starter/offer.go
@@ -0,0 +1,84 @@
+package starter
+
+import (
+	"time"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+)
+
+// Demand notes how many tasks an entry has waiting.
+func (l *Ledger) Demand(entry string, d courier.Demand) {
+	e := l.entries[entry]
+	if e == nil {
+		return
+	}
+	now := l.clock.Now()
+	e.demand = demand{waiting: d.Waiting, since: now.Add(-d.Age), until: now.Add(DemandLapse)}
+	l.offerFree()
+}
+
+// Decline gives an offered slot to the next demand.
+func (l *Ledger) Decline(entry string, d courier.Decline) {
+	if !l.takeOffer(entry, d.Offer) {
+		return
+	}
+	if e := l.entries[entry]; e != nil {
+		e.demand.waiting = 0
+	}
+	l.offerFree()
+}
+
+// takeOffer ends the offer and reports whether entry held it.
+func (l *Ledger) takeOffer(entry string, id uint64) bool {
+	o, ok := l.offers[id]
+	if !ok || o.entry != entry {
+		return false
+	}
+	delete(l.offers, id)
+	return true
+}
+
+// offerFree offers free slots to the entries whose tasks have waited longest.
+func (l *Ledger) offerFree() {
+	for l.startable() > 0 {
+		entry := l.longestWaiting()
+		if entry == "" {
+			return
+		}
+		id := l.hold(entry)
+		l.send(entry, courier.Offer{Offer: id, Load: l.load(entry)})
+	}
+}
+
+// nextOfferFor holds a free slot for entry when its demand is first in line,
+// so that the offer can travel with another message. It returns 0 otherwise.
+func (l *Ledger) nextOfferFor(entry string) uint64 {
+	if l.startable() <= 0 || l.longestWaiting() != entry || entry == "" {
+		return 0
+	}
+	return l.hold(entry)
+}
+
+func (l *Ledger) hold(entry string) uint64 {
+	l.lastOffer++
+	l.offers[l.lastOffer] = offer{entry: entry, until: l.clock.Now().Add(OfferLapse)}
+	l.entries[entry].demand.waiting--
+	return l.lastOffer
+}
+
+// longestWaiting returns the entry with the oldest live demand, or "".
+func (l *Ledger) longestWaiting() string {
+	now := l.clock.Now()
+	var best string
+	var since time.Time
+	for id, e := range l.entries {
+		d := e.demand
+		if d.waiting <= 0 || !d.until.After(now) {
+			continue
+		}
+		if best == "" || d.since.Before(since) || (d.since.Equal(since) && id < best) {
+			best, since = id, d.since
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/starter/starter.go
@@ -0,0 +1,500 @@
+// Package starter decides, beside each upstream, which tasks start. Its Ledger
+// is the one place where "started" becomes true: it keeps a record of each
+// task from the start until the task's deadline is past, so that the same
+// start sent again is never run again.
+//
+// A Ledger is not safe for concurrent use. It performs no input or output:
+// each call leaves Effects behind, which the caller takes with Drain.
+package starter
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/router"
+)
+
+const (
+	// FreshFor is how long after the last confirmation of the bundle version,
+	// by the agent's own clock, tasks may still start.
+	FreshFor = 3 * time.Second
+	// OfferLapse ends an offer that its owner has not used.
+	OfferLapse = 100 * time.Millisecond
+	// RecordGrace keeps records beyond the task's deadline, for clocks that
+	// differ between processes.
+	RecordGrace = 5 * time.Second
+	// ResultBytes bounds the memory for results that have been acknowledged.
+	ResultBytes = 16 << 20
+	// DemandLapse drops a demand that was not repeated.
+	DemandLapse = 2 * time.Second
+)
+
+// Identity is what an agent announces about itself and its upstream.
+type Identity struct {
+	Agent       string
+	Incarnation string
+	DataCentre  string
+	Rack        string
+}
+
+// Upstream is what the upstream announced to its agent.
+type Upstream struct {
+	// Address is the host and port of the upstream's HTTP interface.
+	Address  string
+	Slots    int
+	Services []string
+	// Leaving means that the upstream takes no new work.
+	Leaving bool
+}
+
+// Effect is one thing for the surrounding process to do.
+type Effect interface{ effect() }
+
+// Send is the effect of sending Msg to the entry To.
+type Send struct {
+	To  string
+	Msg any
+}
+
+// Run is the effect of running a task on the upstream.
+type Run struct {
+	Task courier.StartTask
+}
+
+// Halt is the effect of stopping a running task on the upstream.
+type Halt struct {
+	Task courier.TaskID
+}
+
+func (Send) effect() {}
+func (Run) effect()  {}
+func (Halt) effect() {}
+
+// record is the memory of one started task.
+type record struct {
+	courier.Record
+	// keepUntil is when the record may be forgotten; no copy of the start is
+	// accepted after the deadline, which is earlier.
+	keepUntil time.Time
+	acked     bool
+}
+
+// offer is a free slot held for one entry.
+type offer struct {
+	entry string
+	until time.Time
+}
+
+// entryState is what the ledger keeps for one linked entry.
+type entryState struct {
+	// link is the number of the current link; messages of others are refused.
+	link   uint64
+	seen   uint64
+	demand demand
+}
+
+// demand is an entry's wish for slots.
+type demand struct {
+	waiting int
+	since   time.Time
+	until   time.Time
+}
+
+// Ledger is the aggregate that guards one upstream.
+type Ledger struct {
+	clock    clockwork.Clock
+	self     Identity
+	base     time.Time
+	upstream Upstream
+	draining bool
+
+	// running counts the records whose outcome is Running; it never exceeds
+	// the slots less the offers, but for slots withdrawn while in use.
+	running int
+	// records holds every task started since the process began whose
+	// deadline is not long past, by partition.
+	records [router.Partitions]map[courier.TaskID]*record
+	// terms never fall.
+	terms   [router.Partitions]courier.Term
+	entries map[string]*entryState
+	offers  map[uint64]offer
+	// lastOffer numbers offers; 0 means none.
+	lastOffer uint64
+
+	policy courier.AgentPolicy
+	// confirmed is the latest time, by this clock, at which policy is known
+	// to have been the newest one.
+	confirmed   time.Time
+	resultBytes int
+	nextExpiry  time.Time
+
+	effects []Effect
+}
+
+// NewLedger returns a ledger with an empty record.
+func NewLedger(clock clockwork.Clock, self Identity) *Ledger {
+	l := &Ledger{
+		clock:   clock,
+		self:    self,
+		base:    clock.Now(),
+		entries: make(map[string]*entryState),
+		offers:  make(map[uint64]offer),
+	}
+	for i := range l.records {
+		l.records[i] = make(map[courier.TaskID]*record)
+	}
+	return l
+}
+
+// Drain returns the effects since the last call.
+func (l *Ledger) Drain() []Effect {
+	out := l.effects
+	l.effects = nil
+	return out
+}
+
+// SetUpstream takes over what the upstream announced.
+func (l *Ledger) SetUpstream(u Upstream) {
+	l.upstream = u
+	l.offerFree()
+}
+
+// SetDraining stops all new starts, before a planned stop.
+func (l *Ledger) SetDraining() {
+	l.draining = true
+}
+
+// Idle reports whether no task runs and every result has arrived.
+func (l *Ledger) Idle() bool {
+	if l.running > 0 {
+		return false
+	}
+	for _, part := range l.records {
+		for _, r := range part {
+			if !r.acked {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// LinkUp notes a new link to an entry; the old link's messages are refused
+// from now on.
+func (l *Ledger) LinkUp(entry string, link uint64) {
+	l.entries[entry] = &entryState{link: link}
+}
+
+// LinkDown forgets the demand and the offers of an entry whose link broke.
+func (l *Ledger) LinkDown(entry string, link uint64) {
+	e := l.entries[entry]
+	if e == nil || e.link != link {
+		return
+	}
+	delete(l.entries, entry)
+	for id, o := range l.offers {
+		if o.entry == entry {
+			delete(l.offers, id)
+		}
+	}
+	l.offerFree()
+}
+
+// Announce returns the heartbeat for one entry.
+func (l *Ledger) Announce(entry string) courier.Announce {
+	a := courier.Announce{
+		Agent:         l.self.Agent,
+		Incarnation:   l.self.Incarnation,
+		DataCentre:    l.self.DataCentre,
+		Rack:          l.self.Rack,
+		Slots:         l.upstream.Slots,
+		Services:      l.upstream.Services,
+		Draining:      l.draining || l.upstream.Leaving,
+		BundleVersion: l.policy.BundleVersion,
+		Stamp:         l.clock.Since(l.base),
+		Load:          l.load(entry),
+	}
+	if e := l.entries[entry]; e != nil {
+		a.LinkNumber = e.link
+	}
+	return a
+}
+
+// Confirm takes an entry's answer to a heartbeat: a newer policy, and the time
+// up to which the policy is known to be the newest. An older version than the
+// one in force is ignored, so that a policy never reverts.
+func (l *Ledger) Confirm(r courier.AnnounceReply) {
+	l.raiseTerms(r.Terms)
+	if r.Policy != nil && r.Policy.BundleVersion > l.policy.BundleVersion {
+		l.policy = *r.Policy
+	}
+	if !r.Fresh || r.BundleVersion != l.policy.BundleVersion {
+		return
+	}
+	at := l.base.Add(r.Stamp).Add(-r.Age)
+	if at.After(l.confirmed) {
+		l.confirmed = at
+	}
+	l.offerFree()
+}
+
+func (l *Ledger) raiseTerms(terms []courier.Term) {
+	for p, t := range terms {
+		if p < len(l.terms) && l.terms[p].Less(t) {
+			l.terms[p] = t
+		}
+	}
+}
+
+// Claim fences the partitions of c against lower terms and reports what was
+// started in them.
+func (l *Ledger) Claim(entry string, c courier.Claim) {
+	reply := courier.ClaimReply{Term: c.Term}
+	lost := make(map[string][]router.Partition)
+	for _, p := range c.Partitions {
+		if p < 0 || p >= router.Partitions {
+			continue
+		}
+		old := l.terms[p]
+		if c.Term.Less(old) {
+			reply.Refused = withRefused(reply.Refused, p, old)
+			continue
+		}
+		if old.Holder != c.Term.Holder && old.Holder != "" {
+			lost[old.Holder] = append(lost[old.Holder], p)
+		}
+		l.terms[p] = c.Term
+		reply.Partitions = append(reply.Partitions, p)
+		reply.Records = l.appendRecords(reply.Records, p)
+	}
+	reply.Load = l.load(entry)
+	l.send(entry, reply)
+	for _, holder := range slices.Sorted(maps.Keys(lost)) {
+		l.send(holder, courier.Superseded{Term: c.Term, Partitions: lost[holder]})
+	}
+}
+
+func withRefused(m map[router.Partition]courier.Term, p router.Partition, t courier.Term) map[router.Partition]courier.Term {
+	if m == nil {
+		m = make(map[router.Partition]courier.Term)
+	}
+	m[p] = t
+	return m
+}
+
+func (l *Ledger) appendRecords(out []courier.Record, p router.Partition) []courier.Record {
+	first := len(out)
+	for _, r := range l.records[p] {
+		out = append(out, r.Record)
+	}
+	slices.SortFunc(out[first:], func(a, b courier.Record) int {
+		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index))
+	})
+	return out
+}
+
+// Start starts the tasks that may start and refuses the others.
+func (l *Ledger) Start(entry string, s courier.Start) {
+	var refused []refusedTask
+	var known []courier.Record
+	e := l.entries[entry]
+	if e != nil && e.link == s.LinkNumber {
+		e.seen += uint64(len(s.Tasks))
+	}
+	held := l.takeOffer(entry, s.Offer)
+	for _, t := range s.Tasks {
+		p := router.PartitionOf(t.Task.Job)
+		if r := l.records[p][t.Task]; r != nil {
+			known = append(known, r.Record)
+			continue // The record answers for it: a start is never run twice.
+		}
+		if reason := l.refusal(e, s, t, p, held); reason != "" {
+			refused = append(refused, refusedTask{t.Task, reason, l.terms[p]})
+			continue
+		}
+		held = false
+		l.begin(t, p)
+	}
+	l.answerStart(entry, refused, known)
+	if held {
+		l.offerFree()
+	}
+}
+
+// refusedTask is a task of a Start with the reason that it may not start.
+type refusedTask struct {
+	id     courier.TaskID
+	reason courier.Refusal
+	term   courier.Term
+}
+
+func (l *Ledger) answerStart(entry string, refused []refusedTask, known []courier.Record) {
+	for _, r := range refused {
+		msg := courier.Refuse{Tasks: []courier.TaskID{r.id}, Reason: r.reason, Load: l.load(entry)}
+		if r.reason == courier.RefusedTerm {
+			msg.Term = r.term
+		}
+		l.send(entry, msg)
+	}
+	if len(known) > 0 {
+		l.send(entry, courier.Finished{Records: known, Load: l.load(entry)})
+	}
+}
+
+// refusal returns why t may not start, or "".
+func (l *Ledger) refusal(e *entryState, s courier.Start, t courier.StartTask, p router.Partition, held bool) courier.Refusal {
+	now := l.clock.Now()
+	switch {
+	case e == nil || e.link != s.LinkNumber:
+		return courier.RefusedLink
+	case l.terms[p] != t.Term:
+		return courier.RefusedTerm
+	case !t.Deadline.After(now):
+		return courier.RefusedDeadline
+	case l.draining || l.upstream.Leaving:
+		return courier.RefusedDraining
+	case l.takenOut():
+		return courier.RefusedTakenOut
+	case !l.fresh(now) || s.BundleVersion < l.policy.BundleVersion:
+		return courier.RefusedNotFresh
+	case !held && l.free() <= 0:
+		return courier.RefusedBusy
+	}
+	return ""
+}
+
+func (l *Ledger) begin(t courier.StartTask, p router.Partition) {
+	l.records[p][t.Task] = &record{
+		Record:    courier.Record{Task: t.Task, Digest: t.Digest, Outcome: courier.Running},
+		keepUntil: t.Deadline.Add(RecordGrace),
+	}
+	l.running++
+	l.effects = append(l.effects, Run{Task: t})
+}
+
+// Refused takes back a start that the upstream positively did not run. The
+// task leaves the record, since it may start elsewhere.
+func (l *Ledger) Refused(id courier.TaskID) {
+	p := router.PartitionOf(id.Job)
+	r := l.records[p][id]
+	if r == nil || r.Outcome != courier.Running {
+		return
+	}
+	delete(l.records[p], id)
+	l.running--
+	holder := l.terms[p].Holder
+	l.send(holder, courier.Refuse{
+		Tasks:  []courier.TaskID{id},
+		Reason: courier.RefusedUpstream,
+		Load:   l.load(holder),
+	})
+	l.offerFree()
+}
+
+// Finish notes the end of a running task and reports it to the entry that
+// owns the task's partition now. The first outcome stays.
+func (l *Ledger) Finish(rec courier.Record) {
+	p := router.PartitionOf(rec.Task.Job)
+	r := l.records[p][rec.Task]
+	if r == nil || r.Outcome != courier.Running {
+		return
+	}
+	r.Outcome = rec.Outcome
+	r.Result = rec.Result
+	l.running--
+	l.resultBytes += len(rec.Result)
+	holder := l.terms[p].Holder
+	id := l.nextOfferFor(holder)
+	l.send(holder, courier.Finished{Records: []courier.Record{r.Record}, Offer: id, Load: l.load(holder)})
+	l.offerFree()
+}
+
+// Acked notes that the owner has the results of tasks.
+func (l *Ledger) Acked(a courier.Acked) {
+	for _, id := range a.Tasks {
+		r := l.records[router.PartitionOf(id.Job)][id]
+		if r == nil || r.Outcome == courier.Running {
+			continue
+		}
+		r.acked = true
+		if l.resultBytes > ResultBytes {
+			l.resultBytes -= len(r.Result)
+			r.Result = nil
+			r.Outcome = courier.Lost
+		}
+	}
+}
+
+// Stop asks the upstream to stop the running ones of tasks.
+func (l *Ledger) Stop(s courier.Stop) {
+	for _, id := range s.Tasks {
+		r := l.records[router.PartitionOf(id.Job)][id]
+		if r != nil && r.Outcome == courier.Running {
+			l.effects = append(l.effects, Halt{Task: id})
+		}
+	}
+}
+
+// Tick drops what has lapsed.
+func (l *Ledger) Tick() {
+	now := l.clock.Now()
+	for id, o := range l.offers {
+		if !o.until.After(now) {
+			delete(l.offers, id)
+		}
+	}
+	l.offerFree()
+	if now.Before(l.nextExpiry) {
+		return
+	}
+	l.nextExpiry = now.Add(time.Second)
+	for _, part := range l.records {
+		for id, r := range part {
+			if r.Outcome != courier.Running && r.keepUntil.Before(now) {
+				l.resultBytes -= len(r.Result)
+				delete(part, id)
+			}
+		}
+	}
+}
+
+func (l *Ledger) takenOut() bool {
+	return slices.Contains(l.policy.OutDataCentres, l.self.DataCentre)
+}
+
+func (l *Ledger) fresh(now time.Time) bool {
+	return l.policy.BundleVersion > 0 && now.Before(l.confirmed.Add(FreshFor))
+}
+
+// free returns the slots that are neither running nor offered.
+func (l *Ledger) free() int {
+	return l.upstream.Slots - l.running - len(l.offers)
+}
+
+// startable returns the slots that any owner may use now.
+func (l *Ledger) startable() int {
+	if l.draining || l.upstream.Leaving || l.takenOut() || !l.fresh(l.clock.Now()) {
+		return 0
+	}
+	return max(0, l.free())
+}
+
+func (l *Ledger) load(entry string) courier.Load {
+	load := courier.Load{Free: l.startable()}
+	if e := l.entries[entry]; e != nil {
+		load.Seen = e.seen
+	}
+	return load
+}
+
+func (l *Ledger) send(to string, msg any) {
+	if to == "" || l.entries[to] == nil {
+		return // The next claim on a new link reports what is missed here.
+	}
+	l.effects = append(l.effects, Send{To: to, Msg: msg})
+}
--- /dev/null
+++ b/storer/storer.go
@@ -0,0 +1,169 @@
+// Package storer is a stand-in for the platform's key-value service, for
+// tests, the demo and measurements. It keeps its pairs in memory, serves the
+// calls that package keeper makes, and shows the service's faults on request.
+package storer
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/pomeloferry/pomeloferry/keeper"
+)
+
+// Fault is a fault that the stand-in shows.
+type Fault struct {
+	// Down refuses every call.
+	Down bool
+	// LoseAnswers makes writes take effect without an answer.
+	LoseAnswers bool
+	// Delay is added to every call.
+	Delay time.Duration
+}
+
+// Store is the stand-in. It is safe for concurrent use.
+type Store struct {
+	clock clockwork.Clock
+
+	mu       sync.Mutex
+	pairs    map[string]pair
+	revision int64
+	fault    Fault
+	reads    int
+	writes   int
+}
+
+type pair struct {
+	value    string
+	revision int64
+}
+
+// NewStore returns an empty store.
+func NewStore(clock clockwork.Clock) *Store {
+	return &Store{clock: clock, pairs: make(map[string]pair)}
+}
+
+// SetFault changes the fault that is shown from now on.
+func (s *Store) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Calls returns the numbers of reads and writes so far.
+func (s *Store) Calls() (reads, writes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, s.writes
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	f := s.fault
+	s.mu.Unlock()
+	if f.Delay > 0 {
+		s.clock.Sleep(f.Delay)
+	}
+	if f.Down {
+		http.Error(w, "the store is down", http.StatusServiceUnavailable)
+		return
+	}
+	switch r.URL.Path {
+	case "/v3/kv/range":
+		answer(w, r, s.readRange)
+	case "/v3/kv/txn":
+		answer(w, r, s.commit)
+		if f.LoseAnswers {
+			panic(http.ErrAbortHandler)
+		}
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// answer decodes the body of r, calls f and writes what it returns.
+func answer[Request, Response any](w http.ResponseWriter, r *http.Request, f func(Request) Response) {
+	var req Request
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(f(req))
+}
+
+func (s *Store) readRange(req keeper.RangeRequest) keeper.RangeResponse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	key, end := decode(req.Key), decode(req.RangeEnd)
+	var out keeper.RangeResponse
+	for _, k := range s.keys() {
+		if k == key || (end != "" && k >= key && k < end) {
+			out.Kvs = append(out.Kvs, keeper.KeyValue{
+				Key:         base64.StdEncoding.EncodeToString([]byte(k)),
+				Value:       s.pairs[k].value,
+				ModRevision: strconv.FormatInt(s.pairs[k].revision, 10),
+			})
+		}
+	}
+	return out
+}
+
+func (s *Store) keys() []string {
+	out := make([]string, 0, len(s.pairs))
+	for k := range s.pairs {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (s *Store) commit(req keeper.TxnRequest) keeper.TxnResponse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	for _, c := range req.Compare {
+		if strconv.FormatInt(s.pairs[decode(c.Key)].revision, 10) != c.ModRevision {
+			return keeper.TxnResponse{}
+		}
+	}
+	s.revision++
+	for _, op := range req.Success {
+		if op.RequestPut != nil {
+			s.pairs[decode(op.RequestPut.Key)] = pair{value: op.RequestPut.Value, revision: s.revision}
+		}
+	}
+	return keeper.TxnResponse{Succeeded: true}
+}
+
+func decode(s string) string {
+	b, _ := base64.StdEncoding.DecodeString(s)
+	return string(b)
+}
+
+// Handler returns the store's interface, and one at /fault to set a Fault and
+// one at /calls to read the numbers of calls, for experiments.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/v3/", s)
+	mux.HandleFunc("POST /fault", func(w http.ResponseWriter, r *http.Request) {
+		var f Fault
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.SetFault(f)
+	})
+	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) {
+		reads, writes := s.Calls()
+		_ = json.NewEncoder(w).Encode(map[string]int{"Reads": reads, "Writes": writes})
+	})
+	return mux
+}
