confirmer: Keep a bundle in force through store outages

Cause: an entry that reads its bundle only from the store must either stop with the store or risk working under a bundle that was replaced.

An entry now confirms its bundle by reading the store or by hearing from a majority of the registered entries, dated by stamps of its own that they echo. Ruled out: leases in the store, which lapse with it; acceptance by all live entries, which one frozen entry would hold up. A roster counts as certain only if it was given after this process last woke up, since a heartbeat may have waited in a socket buffer meanwhile.

Before: a store outage of 3 s stopped all starts.

--- a/courier/message.go
+++ b/courier/message.go
@@ -348,8 +348,13 @@
 	Bundle json.RawMessage `json:",omitempty"`
 	// VotersVersion is the version of the list of registered entries.
 	VotersVersion uint64
-	// Stamp is the sender's own clock; Echo is the last Stamp received from
-	// the receiver, to date what the sender says.
+	// Voters is that list, when the receiver is known to lack it.
+	Voters json.RawMessage `json:",omitempty"`
+	// Witness means that the sender's word on the bundle counts.
+	Witness bool
+	// Stamp is the sender's own clock, as the time since its start; Echo is
+	// the last Stamp of the receiver's that has arrived. Echo dates what the
+	// sender says by the receiver's clock.
 	Stamp time.Duration
 	Echo  time.Duration
 }
--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -66,8 +66,10 @@
 
 // SetRoster takes over the agents that a peer uses. Those without a link here
 // may hold records, and stay missing until they have been fenced. A certain
-// roster of a peer makes this one certain.
-func (o *Owner) SetRoster(roster []courier.AgentRef, certain bool) {
+// roster makes this one certain, if the peer gave it at or after the time asOf
+// of this clock and this process was not paused since.
+func (o *Owner) SetRoster(roster []courier.AgentRef, certain bool, asOf time.Time) {
+	o.wake()
 	now := o.clock.Now()
 	for _, ref := range roster {
 		if a := o.fleet.agents[ref.Agent]; a != nil && a.ref == ref {
@@ -79,7 +81,7 @@
 		o.fleet.gone[ref] = goneAgent{until: now.Add(SilentHorizon)}
 		o.addMissing(ref)
 	}
-	if certain {
+	if certain && !asOf.Before(o.wokeAt) {
 		o.SetRosterCertain()
 	}
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -100,6 +100,8 @@
 	// lastTick is when the owner last ran; a longer gap than PauseLimit
 	// means that others may have taken over.
 	lastTick time.Time
+	// wokeAt is when the process started or was last seen to wake up.
+	wokeAt time.Time
 
 	bundle     approver.Bundle
 	freshUntil time.Time
@@ -162,6 +164,7 @@
 		cfg:             cfg,
 		rng:             rand.New(rand.NewPCG(cfg.Seed, uint64(len(cfg.Entry)))),
 		lastTick:        now,
+		wokeAt:          now,
 		rosterCertainAt: now.Add(RecordHorizon),
 		jobs:            make(map[string]*job),
 		waiters:         make(map[Waiter]*job),
@@ -235,6 +238,7 @@
 	if !paused {
 		return
 	}
+	o.wokeAt = now
 	if len(o.peers) > 0 {
 		o.rosterCertainAt = now.Add(RecordHorizon)
 	}
--- a/receiver/core.go
+++ b/receiver/core.go
@@ -1,13 +1,17 @@
 package receiver
 
 import (
+	"encoding/json"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
+	"github.com/google/uuid"
 
 	"github.com/pomeloferry/pomeloferry/approver"
+	"github.com/pomeloferry/pomeloferry/confirmer"
 	"github.com/pomeloferry/pomeloferry/courier"
 	"github.com/pomeloferry/pomeloferry/dispatcher"
+	"github.com/pomeloferry/pomeloferry/provider"
 	"github.com/pomeloferry/pomeloferry/registrar"
 	"github.com/pomeloferry/pomeloferry/starter"
 )
@@ -22,15 +26,18 @@
 	idleQuestion struct{}
 	// dumpQuestion asks for a Dump.
 	dumpQuestion struct{}
-	// helloQuestion asks for the heartbeat to send to other entries.
-	helloQuestion struct{}
+	// helloQuestion asks for the heartbeat to send to another entry, whose
+	// name may not be known yet.
+	helloQuestion struct{ to string }
+	// registrationQuestion asks for the Registration to write.
+	registrationQuestion struct{}
 	// linkMessage carries a message from an accepted link.
 	linkMessage struct {
-		link *courier.Link
+		link link
 		msg  any
 	}
 	// linkClosed tells that an accepted link has ended.
-	linkClosed struct{ link *courier.Link }
+	linkClosed struct{ link link }
 	// peerHeard carries the heartbeat of another entry.
 	peerHeard struct{ hello courier.PeerHello }
 	// entriesRead carries the entries registered in the store.
@@ -40,10 +47,11 @@
 		// horizon.
 		first bool
 	}
-	// bundleRead carries the bundle that was in the store at a time.
+	// bundleRead carries what was in the store at a time.
 	bundleRead struct {
 		signed approver.Signed
 		bundle approver.Bundle
+		voters confirmer.Voters
 		at     time.Time
 	}
 	// submit carries a request; answer gets one answer.
@@ -63,58 +71,83 @@
 	}
 )
 
+// link is the core's view of a courier.Link.
+type link interface {
+	Send(msg any)
+	Close()
+}
+
 // agentLink is a link on which an agent has announced itself.
 type agentLink struct {
 	name   string
 	number uint64
+	// bundleVersion is the version that the agent works under.
+	bundleVersion uint64
 }
 
 // relayKey names a relayed request of another entry.
 type relayKey struct {
-	link *courier.Link
+	link link
 	id   uint64
 }
 
-// core is the actor that owns the dispatcher and the view of the entries.
+// core owns the dispatcher and the view of the entries. It handles one message
+// at a time, without input or output but through the links.
 type core struct {
-	receiver  *Receiver
+	deps        provider.Deps
+	cfg         Config
+	info        courier.EntryInfo
+	incarnation string
+	// learn is told which other entries are known.
+	learn func([]courier.EntryInfo)
+
 	owner     *dispatcher.Owner
 	registrar *registrar.Registrar
-	agents    map[*courier.Link]agentLink
-	byAgent   map[string]*courier.Link
+	agents    map[link]agentLink
+	byAgent   map[string]link
 	// answers holds what to do with the answer for each waiter.
 	answers map[dispatcher.Waiter]func(courier.Answer)
 	relays  map[relayKey]dispatcher.Waiter
 	// lastWaiter numbers waiters; 0 means none.
 	lastWaiter dispatcher.Waiter
 
-	signed approver.Signed
-	bundle approver.Bundle
-	// confirmed is when the bundle was last known to be the newest one.
-	confirmed time.Time
+	confirmer *confirmer.Confirmer
 }
 
-func newCore(r *Receiver) *core {
-	owner := dispatcher.NewOwner(r.deps.Clock, dispatcher.Config{
-		Entry:     r.cfg.ID,
-		Seed:      r.cfg.Seed,
-		Placement: r.cfg.Placement,
-		Order:     r.cfg.Order,
+func newCore(deps provider.Deps, cfg Config, info courier.EntryInfo, learn func([]courier.EntryInfo)) *core {
+	owner := dispatcher.NewOwner(deps.Clock, dispatcher.Config{
+		Entry:     cfg.ID,
+		Seed:      cfg.Seed,
+		Placement: cfg.Placement,
+		Order:     cfg.Order,
 	})
 	return &core{
-		receiver:  r,
-		owner:     owner,
-		registrar: registrar.NewRegistrar(r.deps.Clock, r.info),
-		agents:    make(map[*courier.Link]agentLink),
-		byAgent:   make(map[string]*courier.Link),
-		answers:   make(map[dispatcher.Waiter]func(courier.Answer)),
-		relays:    make(map[relayKey]dispatcher.Waiter),
+		deps:        deps,
+		cfg:         cfg,
+		info:        info,
+		incarnation: uuid.NewString(),
+		learn:       learn,
+		owner:       owner,
+		registrar:   registrar.NewRegistrar(deps.Clock, info),
+		confirmer:   confirmer.NewConfirmer(deps.Clock, info.ID),
+		agents:      make(map[link]agentLink),
+		byAgent:     make(map[string]link),
+		answers:     make(map[dispatcher.Waiter]func(courier.Answer)),
+		relays:      make(map[relayKey]dispatcher.Waiter),
 	}
 }
 
 // Receive implements actor.Actor.
 func (c *core) Receive(ctx actor.Context) {
-	switch m := ctx.Message().(type) {
+	if answer := c.handle(ctx.Message()); answer != nil {
+		ctx.Respond(answer)
+	}
+}
+
+// handle takes one message, and returns the answer if it is a question.
+func (c *core) handle(msg any) any {
+	defer c.drain()
+	switch m := msg.(type) {
 	case tick:
 		c.tick()
 	case leaving:
@@ -122,11 +155,13 @@
 		c.owner.SetStopping()
 		c.refreshView()
 	case idleQuestion:
-		ctx.Respond(c.owner.Idle())
+		return c.owner.Idle()
 	case dumpQuestion:
-		ctx.Respond(c.dump())
+		return c.dump()
 	case helloQuestion:
-		ctx.Respond(c.hello())
+		return c.hello(m.to)
+	case registrationQuestion:
+		return c.registration()
 	case linkMessage:
 		c.receive(m.link, m.msg)
 	case linkClosed:
@@ -148,18 +183,19 @@
 	case query:
 		m.answer <- c.query(m.job, m.cancel)
 	}
-	c.drain()
+	return nil
 }
 
 func (c *core) tick() {
 	c.registrar.Tick()
 	c.refreshView()
+	c.refreshBundle()
 	c.owner.Tick()
 }
 
 func (c *core) refreshView() {
 	c.owner.SetView(c.registrar.View(), c.registrar.Peers())
-	c.receiver.peers.learn(c.registrar.Known())
+	c.learn(c.registrar.Known())
 }
 
 func (c *core) submit(m submit) {
@@ -183,13 +219,13 @@
 }
 
 // receive takes a message from an accepted link.
-func (c *core) receive(l *courier.Link, msg any) {
+func (c *core) receive(l link, msg any) {
 	switch m := msg.(type) {
 	case *courier.Announce:
 		c.announced(l, *m)
 	case *courier.PeerHello:
 		c.heard(*m)
-		l.Send(c.hello())
+		l.Send(c.hello(m.Entry.ID))
 	case *courier.Relay:
 		c.relayed(l, *m)
 	case *courier.RelayLeave:
@@ -220,13 +256,14 @@
 
 // announced takes an agent's heartbeat and answers it. The answer goes out
 // before anything else on a new link, since it names this entry.
-func (c *core) announced(l *courier.Link, an courier.Announce) {
+func (c *core) announced(l link, an courier.Announce) {
 	known, ok := c.agents[l]
 	reply := c.announceReply(an)
 	if !ok {
 		reply.Terms = c.owner.Terms()
 	}
 	l.Send(reply)
+	c.agents[l] = agentLink{name: an.Agent, number: an.LinkNumber, bundleVersion: an.BundleVersion}
 	if ok {
 		if known.number == an.LinkNumber {
 			c.owner.AgentSeen(an)
@@ -237,47 +274,47 @@
 		delete(c.agents, old)
 		old.Close()
 	}
-	c.agents[l] = agentLink{name: an.Agent, number: an.LinkNumber}
 	c.byAgent[an.Agent] = l
 	c.owner.AgentUp(an)
 }
 
 func (c *core) announceReply(an courier.Announce) courier.AnnounceReply {
+	confirmed := c.confirmer.Confirmed()
+	bundle := c.confirmer.Bundle()
 	reply := courier.AnnounceReply{
-		Entry:         c.receiver.info,
+		Entry:         c.info,
 		Entries:       c.registrar.Alive(),
 		Stamp:         an.Stamp,
-		Fresh:         c.fresh(),
-		Age:           max(0, c.receiver.deps.Clock.Since(c.confirmed)),
-		BundleVersion: c.bundle.Version,
+		Fresh:         !confirmed.IsZero(),
+		Age:           max(0, c.deps.Clock.Since(confirmed)),
+		BundleVersion: bundle.Version,
 	}
-	if an.BundleVersion < c.bundle.Version {
+	if an.BundleVersion < bundle.Version {
 		reply.Policy = &courier.AgentPolicy{
-			BundleVersion:  c.bundle.Version,
-			OutDataCentres: c.bundle.OutDataCentres(),
+			BundleVersion:  bundle.Version,
+			OutDataCentres: bundle.OutDataCentres(),
 		}
 	}
 	return reply
 }
 
-func (c *core) fresh() bool {
-	return c.bundle.Version > 0 && c.receiver.deps.Clock.Since(c.confirmed) < starter.FreshFor
+// adopt takes what was in the store.
+func (c *core) adopt(m bundleRead) {
+	old := c.confirmer.Bundle().Version
+	c.confirmer.StoreRead(m.at, m.signed, m.bundle, m.voters)
+	c.bundleChanged(old, "store")
 }
 
-// adopt puts a bundle in force that was the newest at a time.
-func (c *core) adopt(m bundleRead) {
-	if m.bundle.Version < c.bundle.Version {
-		return
-	}
-	if m.bundle.Version > c.bundle.Version {
-		c.bundle = m.bundle
-		c.signed = m.signed
-		c.receiver.deps.Log.WithField("bundle_version", c.bundle.Version).Info("bundle in force")
-	}
-	if m.at.After(c.confirmed) {
-		c.confirmed = m.at
+// bundleChanged logs a bundle newer than version old, and tells the owner.
+func (c *core) bundleChanged(old uint64, source string) {
+	if b := c.confirmer.Bundle(); b.Version != old {
+		c.deps.Log.WithField("bundle_version", b.Version).WithField("source", source).Info("bundle in force")
 	}
-	c.owner.SetBundle(c.bundle, c.confirmed.Add(starter.FreshFor))
+	c.refreshBundle()
+}
+
+func (c *core) refreshBundle() {
+	c.owner.SetBundle(c.confirmer.Bundle(), c.confirmer.Confirmed().Add(starter.FreshFor))
 }
 
 // heard takes the heartbeat of another entry.
@@ -285,26 +322,91 @@
 	c.registrar.Heard(h)
 	c.registrar.Learn(h.Entries)
 	c.refreshView()
-	c.owner.SetRoster(h.Roster, h.RosterCertain)
+	asOf := c.registrar.TimeOf(h.Echo)
+	c.owner.SetRoster(h.Roster, h.RosterCertain, asOf)
+	old := c.confirmer.Bundle().Version
+	c.adoptFromPeer(h)
+	c.confirmer.Heard(h.Entry.ID, confirmer.Word{
+		AsOf:          asOf,
+		Witness:       h.Witness,
+		BundleVersion: h.BundleVersion,
+		VotersVersion: h.VotersVersion,
+	})
+	c.bundleChanged(old, h.Entry.ID)
 }
 
-// hello returns the heartbeat. The roster in it is complete for its receiver:
-// from now on an agent is used only when the receiver knows it.
-func (c *core) hello() courier.PeerHello {
+// adoptFromPeer takes over a newer bundle and a newer list of voters. The
+// bundle's signature is checked again, since peers are not trusted with it.
+func (c *core) adoptFromPeer(h courier.PeerHello) {
+	var voters confirmer.Voters
+	if len(h.Voters) > 0 && json.Unmarshal(h.Voters, &voters) == nil {
+		c.confirmer.AdoptVoters(voters)
+	}
+	if len(h.Bundle) == 0 {
+		return
+	}
+	var signed approver.Signed
+	err := json.Unmarshal(h.Bundle, &signed)
+	if err == nil {
+		var b approver.Bundle
+		if b, err = c.cfg.Trust.Verify(signed); err == nil {
+			c.confirmer.Adopt(signed, b)
+		}
+	}
+	if err != nil {
+		c.deps.Log.WithError(err).WithField("from", h.Entry.ID).Error("bundle refused")
+	}
+}
+
+// hello returns the heartbeat for another entry. The roster in it is complete
+// for its receiver once the receiver's own heartbeat has arrived here: from
+// then on an agent is used only when the receiver knows it.
+func (c *core) hello(to string) courier.PeerHello {
 	roster, certain := c.owner.Roster()
-	return courier.PeerHello{
-		Entry:         c.receiver.info,
-		Incarnation:   c.receiver.incarnation,
+	echo, bundleVersion, votersVersion := c.registrar.Echo(to)
+	h := courier.PeerHello{
+		Entry:         c.info,
+		Incarnation:   c.incarnation,
 		Ready:         c.registrar.Ready(),
 		Leaving:       c.registrar.Leaving(),
 		RosterCertain: certain,
 		Roster:        roster,
 		Entries:       c.registrar.Alive(),
-		BundleVersion: c.bundle.Version,
+		BundleVersion: c.confirmer.Bundle().Version,
+		VotersVersion: c.confirmer.Voters().Version,
+		Witness:       c.confirmer.Witness(),
+		Stamp:         c.registrar.Stamp(),
+		Echo:          echo,
+	}
+	if bundleVersion < h.BundleVersion {
+		h.Bundle, _ = json.Marshal(c.confirmer.Signed())
+	}
+	if votersVersion < h.VotersVersion {
+		h.Voters, _ = json.Marshal(c.confirmer.Voters())
+	}
+	return h
+}
+
+// registration returns what the entry writes about itself.
+func (c *core) registration() Registration {
+	reg := Registration{
+		Entry:         c.info,
+		Incarnation:   c.incarnation,
+		DataCentre:    c.cfg.DataCentre,
+		BundleVersion: c.confirmer.Bundle().Version,
+		VotersVersion: c.confirmer.Voters().Version,
+		Agents:        len(c.agents),
+		SeenAt:        c.deps.Clock.Now(),
+	}
+	for _, a := range c.agents {
+		if a.bundleVersion == reg.BundleVersion {
+			reg.AgentsInForce++
+		}
 	}
+	return reg
 }
 
-func (c *core) relayed(l *courier.Link, m courier.Relay) {
+func (c *core) relayed(l link, m courier.Relay) {
 	key := relayKey{link: l, id: m.ID}
 	w := c.newWaiter(func(a courier.Answer) {
 		delete(c.relays, key)
@@ -326,7 +428,7 @@
 
 // closed notes the end of an accepted link. The jobs relayed over it go on,
 // since their entry asks again over a new link.
-func (c *core) closed(l *courier.Link) {
+func (c *core) closed(l link) {
 	a, ok := c.agents[l]
 	if ok {
 		delete(c.agents, l)
--- a/receiver/dump.go
+++ b/receiver/dump.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/pomeloferry/pomeloferry/confirmer"
 	"github.com/pomeloferry/pomeloferry/courier"
 	"github.com/pomeloferry/pomeloferry/dispatcher"
 )
@@ -21,6 +22,7 @@
 	// ConfirmedAge is the time since the bundle was last known to be the
 	// newest one.
 	ConfirmedAge time.Duration
+	Voters       confirmer.Voters
 	View         []string
 	Peers        []string
 	Requests     int64
@@ -29,15 +31,15 @@
 
 func (c *core) dump() Dump {
 	return Dump{
-		Entry:         c.receiver.info,
-		DataCentre:    c.receiver.cfg.DataCentre,
-		Incarnation:   c.receiver.incarnation,
+		Entry:         c.info,
+		DataCentre:    c.cfg.DataCentre,
+		Incarnation:   c.incarnation,
 		Leaving:       c.registrar.Leaving(),
-		BundleVersion: c.bundle.Version,
-		ConfirmedAge:  c.receiver.deps.Clock.Since(c.confirmed),
+		BundleVersion: c.confirmer.Bundle().Version,
+		ConfirmedAge:  c.deps.Clock.Since(c.confirmer.Confirmed()),
+		Voters:        c.confirmer.Voters(),
 		View:          c.registrar.View(),
 		Peers:         c.registrar.Peers(),
-		Requests:      c.receiver.handling.n.Load(),
 		Owner:         c.owner.Dump(),
 	}
 }
--- a/receiver/http.go
+++ b/receiver/http.go
@@ -186,7 +186,15 @@
 }
 
 // Dump returns the state of the entry, for operators.
-func (r *Receiver) Dump() (any, error) { return r.ask(dumpQuestion{}) }
+func (r *Receiver) Dump() (any, error) {
+	answer, err := r.ask(dumpQuestion{})
+	if err != nil {
+		return nil, err
+	}
+	dump := answer.(Dump)
+	dump.Requests = r.handling.n.Load()
+	return dump, nil
+}
 
 func (r *Receiver) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	if dump, err := r.ask(dumpQuestion{}); err == nil {
--- a/receiver/peer.go
+++ b/receiver/peer.go
@@ -109,7 +109,7 @@
 func (p *peer) beat(ctx context.Context, link *courier.Link) {
 	clock := p.set.receiver.deps.Clock
 	for {
-		if answer, err := p.set.receiver.ask(helloQuestion{}); err == nil {
+		if answer, err := p.set.receiver.ask(helloQuestion{to: p.entry()}); err == nil {
 			link.Send(answer.(courier.PeerHello))
 		}
 		select {
@@ -122,6 +122,13 @@
 	}
 }
 
+// entry returns the name of the entry, or "" before its first heartbeat.
+func (p *peer) entry() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.id
+}
+
 func (p *peer) setLink(l *courier.Link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
-	"github.com/google/uuid"
 	"github.com/oklog/run"
 
 	"github.com/pomeloferry/pomeloferry/announcer"
@@ -42,6 +41,7 @@
 	Get(ctx context.Context, key string) (keeper.Pair, error)
 	List(ctx context.Context, prefix string) ([]keeper.Pair, error)
 	Put(ctx context.Context, key string, value []byte) error
+	CompareAndSwap(ctx context.Context, key string, revision int64, value []byte) (bool, error)
 }
 
 // Config describes one entry.
@@ -65,17 +65,16 @@
 
 // Receiver is one entry process.
 type Receiver struct {
-	deps        provider.Deps
-	cfg         Config
-	store       Store
-	listener    net.Listener
-	links       net.Listener
-	info        courier.EntryInfo
-	incarnation string
-	system      *actor.ActorSystem
-	pid         *actor.PID
-	peers       *peerSet
-	handling    requestGauge
+	deps     provider.Deps
+	cfg      Config
+	store    Store
+	listener net.Listener
+	links    net.Listener
+	info     courier.EntryInfo
+	system   *actor.ActorSystem
+	pid      *actor.PID
+	peers    *peerSet
+	handling requestGauge
 }
 
 // NewReceiver returns an entry that listens already.
@@ -90,13 +89,12 @@
 		return nil, &Error{Op: "listen for links", Kind: Unusable, Err: err}
 	}
 	r := &Receiver{
-		deps:        deps.WithField("entry", cfg.ID).WithField("data_centre", cfg.DataCentre),
-		cfg:         cfg,
-		store:       store,
-		listener:    listener,
-		links:       links,
-		info:        courier.EntryInfo{ID: cfg.ID, Link: links.Addr().String()},
-		incarnation: uuid.NewString(),
+		deps:     deps.WithField("entry", cfg.ID).WithField("data_centre", cfg.DataCentre),
+		cfg:      cfg,
+		store:    store,
+		listener: listener,
+		links:    links,
+		info:     courier.EntryInfo{ID: cfg.ID, Link: links.Addr().String()},
 	}
 	r.system = announcer.NewSystem(r.deps)
 	r.peers = newPeerSet(r)
@@ -107,7 +105,7 @@
 // every request in flight has its answer.
 func (r *Receiver) Run(ctx context.Context) error {
 	props := actor.PropsFromProducer(
-		func() actor.Actor { return newCore(r) },
+		func() actor.Actor { return newCore(r.deps, r.cfg, r.info, r.peers.learn) },
 		actor.WithMailbox(actor.Bounded(mailboxSize)),
 	)
 	r.pid = r.system.Root.Spawn(props)
@@ -116,14 +114,16 @@
 	defer cancel()
 	server := &http.Server{Handler: r.handler(), ReadHeaderTimeout: 5 * time.Second}
 
+	f := &follower{receiver: r}
+
 	var g run.Group
-	g.Add(func() error { return r.drainAfter(ctx, inner, server) }, func(error) { cancel() })
+	g.Add(func() error { return r.drainAfter(ctx, inner, server, f) }, func(error) { cancel() })
 	g.Add(func() error { return r.serveHTTP(inner, server) }, func(error) { _ = server.Close() })
 	g.Add(func() error { return r.acceptLinks(inner) }, func(error) { _ = r.links.Close() })
 	g.Add(func() error { return r.tick(inner) }, func(error) { cancel() })
 	g.Add(func() error { return r.peers.run(inner) }, func(error) { cancel() })
-	g.Add(func() error { return r.followBundle(inner) }, func(error) { cancel() })
-	g.Add(func() error { return r.register(inner) }, func(error) { cancel() })
+	g.Add(func() error { return f.followBundle(inner) }, func(error) { cancel() })
+	g.Add(func() error { return f.register(inner) }, func(error) { cancel() })
 	r.deps.Log.WithField("listen", r.listener.Addr().String()).Info("entry started")
 	err := g.Run()
 	r.deps.Log.Info("entry stopped")
@@ -149,7 +149,7 @@
 
 // drainAfter waits for the planned stop, gives the partitions to the other
 // entries and waits until every request has been answered.
-func (r *Receiver) drainAfter(ctx, inner context.Context, server *http.Server) error {
+func (r *Receiver) drainAfter(ctx, inner context.Context, server *http.Server, f *follower) error {
 	select {
 	case <-ctx.Done():
 	case <-inner.Done():
@@ -164,6 +164,9 @@
 		r.deps.Log.WithError(err).Warn("requests cut off by the drain limit")
 	}
 	r.awaitIdle(limit)
+	if err := f.write(limit, true); err != nil {
+		r.deps.Log.WithError(err).Warn("departure not registered")
+	}
 	return nil
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -32,6 +32,10 @@
 	incarnation string
 	ready       bool
 	leaving     bool
+	// stamp is the last stamp received; the next heartbeat echoes it.
+	stamp         time.Duration
+	bundleVersion uint64
+	votersVersion uint64
 	// heard is when the last heartbeat came; named is when the address was
 	// last given by the store or by another entry.
 	heard time.Time
@@ -92,11 +96,30 @@
 	g.Learn([]courier.EntryInfo{h.Entry})
 	m := g.members[h.Entry.ID]
 	m.incarnation = h.Incarnation
+	m.stamp = h.Stamp
+	m.bundleVersion = h.BundleVersion
+	m.votersVersion = h.VotersVersion
 	m.ready = h.Ready
 	m.leaving = h.Leaving
 	m.heard = g.clock.Now()
 }
 
+// Stamp returns this entry's clock as heartbeats carry it.
+func (g *Registrar) Stamp() time.Duration { return g.clock.Since(g.started) }
+
+// TimeOf returns the time of this entry's clock that a stamp stands for.
+func (g *Registrar) TimeOf(stamp time.Duration) time.Time { return g.started.Add(stamp) }
+
+// Echo returns the last stamp received from another entry, and the versions
+// that it had.
+func (g *Registrar) Echo(entry string) (stamp time.Duration, bundle, voters uint64) {
+	m := g.members[entry]
+	if m == nil {
+		return 0, 0, 0
+	}
+	return m.stamp, m.bundleVersion, m.votersVersion
+}
+
 // Tick forgets entries that nobody has heard of for long.
 func (g *Registrar) Tick() {
 	now := g.clock.Now()
