receiver: Strike every fault at every step of a request

Cause: the promises were designed for but not proved. The matrix drives the real entry cores and agent ledgers over fake wires with a fake clock: 24 faults at 12 steps, each at three depths.

Found: a doubled Refuse was taken for the refusal of a newer start of the same task at the same agent, so that the task could start twice, and its doubled Seen count made the owner see free slots that were not there and send without end. Ruled out: doubled Finished and Claim, which are idempotent. Tasks are now numbered on each link; agents drop numbers that they have seen, and refusals name the number. TestFaultMatrix/doubled did not end before.

After: 864 cells pass.

--- a/courier/message.go
+++ b/courier/message.go
@@ -85,8 +85,8 @@
 type Load struct {
 	// Free counts the slots that any owner may start into now.
 	Free int
-	// Seen counts the tasks of this link's Start messages handled so far. An
-	// owner subtracts what it sent since from Free.
+	// Seen is the Number of the last task of this link's Start messages that
+	// was handled. An owner subtracts what it sent since from Free.
 	Seen uint64
 }
 
@@ -141,6 +141,8 @@
 // Claim asks an agent to refuse lower terms for some partitions, and to
 // report what it has started in them.
 type Claim struct {
+	// Number rises by one with each claim on the link.
+	Number     uint64
 	Term       Term
 	Partitions []router.Partition
 }
@@ -148,6 +150,7 @@
 // ClaimReply answers Claim. Partitions where the agent knows a higher term are
 // in Refused with that term; the others are fenced.
 type ClaimReply struct {
+	Number     uint64
 	Term       Term
 	Partitions []router.Partition
 	Refused    map[router.Partition]Term `json:",omitempty"`
@@ -163,6 +166,9 @@
 
 // StartTask asks for one task to be started.
 type StartTask struct {
+	// Number rises by one with each task sent on the link, from 1. An agent
+	// drops numbers that it has seen, so that a doubled message does nothing.
+	Number   uint64
 	Task     TaskID
 	Digest   uint64
 	Service  string
@@ -182,9 +188,11 @@
 	Tasks []StartTask
 }
 
-// Refuse reports the tasks of a Start that were not started.
+// Refuse reports a task of a Start that was not started.
 type Refuse struct {
-	Tasks  []TaskID
+	// Number is the Number of the refused StartTask.
+	Number uint64
+	Task   TaskID
 	Reason Refusal
 	// Term is the higher term when Reason is RefusedTerm.
 	Term Term
--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -190,7 +190,8 @@
 }
 
 func (o *Owner) sendClaim(a *agent, c courier.Claim) {
-	a.pendingClaims++
+	a.lastClaim++
+	c.Number = a.lastClaim
 	o.send(a.ref.Agent, c)
 }
 
@@ -378,8 +379,7 @@
 		return
 	}
 	o.setLoad(a, r.Load)
-	a.pendingClaims--
-	a.claimed = a.pendingClaims == 0
+	a.answeredClaim = max(a.answeredClaim, r.Number)
 	for p, t := range r.Refused {
 		o.loseTo(p, t)
 	}
--- a/dispatcher/dump.go
+++ b/dispatcher/dump.go
@@ -53,7 +53,7 @@
 			DataCentre: a.dataCentre,
 			Linked:     a.linked,
 			Admitted:   a.admitted,
-			Claimed:    a.claimed,
+			Claimed:    a.claimed(),
 			Draining:   a.draining,
 			Out:        a.out,
 			Ejected:    a.health.ejected,
--- a/dispatcher/fleet.go
+++ b/dispatcher/fleet.go
@@ -19,10 +19,9 @@
 	linked bool
 	link   uint64
 	lostAt time.Time
-	// pendingClaims counts the claims on this link that are not answered;
-	// claimed means that it has fallen to zero.
-	pendingClaims int
-	claimed       bool
+	// lastClaim and answeredClaim number the claims on this link.
+	lastClaim     uint64
+	answeredClaim uint64
 	// admitted means that every other entry has the agent in its roster; it
 	// stays true for the life of the incarnation.
 	admitted bool
@@ -45,9 +44,12 @@
 
 // startable reports whether new tasks may be sent to the agent.
 func (a *agent) startable() bool {
-	return a.linked && a.claimed && a.admitted && !a.draining && !a.out
+	return a.linked && a.claimed() && a.admitted && !a.draining && !a.out
 }
 
+// claimed reports whether the agent has answered every claim on this link.
+func (a *agent) claimed() bool { return a.answeredClaim == a.lastClaim }
+
 func (a *agent) serves(service string) bool {
 	return slices.Contains(a.services, service)
 }
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -26,9 +26,11 @@
 	state   taskState
 	outcome courier.Outcome
 	result  json.RawMessage
-	// agent and link tell where the task was sent, when state is sent.
+	// agent, link and number tell where and as which of the link's tasks it
+	// was sent, when state is sent.
 	agent  courier.AgentRef
 	link   uint64
+	number uint64
 	sentAt time.Time
 }
 
@@ -73,13 +75,15 @@
 	}
 }
 
-// takeWaiting returns the index of a waiting task and marks it sent to a.
+// takeWaiting returns the index of a waiting task and marks it as the next one
+// sent to a.
 func (j *job) takeWaiting(a *agent, now time.Time) int {
 	for j.tasks[j.next].state != waiting {
 		j.next++
 	}
 	i := j.next
-	j.tasks[i] = task{state: sent, agent: a.ref, link: a.link, sentAt: now}
+	a.sentTasks++
+	j.tasks[i] = task{state: sent, agent: a.ref, link: a.link, number: a.sentTasks, sentAt: now}
 	j.waitingTasks--
 	return i
 }
--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -77,10 +77,10 @@
 	o.queue.took(j)
 	id := courier.TaskID{Job: j.id, Index: i}
 	a.tasks[id] = struct{}{}
-	a.sentTasks++
 	o.counts.Started++
 	o.budget.started()
 	return courier.StartTask{
+		Number:   a.sentTasks,
 		Task:     id,
 		Digest:   j.digest,
 		Service:  j.sub.Service,
--- a/dispatcher/settle.go
+++ b/dispatcher/settle.go
@@ -24,9 +24,9 @@
 	a.linked = true
 	a.link = an.LinkNumber
 	a.sentTasks = 0
-	a.pendingClaims = 0
+	a.lastClaim = 0
+	a.answeredClaim = 0
 	o.claimFrom(a)
-	a.claimed = a.pendingClaims == 0
 	o.AgentSeen(an)
 }
 
@@ -171,17 +171,10 @@
 		return
 	}
 	o.setLoad(a, r.Load)
-	for _, id := range r.Tasks {
-		delete(a.tasks, id)
-		o.counts.Refused++
-		j := o.jobs[id.Job]
-		if j == nil || j.done || id.Index >= len(j.tasks) {
-			continue
-		}
-		if t := &j.tasks[id.Index]; t.state != sent || t.agent != a.ref {
-			continue
-		}
-		o.putBackRefused(a, j, id.Index, r.Reason)
+	o.counts.Refused++
+	if j := o.refusedJob(a, r); j != nil {
+		delete(a.tasks, r.Task)
+		o.putBackRefused(a, j, r.Task.Index, r.Reason)
 		if r.Reason == courier.RefusedTerm {
 			o.loseTo(j.partition, r.Term)
 		}
@@ -189,6 +182,21 @@
 	o.dispatch()
 }
 
+// refusedJob returns the job that a refusal concerns, or nil if the refusal is
+// not about the last start of the task.
+func (o *Owner) refusedJob(a *agent, r courier.Refuse) *job {
+	j := o.jobs[r.Task.Job]
+	i := r.Task.Index
+	if j == nil || j.done || i < 0 || i >= len(j.tasks) {
+		return nil
+	}
+	t := &j.tasks[i]
+	if t.state != sent || t.agent != a.ref || t.link != a.link || t.number != r.Number {
+		return nil
+	}
+	return j
+}
+
 func (o *Owner) putBackRefused(a *agent, j *job, i int, reason courier.Refusal) {
 	if reason != courier.RefusedUpstream {
 		o.requeue(j, i)
--- a/receiver/core.go
+++ b/receiver/core.go
@@ -54,12 +54,13 @@
 		voters confirmer.Voters
 		at     time.Time
 	}
-	// submit carries a request; answer gets one answer.
+	// submit carries a request; answer is called once, unless the caller
+	// leaves. It must not block.
 	submit struct {
 		request dispatcher.Request
-		answer  chan<- courier.Answer
+		answer  func(courier.Answer)
 		// opened gets the waiter, for a later leave.
-		opened chan<- dispatcher.Waiter
+		opened func(dispatcher.Waiter)
 	}
 	// leave tells that a caller has gone.
 	leave struct{ waiter dispatcher.Waiter }
@@ -199,8 +200,8 @@
 }
 
 func (c *core) submit(m submit) {
-	w := c.newWaiter(func(a courier.Answer) { m.answer <- a })
-	m.opened <- w
+	w := c.newWaiter(m.answer)
+	m.opened(w)
 	m.request.Waiter = w
 	c.owner.Submit(m.request)
 }
--- /dev/null
+++ b/receiver/matrix_test.go
@@ -0,0 +1,244 @@
+package receiver
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+)
+
+// steps are the steps of a request at which a fault strikes: the entry takes
+// it, a message of a type is sent, or a task begins to run.
+var steps = []string{
+	"accept", "Relay", "Start", "run", "Demand", "Offer", "Finished", "Acked", "RelayReply",
+	"Announce", "AnnounceReply", "PeerHello",
+}
+
+// fault is a fault between the two processes of a step.
+type fault struct {
+	name   string
+	strike func(w *world, from, to *process)
+}
+
+var faults = []fault{
+	{"kill sender", func(w *world, from, _ *process) { w.kill(from) }},
+	{"kill receiver", func(w *world, _, to *process) { w.kill(to) }},
+	{"restart sender", func(w *world, from, _ *process) { w.replace(from) }},
+	{"restart receiver", func(w *world, _, to *process) { w.replace(to) }},
+	{"freeze sender", func(w *world, from, _ *process) { w.pause(from, 8*time.Second) }},
+	{"freeze receiver", func(w *world, _, to *process) { w.pause(to, 8*time.Second) }},
+	{"freeze short", func(w *world, _, to *process) { w.pause(to, 1200*time.Millisecond) }},
+	{"silent one way", func(w *world, from, to *process) { w.silence(from, to, true, false) }},
+	{"silent other way", func(w *world, from, to *process) { w.silence(from, to, false, true) }},
+	{"silent both ways", func(w *world, from, to *process) { w.silence(from, to, true, true) }},
+	{"cut off for 8 s", func(w *world, from, to *process) { w.cut(from, to, 8*time.Second) }},
+	{"isolate sender", func(w *world, from, _ *process) { w.isolate(from, 8*time.Second) }},
+	{"isolate receiver", func(w *world, _, to *process) { w.isolate(to, 8*time.Second) }},
+	{"late", func(w *world, from, to *process) { w.delay(from, to, 900*time.Millisecond) }},
+	{"very late", func(w *world, from, to *process) { w.delay(from, to, 4*time.Second) }},
+	{"doubled", func(w *world, from, to *process) { w.double(from, to) }},
+	{"store down", func(w *world, _, _ *process) { w.store.down = true }},
+	{"store cut from sender", func(w *world, from, _ *process) { w.store.cut[from.name] = true }},
+	{"stop as planned", func(w *world, from, to *process) { w.stop(from, to) }},
+	{"upstream leaves", func(w *world, from, to *process) { w.eachAgent(from, to, (*simAgent).leave) }},
+	{"upstream dies", func(w *world, from, to *process) {
+		w.eachAgent(from, to, func(a *simAgent) { a.upstreamDead = true })
+	}},
+	{"upstream fails all", func(w *world, from, to *process) {
+		w.eachAgent(from, to, func(a *simAgent) { a.failAll = true })
+	}},
+	{"new entry", func(w *world, _, _ *process) { w.addEntry(fmt.Sprintf("entry-%d", len(w.entries)+1)) }},
+	{"resubmission", func(w *world, _, _ *process) {
+		for _, c := range w.callers {
+			w.after(0, c.resubmit)
+		}
+	}},
+}
+
+func (w *world) replace(p *process) {
+	for _, a := range w.agents {
+		if a.proc == p {
+			a.restart(len(w.agents))
+			return
+		}
+	}
+	w.kill(p)
+	w.after(500*time.Millisecond, func() { w.addEntry(p.name) })
+}
+
+func (w *world) between(from, to *process, f func(near, far *wireEnd)) {
+	for _, x := range w.wires {
+		switch {
+		case x.a.owner == from && x.b.owner == to:
+			f(x.a, x.b)
+		case x.b.owner == from && x.a.owner == to:
+			f(x.b, x.a)
+		}
+	}
+}
+
+func (w *world) silence(from, to *process, there, back bool) {
+	w.between(from, to, func(near, far *wireEnd) {
+		near.silent = near.silent || there
+		far.silent = far.silent || back
+	})
+}
+
+func (w *world) delay(from, to *process, d time.Duration) {
+	w.between(from, to, func(near, _ *wireEnd) { near.late = d })
+}
+
+func (w *world) double(from, to *process) {
+	w.between(from, to, func(near, _ *wireEnd) { near.double = true })
+}
+
+func (w *world) cut(from, to *process, d time.Duration) {
+	pairs := [][2]string{{from.name, to.name}, {to.name, from.name}}
+	for _, p := range pairs {
+		w.blocked[p] = true
+	}
+	w.after(d, func() {
+		for _, p := range pairs {
+			delete(w.blocked, p)
+		}
+	})
+}
+
+// isolate cuts an entry off from the other entries and the store.
+func (w *world) isolate(p *process, d time.Duration) {
+	w.store.cut[p.name] = true
+	for _, e := range w.entries {
+		if e.proc != p {
+			w.cut(p, e.proc, d)
+		}
+	}
+	w.after(d, func() { delete(w.store.cut, p.name) })
+}
+
+// stop begins a planned stop of the entries among the processes.
+func (w *world) stop(list ...*process) {
+	for _, e := range w.entries {
+		for _, p := range list {
+			if e.proc == p {
+				w.after(0, func() { p.exec(func() { e.core.handle(leaving{}) }) })
+				return
+			}
+		}
+	}
+	w.eachAgent(list[0], list[0], func(a *simAgent) { a.ledger.SetDraining() })
+}
+
+func (w *world) eachAgent(from, to *process, f func(*simAgent)) {
+	for _, a := range w.agents {
+		if a.proc == from || a.proc == to {
+			f(a)
+		}
+	}
+}
+
+// strikeAt has f strike when a step is reached for the n-th time.
+type strikeAt struct {
+	step string
+	n    int
+	f    fault
+}
+
+// arm sets the world up so that each strike happens once.
+func (w *world) arm(strikes ...strikeAt) {
+	seen := make(map[string]int)
+	done := make([]bool, len(strikes))
+	w.reach = func(step string, from, to *process) {
+		seen[step]++
+		for i, s := range strikes {
+			if !done[i] && s.step == step && seen[step] >= s.n {
+				done[i] = true
+				s.f.strike(w, from, to)
+			}
+		}
+	}
+}
+
+// runMatrixWorld runs jobs through the given faults, with resubmissions, and
+// returns the world at the end.
+func runMatrixWorld(t *testing.T, seed uint64, strikes ...strikeAt) *world {
+	w := newWorld(t, seed, 3, 3, 2)
+	w.arm(strikes...)
+	for i := range 4 {
+		w.submit(fmt.Sprintf("job-%d", i), i, 1+5*i, 150+50*i, 25*time.Second)
+		w.run(40 * time.Millisecond)
+	}
+	for range 3 {
+		w.run(4 * time.Second)
+		for _, c := range w.callers {
+			if c.open {
+				c.resubmit()
+			}
+		}
+	}
+	w.run(25 * time.Second)
+	return w
+}
+
+func (w *world) completed() int {
+	n := 0
+	for _, c := range w.callers {
+		if len(c.answers) > 0 && c.last().State == courier.Complete {
+			n++
+		}
+	}
+	return n
+}
+
+func TestWorldCompletesJobs(t *testing.T) {
+	w := newWorld(t, 1, 3, 3, 4)
+	for i := range 9 {
+		w.submit(fmt.Sprintf("job-%d", i), i, 1+i*3, 100, 20*time.Second)
+	}
+	w.run(20 * time.Second)
+	w.check()
+	for _, c := range w.callers {
+		require.Equal(t, courier.Complete, c.last().State, "%s: %+v", c.sub.Job(), c.last())
+	}
+}
+
+// TestFaultMatrix strikes every fault at every step.
+func TestFaultMatrix(t *testing.T) {
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) {
+			done, all := 0, 0
+			for _, step := range steps {
+				for n := 1; n <= 9; n += 4 {
+					t.Run(fmt.Sprintf("%s %d", step, n), func(t *testing.T) {
+						w := runMatrixWorld(t, uint64(n), strikeAt{step, n, f})
+						w.check()
+						done += w.completed()
+						all += len(w.callers)
+					})
+				}
+			}
+			t.Logf("%s: %d of %d jobs complete", f.name, done, all)
+		})
+	}
+}
+
+// TestFaultPairs strikes pairs of faults, chosen by seed.
+func TestFaultPairs(t *testing.T) {
+	const pairs = 400
+	for seed := range uint64(pairs) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		var strikes []strikeAt
+		name := fmt.Sprintf("seed %d", seed)
+		for range 2 {
+			s := strikeAt{steps[rng.IntN(len(steps))], 1 + rng.IntN(20), faults[rng.IntN(len(faults))]}
+			strikes = append(strikes, s)
+			name += fmt.Sprintf(", %s at %s %d", s.f.name, s.step, s.n)
+		}
+		t.Run(name, func(t *testing.T) {
+			runMatrixWorld(t, seed, strikes...).check()
+		})
+	}
+}
--- a/receiver/route.go
+++ b/receiver/route.go
@@ -47,7 +47,7 @@
 		admitted = admitted || a.Admitted || (sent && err != nil)
 		select {
 		case <-limit.Done():
-			return r.unanswered(s, admitted)
+			return unanswered(r.cfg.ID, s, admitted)
 		case <-r.deps.Clock.After(routePause):
 		}
 	}
@@ -78,7 +78,11 @@
 func (r *Receiver) submitHere(ctx context.Context, s courier.Submission, resent bool) (courier.Answer, error) {
 	answer := make(chan courier.Answer, 1)
 	opened := make(chan dispatcher.Waiter, 1)
-	r.post(submit{request: newRequest(s, resent, 0), answer: answer, opened: opened})
+	r.post(submit{
+		request: newRequest(s, resent, 0),
+		answer:  func(a courier.Answer) { answer <- a },
+		opened:  func(w dispatcher.Waiter) { opened <- w },
+	})
 	select {
 	case a := <-answer:
 		return a, nil
@@ -89,8 +93,8 @@
 }
 
 // unanswered is the answer when no owner gave one in time.
-func (r *Receiver) unanswered(s courier.Submission, admitted bool) courier.Answer {
-	a := courier.Answer{Job: s.Job(), Entry: r.cfg.ID, Reason: courier.ReasonDeadline}
+func unanswered(entry string, s courier.Submission, admitted bool) courier.Answer {
+	a := courier.Answer{Job: s.Job(), Entry: entry, Reason: courier.ReasonDeadline}
 	if !admitted {
 		a.State = courier.NotRun
 		a.Detail = "no owner could be reached before the deadline"
--- /dev/null
+++ b/receiver/simagent_test.go
@@ -0,0 +1,215 @@
+package receiver
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pomeloferry/pomeloferry/approver"
+	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/starter"
+)
+
+// simAgent is an agent: a real ledger, with wires in place of links and a
+// simulated upstream.
+type simAgent struct {
+	world  *world
+	proc   *process
+	ledger *starter.Ledger
+	id     starter.Identity
+	slots  int
+	links  map[*wireEnd]*simLink
+	byName map[string]*simLink
+	number uint64
+	// upstreamDead makes running tasks lost; failAll makes every task fail.
+	upstreamDead bool
+	failAll      bool
+	// leftAt is when the upstream announced its departure.
+	leftAt time.Time
+}
+
+// simLink is an agent's wire to an entry.
+type simLink struct {
+	target *simEntry
+	end    *wireEnd
+	number uint64
+	entry  string
+}
+
+func (w *world) addAgent(name string, generation int, dataCentre string, slots int) *simAgent {
+	id := starter.Identity{
+		Agent: name, Incarnation: fmt.Sprintf("%s-%d", name, generation), DataCentre: dataCentre, Rack: "rack-1",
+	}
+	a := &simAgent{
+		world: w, proc: &process{name: name}, id: id, slots: slots,
+		ledger: starter.NewLedger(w.clock, id),
+		links:  make(map[*wireEnd]*simLink),
+		byName: make(map[string]*simLink),
+	}
+	a.ledger.SetUpstream(starter.Upstream{Address: "upstream", Slots: slots, Services: []string{"quote"}})
+	w.agents = append(w.agents, a)
+	w.every(a.proc, TickInterval, func() { a.ledger.Tick(); a.drain() })
+	w.every(a.proc, 100*time.Millisecond, a.dialEntries)
+	w.every(a.proc, 500*time.Millisecond, a.announceAll)
+	return a
+}
+
+// restart kills the agent and starts its next incarnation.
+func (a *simAgent) restart(generation int) *simAgent {
+	a.world.kill(a.proc)
+	return a.world.addAgent(a.id.Agent, generation, a.id.DataCentre, a.slots)
+}
+
+func (a *simAgent) dialEntries() {
+	for _, e := range a.world.entries {
+		if a.linkTo(e) != nil {
+			continue
+		}
+		near, far := a.world.dial(a.proc, e.proc)
+		if near == nil {
+			continue
+		}
+		a.number++
+		l := &simLink{target: e, end: near, number: a.number}
+		a.links[near] = l
+		near.receive = func(msg any) { a.receive(l, msg); a.drain() }
+		near.onClose = func() { a.closed(l); a.drain() }
+		e.accept(far)
+		a.announce(l)
+	}
+}
+
+func (a *simAgent) linkTo(e *simEntry) *simLink {
+	for _, l := range a.links {
+		if l.target == e {
+			return l
+		}
+	}
+	return nil
+}
+
+func (a *simAgent) announceAll() {
+	for _, e := range a.world.entries {
+		if l := a.linkTo(e); l != nil {
+			a.announce(l)
+		}
+	}
+}
+
+func (a *simAgent) announce(l *simLink) {
+	msg := a.ledger.Announce(l.entry)
+	msg.LinkNumber = l.number
+	for id := range a.byName {
+		msg.Acked = append(msg.Acked, id)
+	}
+	slices.Sort(msg.Acked)
+	l.end.Send(msg)
+}
+
+func (a *simAgent) closed(l *simLink) {
+	delete(a.links, l.end)
+	if a.byName[l.entry] == l {
+		delete(a.byName, l.entry)
+		a.ledger.LinkDown(l.entry, l.number)
+	}
+}
+
+func (a *simAgent) receive(l *simLink, msg any) {
+	if r, ok := msg.(*courier.AnnounceReply); ok {
+		if l.entry == "" {
+			l.entry = r.Entry.ID
+			a.byName[l.entry] = l
+			a.ledger.LinkUp(l.entry, l.number)
+			a.ledger.Confirm(*r)
+			a.announceAll()
+			return
+		}
+		a.ledger.Confirm(*r)
+		return
+	}
+	if a.byName[l.entry] != l {
+		return
+	}
+	switch m := msg.(type) {
+	case *courier.Claim:
+		a.ledger.Claim(l.entry, *m)
+	case *courier.Start:
+		a.ledger.Start(l.entry, *m)
+	case *courier.Acked:
+		a.ledger.Acked(*m)
+	case *courier.Demand:
+		a.ledger.Demand(l.entry, *m)
+	case *courier.Decline:
+		a.ledger.Decline(l.entry, *m)
+	case *courier.Stop:
+		a.ledger.Stop(*m)
+	}
+}
+
+func (a *simAgent) drain() {
+	for _, e := range a.ledger.Drain() {
+		switch e := e.(type) {
+		case starter.Send:
+			if l := a.byName[e.To]; l != nil {
+				l.end.Send(e.Msg)
+			}
+		case starter.Run:
+			a.run(e.Task)
+		}
+	}
+}
+
+// run is the upstream: it notes the start and ends the task in time.
+func (a *simAgent) run(t courier.StartTask) {
+	w := a.world
+	w.starts[t.Task]++
+	w.startLog = append(w.startLog, startEvent{at: w.clock.Now(), task: t.Task, agent: a})
+	if w.starts[t.Task] > 1 {
+		w.breach("%v: started twice, again on %s", t.Task, a.id.Incarnation)
+	}
+	a.checkStart(t)
+	w.reach("run", a.proc, a.proc)
+	var p struct{ Millis int }
+	_ = json.Unmarshal(t.Payload, &p)
+	rec := courier.Record{Task: t.Task, Digest: t.Digest, Outcome: courier.Succeeded, Result: json.RawMessage(resultOf(t.Task))}
+	if a.failAll {
+		rec.Outcome = courier.Errored
+		rec.Result = json.RawMessage(`"failed"`)
+	}
+	w.after(time.Duration(p.Millis)*time.Millisecond, func() {
+		if a.upstreamDead {
+			rec.Outcome = courier.Lost
+			rec.Result = nil
+		}
+		a.proc.exec(func() { a.ledger.Finish(rec); a.drain() })
+	})
+}
+
+// resultOf is the result of a task, different for each.
+func resultOf(id courier.TaskID) string { return fmt.Sprintf("%q", fmt.Sprint(id)) }
+
+// checkStart notes a start that comes too late after a departure.
+func (a *simAgent) checkStart(t courier.StartTask) {
+	const limit = 4 * time.Second
+	w := a.world
+	now := w.clock.Now()
+	if !a.leftAt.IsZero() && now.Sub(a.leftAt) > limit {
+		w.breach("%v: started on %s after it left", t.Task, a.id.Agent)
+	}
+	at, ok := w.store.acceptedAt[w.store.bundle.Version]
+	if !ok || now.Sub(at) <= limit {
+		return
+	}
+	for _, d := range w.store.bundle.DataCentres {
+		if d.Name == a.id.DataCentre && d.State == approver.Out {
+			w.breach("%v: started in %s, which was taken out", t.Task, d.Name)
+		}
+	}
+}
+
+// leave makes the upstream announce its departure.
+func (a *simAgent) leave() {
+	a.leftAt = a.world.clock.Now()
+	a.ledger.SetUpstream(starter.Upstream{Slots: a.slots, Services: []string{"quote"}, Leaving: true})
+}
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -82,6 +82,8 @@
 	// accepted after the deadline, which is earlier.
 	keepUntil time.Time
 	acked     bool
+	// number is the Number of the StartTask, on the link it came by.
+	number uint64
 }
 
 // offer is a free slot held for one entry.
@@ -254,7 +256,7 @@
 // Claim fences the partitions of c against lower terms and reports what was
 // started in them.
 func (l *Ledger) Claim(entry string, c courier.Claim) {
-	reply := courier.ClaimReply{Term: c.Term}
+	reply := courier.ClaimReply{Number: c.Number, Term: c.Term}
 	lost := make(map[string][]router.Partition)
 	for _, p := range c.Partitions {
 		if p < 0 || p >= router.Partitions {
@@ -303,18 +305,22 @@
 	var refused []refusedTask
 	var known []courier.Record
 	e := l.entries[entry]
-	if e != nil && e.link == s.LinkNumber {
-		e.seen += uint64(len(s.Tasks))
-	}
+	current := e != nil && e.link == s.LinkNumber
 	held := l.takeOffer(entry, s.Offer)
 	for _, t := range s.Tasks {
+		if current && t.Number <= e.seen {
+			continue
+		}
+		if current {
+			e.seen = t.Number
+		}
 		p := router.PartitionOf(t.Task.Job)
 		if r := l.records[p][t.Task]; r != nil {
 			known = append(known, r.Record)
 			continue // The record answers for it: a start is never run twice.
 		}
 		if reason := l.refusal(e, s, t, p, held); reason != "" {
-			refused = append(refused, refusedTask{t.Task, reason, l.terms[p]})
+			refused = append(refused, refusedTask{t, reason, l.terms[p]})
 			continue
 		}
 		held = false
@@ -328,14 +334,14 @@
 
 // refusedTask is a task of a Start with the reason that it may not start.
 type refusedTask struct {
-	id     courier.TaskID
+	task   courier.StartTask
 	reason courier.Refusal
 	term   courier.Term
 }
 
 func (l *Ledger) answerStart(entry string, refused []refusedTask, known []courier.Record) {
 	for _, r := range refused {
-		msg := courier.Refuse{Tasks: []courier.TaskID{r.id}, Reason: r.reason, Load: l.load(entry)}
+		msg := courier.Refuse{Number: r.task.Number, Task: r.task.Task, Reason: r.reason, Load: l.load(entry)}
 		if r.reason == courier.RefusedTerm {
 			msg.Term = r.term
 		}
@@ -372,6 +378,7 @@
 	l.records[p][t.Task] = &record{
 		Record:    courier.Record{Task: t.Task, Digest: t.Digest, Outcome: courier.Running},
 		keepUntil: t.Deadline.Add(RecordGrace),
+		number:    t.Number,
 	}
 	l.running++
 	l.effects = append(l.effects, Run{Task: t})
@@ -389,7 +396,8 @@
 	l.running--
 	holder := l.terms[p].Holder
 	l.send(holder, courier.Refuse{
-		Tasks:  []courier.TaskID{id},
+		Number: r.number,
+		Task:   id,
 		Reason: courier.RefusedUpstream,
 		Load:   l.load(holder),
 	})
