publisher: Bring an approved bundle into force and follow it

Cause: operators had no way to change the configuration. Bundles are checked as a whole, signed by a second person, written by compare-and-swap on the version before, and followed until every entry and agent has them in force.

The signature is now over the compact form. An entry registers a new version at once, since acceptance waits for that.

--- a/approver/approver.go
+++ b/approver/approver.go
@@ -130,7 +130,8 @@
 
 // Signed is a bundle with the approval of a second person.
 type Signed struct {
-	// Bundle holds the exact bytes that were signed.
+	// Bundle is the bundle. The signature is over its compact form, so that
+	// indentation may change.
 	Bundle json.RawMessage
 	// Approver names the key in the settings that checks Signature.
 	Approver string
@@ -140,7 +141,7 @@
 
 // Digest returns the hash of the signed bytes, in hexadecimal.
 func (s Signed) Digest() string {
-	sum := sha256.Sum256(s.Bundle)
+	sum := sha256.Sum256(compact(s.Bundle))
 	return hex.EncodeToString(sum[:])
 }
 
@@ -157,6 +158,15 @@
 	return Signed{Bundle: raw, Approver: approver, Signature: base64.StdEncoding.EncodeToString(sig)}, nil
 }
 
+// compact returns raw without white space, or raw itself if it is no JSON.
+func compact(raw []byte) []byte {
+	var b bytes.Buffer
+	if err := json.Compact(&b, raw); err != nil {
+		return raw
+	}
+	return b.Bytes()
+}
+
 // Trust maps the names of people who may approve to their public keys, in
 // base64, as the settings list them.
 type Trust map[string]string
@@ -190,7 +200,7 @@
 		return fail(errors.Errorf("key of approver %q is no Ed25519 public key", s.Approver))
 	}
 	sig, err := base64.StdEncoding.DecodeString(s.Signature)
-	if err != nil || !ed25519.Verify(key, s.Bundle, sig) {
+	if err != nil || !ed25519.Verify(key, compact(s.Bundle), sig) {
 		return fail(errors.Errorf("the signature of %q does not match: the bundle was altered or signed with another key", s.Approver))
 	}
 	return nil
--- a/commander/client.go
+++ b/commander/client.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -156,3 +158,5 @@
 	e.SetIndent("", "  ")
 	return e.Encode(v)
 }
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -26,16 +26,18 @@
 type commandLine struct {
 	LogLevel string `enum:"debug,info,warn,error" default:"info" help:"Least severe log lines to write (${enum})."`
 
-	Entry    entryCommand    `cmd:"" help:"Run an entry: takes callers' requests and owns submissions."`
-	Agent    agentCommand    `cmd:"" help:"Run an agent: starts tasks on the upstream beside it."`
-	Store    storeCommand    `cmd:"" help:"Run a stand-in for the platform's key-value service."`
-	Upstream upstreamCommand `cmd:"" help:"Run a stand-in for an upstream."`
-	Demo     demoCommand     `cmd:"" help:"Run a whole deployment on loopback, submit jobs and stop."`
-	Submit   submitCommand   `cmd:"" help:"Submit a job and print its answer."`
-	State    stateCommand    `cmd:"" help:"Print the state of a job."`
-	Cancel   cancelCommand   `cmd:"" help:"Cancel a job."`
-	Dump     dumpCommand     `cmd:"" help:"Print the state of a process."`
-	Settings settingsCommand `cmd:"" help:"Check a settings file."`
+	Entry      entryCommand      `cmd:"" help:"Run an entry: takes callers' requests and owns submissions."`
+	Agent      agentCommand      `cmd:"" help:"Run an agent: starts tasks on the upstream beside it."`
+	Store      storeCommand      `cmd:"" help:"Run a stand-in for the platform's key-value service."`
+	Upstream   upstreamCommand   `cmd:"" help:"Run a stand-in for an upstream."`
+	Demo       demoCommand       `cmd:"" help:"Run a whole deployment on loopback, submit jobs and stop."`
+	Submit     submitCommand     `cmd:"" help:"Submit a job and print its answer."`
+	State      stateCommand      `cmd:"" help:"Print the state of a job."`
+	Cancel     cancelCommand     `cmd:"" help:"Cancel a job."`
+	Dump       dumpCommand       `cmd:"" help:"Print the state of a process."`
+	Bundle     bundleCommand     `cmd:"" help:"Check, approve, publish and read configuration bundles."`
+	DataCentre dataCentreCommand `cmd:"" help:"Take data centres out and bring them back."`
+	Settings   settingsCommand   `cmd:"" help:"Check a settings file."`
 }
 
 // Main runs the command line in args and returns the exit status.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -91,9 +91,10 @@
 }
 
 // CompareAndSwap writes value under key if the key's revision is the given
-// one. It reports whether the write was made. After an Unavailable error the
-// caller has to read the key to learn that.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, revision int64, value []byte) (bool, error) {
+// one, and the pairs of also together with it. It reports whether the write
+// was made. After an Unavailable error the caller has to read the key to learn
+// that.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, revision int64, value []byte, also ...Pair) (bool, error) {
 	req := TxnRequest{
 		Compare: []TxnCompare{{
 			Key:         encode(key),
@@ -103,6 +104,9 @@
 		}},
 		Success: []TxnOp{putOp(key, value)},
 	}
+	for _, p := range also {
+		req.Success = append(req.Success, putOp(p.Key, p.Value))
+	}
 	var reply TxnResponse
 	if err := c.call(ctx, "compare and swap", "/v3/kv/txn", req, &reply); err != nil {
 		return false, err
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/ed25519"
 	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -20,6 +19,7 @@
 	"github.com/pomeloferry/pomeloferry/approver"
 	"github.com/pomeloferry/pomeloferry/keeper"
 	"github.com/pomeloferry/pomeloferry/provider"
+	"github.com/pomeloferry/pomeloferry/publisher"
 	"github.com/pomeloferry/pomeloferry/receiver"
 	"github.com/pomeloferry/pomeloferry/storer"
 	"github.com/pomeloferry/pomeloferry/worker"
@@ -106,27 +106,13 @@
 	return nil
 }
 
-// RollOut signs b and writes it into the store, if it succeeds the present
-// version there.
+// RollOut signs b and publishes it.
 func (d *Deployment) RollOut(ctx context.Context, b approver.Bundle) error {
 	signed, err := approver.Sign(b, Approver, d.key)
 	if err != nil {
 		return err
 	}
-	raw, err := json.Marshal(signed)
-	if err != nil {
-		return errors.Wrap(err, "encode bundle")
-	}
-	store := d.StoreClient()
-	old, err := store.Get(ctx, receiver.BundleKey)
-	if err != nil {
-		return err
-	}
-	ok, err := store.CompareAndSwap(ctx, receiver.BundleKey, old.Revision, raw)
-	if err == nil && !ok {
-		err = errors.New("another bundle was written meanwhile")
-	}
-	return err
+	return publisher.NewPublisher(d.deps.Clock, d.StoreClient(), d.trust).Publish(ctx, signed)
 }
 
 // StoreClient returns a client of the deployment's store.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -41,7 +41,7 @@
 	Get(ctx context.Context, key string) (keeper.Pair, error)
 	List(ctx context.Context, prefix string) ([]keeper.Pair, error)
 	Put(ctx context.Context, key string, value []byte) error
-	CompareAndSwap(ctx context.Context, key string, revision int64, value []byte) (bool, error)
+	CompareAndSwap(ctx context.Context, key string, revision int64, value []byte, also ...keeper.Pair) (bool, error)
 }
 
 // Config describes one entry.
--- a/receiver/store.go
+++ b/receiver/store.go
@@ -57,6 +57,8 @@
 	receiver *Receiver
 	// started is set by the first read of the registrations.
 	started bool
+	// version is the last bundle version read from the store.
+	version uint64
 }
 
 // followBundle reads the bundle and the voters again and again until ctx ends.
@@ -71,11 +73,13 @@
 		if err != nil {
 			return err
 		}
-		return f.readBundle(began, bundle, voters)
+		return f.readBundle(ctx, began, bundle, voters)
 	})
 }
 
-func (f *follower) readBundle(began time.Time, bundle, voters keeper.Pair) error {
+// readBundle posts what was read. A new version is registered at once, since
+// its acceptance waits for that.
+func (f *follower) readBundle(ctx context.Context, began time.Time, bundle, voters keeper.Pair) error {
 	msg := bundleRead{at: began}
 	if err := parseVoters(voters, &msg.voters); err != nil {
 		return err
@@ -92,7 +96,11 @@
 	}
 	msg.bundle = b
 	f.receiver.post(msg)
-	return nil
+	if b.Version <= f.version {
+		return nil
+	}
+	f.version = b.Version
+	return f.write(ctx, false)
 }
 
 func parseVoters(p keeper.Pair, v *confirmer.Voters) error {
