--- a/commander/bundle.go
+++ b/commander/bundle.go
@@ -317,23 +317,45 @@
 	if err != nil {
 		return err
 	}
-	key, err := readKey(c.Key)
+	s, err := change{
+		name:     c.Name,
+		state:    state,
+		author:   c.Author,
+		note:     c.Note,
+		approver: c.Approver,
+		key:      c.Key,
+	}.sign(env.ctx, p)
 	if err != nil {
 		return err
 	}
-	_, b, err := p.Current(env.ctx)
+	return rollOut(env, p, s, c.Wait)
+}
+
+// change is a new state of a data centre with its author and approval.
+type change struct {
+	name     string
+	state    approver.DataCentreState
+	author   string
+	note     string
+	approver string
+	key      string
+}
+
+// sign returns the signed successor of the bundle in the store.
+func (c change) sign(ctx context.Context, p *publisher.Publisher) (approver.Signed, error) {
+	key, err := readKey(c.key)
 	if err != nil {
-		return err
+		return approver.Signed{}, err
 	}
-	next, err := b.WithDataCentre(c.Name, state)
+	_, b, err := p.Current(ctx)
 	if err != nil {
-		return err
+		return approver.Signed{}, err
 	}
-	s, err := approver.Sign(next.WithAuthor(c.Author, c.Note), c.Approver, key)
+	next, err := b.WithDataCentre(c.name, c.state)
 	if err != nil {
-		return err
+		return approver.Signed{}, err
 	}
-	return rollOut(env, p, s, c.Wait)
+	return approver.Sign(next.WithAuthor(c.author, c.note), c.approver, key)
 }
 
 type takeOutCommand struct{ changeFlags }
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -34,6 +34,7 @@
 	Submit     submitCommand     `cmd:"" help:"Submit a job and print its answer."`
 	State      stateCommand      `cmd:"" help:"Print the state of a job."`
 	Cancel     cancelCommand     `cmd:"" help:"Cancel a job."`
+	Load       loadCommand       `cmd:"" help:"Send a workload to a deployment on loopback and measure it."`
 	Dump       dumpCommand       `cmd:"" help:"Print the state of a process."`
 	Bundle     bundleCommand     `cmd:"" help:"Check, approve, publish and read configuration bundles."`
 	DataCentre dataCentreCommand `cmd:"" help:"Take data centres out and bring them back."`
--- /dev/null
+++ b/loader/report.go
@@ -0,0 +1,251 @@
+package loader
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+)
+
+const (
+	// ratioScale keeps three decimals of a ratio in a histogram of integers.
+	ratioScale = 1000
+	maxRatio   = 10_000 * ratioScale
+	digits     = 3
+)
+
+// Quantiles summarises response over ideal.
+type Quantiles struct {
+	Jobs int64
+	P50  float64
+	P99  float64
+	P999 float64
+	Max  float64
+}
+
+// Second is what was done in one second.
+type Second struct {
+	// WorkSeconds is the run time of the tasks of the jobs completed.
+	WorkSeconds float64
+	Complete    int
+	Failed      int
+	NotRun      int
+}
+
+// ProcessUse is what one process used during the experiment.
+type ProcessUse struct {
+	Process     string
+	CPUSeconds  float64
+	MemoryBytes float64
+}
+
+// Report is the outcome of an experiment.
+type Report struct {
+	Workload Workload
+	Seconds  float64
+	// Ratio is response over ideal of the completed jobs; the ideal is the
+	// job's longest task. BySize has it by the number of tasks.
+	Ratio  Quantiles
+	BySize map[int]Quantiles
+	// Answers counts the answers by state and reason; Broken counts requests
+	// without one.
+	Answers map[string]int
+	Broken  int
+	// WrongResults counts completed jobs whose results were not their own.
+	WrongResults int
+	// Copies and Cancels count the second copies and the cancellations sent;
+	// the Failed ones got no answer.
+	Copies        int
+	CopiesFailed  int
+	Cancels       int
+	CancelsFailed int
+	Started       float64
+	// MessagesPerTask counts messages between entries and agents for each
+	// started task, without heartbeats; WastedPercent is the share of
+	// messages that were refusals, declined offers, and what they answer.
+	MessagesPerTask float64
+	WastedPercent   float64
+	// Utilisation is the completed work over the capacity of the slots.
+	Utilisation float64
+	Timeline    []Second
+	Events      []string
+	Processes   []ProcessUse
+}
+
+// results gathers the outcomes. It is safe for concurrent use.
+type results struct {
+	mu       sync.Mutex
+	ratio    *hdrhistogram.Histogram
+	bySize   map[int]*hdrhistogram.Histogram
+	timeline []Second
+	work     time.Duration
+	out      Report
+}
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxRatio, digits) }
+
+func newResults() *results {
+	return &results{
+		ratio:  newHistogram(),
+		bySize: make(map[int]*hdrhistogram.Histogram),
+		out:    Report{Answers: make(map[string]int)},
+	}
+}
+
+func (r *results) note(j job, a courier.Answer, err error, took, at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.out.Broken++
+		return
+	}
+	key := string(a.State)
+	if a.Reason != "" {
+		key += " " + string(a.Reason)
+	}
+	r.out.Answers[key]++
+	s := r.second(at)
+	switch a.State {
+	case courier.Complete:
+		s.Complete++
+		s.WorkSeconds += j.work.Seconds()
+		r.work += j.work
+		r.noteRatio(j, took)
+		r.checkResults(j, a)
+	case courier.NotRun:
+		s.NotRun++
+	default:
+		s.Failed++
+	}
+}
+
+func (r *results) noteRatio(j job, took time.Duration) {
+	v := int64(float64(took) / float64(j.longest) * ratioScale)
+	_ = r.ratio.RecordValue(min(v, maxRatio))
+	n := len(j.sub.Tasks)
+	if r.bySize[n] == nil {
+		r.bySize[n] = newHistogram()
+	}
+	_ = r.bySize[n].RecordValue(min(v, maxRatio))
+}
+
+func (r *results) checkResults(j job, a courier.Answer) {
+	for i := range j.sub.Tasks {
+		want := fmt.Sprintf("%q", fmt.Sprintf("%s#%d", j.sub.Key, i))
+		if i >= len(a.Results) || string(a.Results[i]) != want {
+			r.out.WrongResults++
+			return
+		}
+	}
+}
+
+func (r *results) second(at time.Duration) *Second {
+	n := int(at / time.Second)
+	for len(r.timeline) <= n {
+		r.timeline = append(r.timeline, Second{})
+	}
+	return &r.timeline[n]
+}
+
+func (r *results) noteCopy(a courier.Answer, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.out.Copies++
+	if err != nil || !a.Final() {
+		r.out.CopiesFailed++
+	}
+}
+
+func (r *results) noteCancel(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.out.Cancels++
+	if err != nil {
+		r.out.CancelsFailed++
+	}
+}
+
+func (r *results) noteEvent(e Event, at time.Duration, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	line := fmt.Sprintf("%.1fs %s %s", at.Seconds(), e.Kind, e.Name)
+	if err != nil {
+		line += ": " + err.Error()
+	}
+	r.out.Events = append(r.out.Events, line)
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / ratioScale }
+	return Quantiles{Jobs: h.TotalCount(), P50: at(50), P99: at(99), P999: at(99.9), Max: float64(h.Max()) / ratioScale}
+}
+
+func (r *results) report(w Workload, took time.Duration, before, after map[string]processMetrics) Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.out
+	out.Workload = w
+	out.Seconds = took.Seconds()
+	out.Ratio = quantiles(r.ratio)
+	out.BySize = make(map[int]Quantiles)
+	for n, h := range r.bySize {
+		out.BySize[n] = quantiles(h)
+	}
+	out.Timeline = r.timeline
+	out.Utilisation = r.work.Seconds() / (took.Seconds() * float64(w.Slots))
+	out.addProcesses(before, after)
+	return out
+}
+
+// addProcesses works out the differences of the processes' counts.
+func (g *Report) addProcesses(before, after map[string]processMetrics) {
+	var messages, wasted float64
+	for _, name := range slices.Sorted(maps.Keys(after)) {
+		a, b := after[name], before[name]
+		g.Processes = append(g.Processes, ProcessUse{
+			Process:     name,
+			CPUSeconds:  a.cpuSeconds - b.cpuSeconds,
+			MemoryBytes: a.memoryBytes,
+		})
+		g.Started += a.started - b.started
+		messages += a.messages - b.messages
+		wasted += 2*(a.refused-b.refused) + 2*(a.declined-b.declined)
+	}
+	if g.Started > 0 {
+		g.MessagesPerTask = messages / g.Started
+	}
+	if messages > 0 {
+		g.WastedPercent = 100 * wasted / messages
+	}
+}
+
+// Print writes the report for people.
+func (g Report) Print(w io.Writer) {
+	fmt.Fprintf(w, "load %d%% of %d slots for %.1f s; utilisation %.3f\n", g.Workload.LoadPercent, g.Workload.Slots, g.Seconds, g.Utilisation)
+	printQuantiles(w, "all jobs", g.Ratio)
+	for _, n := range slices.Sorted(maps.Keys(g.BySize)) {
+		printQuantiles(w, fmt.Sprintf("%d tasks", n), g.BySize[n])
+	}
+	for _, key := range slices.Sorted(maps.Keys(g.Answers)) {
+		fmt.Fprintf(w, "  %-36s %d\n", key, g.Answers[key])
+	}
+	fmt.Fprintf(w, "broken %d, wrong results %d, copies %d (%d without answer), cancellations %d (%d failed)\n",
+		g.Broken, g.WrongResults, g.Copies, g.CopiesFailed, g.Cancels, g.CancelsFailed)
+	fmt.Fprintf(w, "started %.0f tasks, %.2f messages a task, %.2f%% of messages wasted\n", g.Started, g.MessagesPerTask, g.WastedPercent)
+	for _, e := range g.Events {
+		fmt.Fprintln(w, "event", e)
+	}
+	for _, p := range g.Processes {
+		fmt.Fprintf(w, "  %-24s %6.2f%% of a core, %5.1f MB\n", p.Process, 100*p.CPUSeconds/g.Seconds, p.MemoryBytes/1e6)
+	}
+}
+
+func printQuantiles(w io.Writer, name string, q Quantiles) {
+	fmt.Fprintf(w, "%-10s %6d jobs, response over ideal p50 %.3f p99 %.3f p99.9 %.3f max %.3f\n", name, q.Jobs, q.P50, q.P99, q.P999, q.Max)
+}
--- /dev/null
+++ b/publisher/publisher_test.go
@@ -0,0 +1,132 @@
+package publisher_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/approver"
+	"github.com/pomeloferry/pomeloferry/keeper"
+	"github.com/pomeloferry/pomeloferry/publisher"
+	"github.com/pomeloferry/pomeloferry/storer"
+)
+
+// bench is a store with a publisher and a key to sign with.
+type bench struct {
+	store *storer.Store
+	pub   *publisher.Publisher
+	key   ed25519.PrivateKey
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	store := storer.NewStore(clock)
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	public, private, err := ed25519.GenerateKey(strings.NewReader(strings.Repeat("seed", 16)))
+	require.NoError(t, err)
+	trust := approver.Trust{"berta": base64.StdEncoding.EncodeToString(public)}
+	return &bench{
+		store: store,
+		pub:   publisher.NewPublisher(clock, keeper.NewClient(server.URL), trust),
+		key:   private,
+	}
+}
+
+func (b *bench) sign(t *testing.T, version uint64, author string) approver.Signed {
+	t.Helper()
+	s, err := approver.Sign(approver.Bundle{
+		Version:     version,
+		Author:      author,
+		Services:    []approver.Service{{Name: "quote", TaskLimit: 10, DeadlineLimitMillis: 1000, ExpectedRunMillis: 300}},
+		DataCentres: []approver.DataCentre{{Name: "wien", State: approver.In}},
+		Teams:       []approver.Team{{Name: "team", TaskLimit: 10}},
+		Limits:      approver.Limits{WaitingTaskLimit: 10},
+	}, "berta", b.key)
+	require.NoError(t, err)
+	return s
+}
+
+func requireRaced(t *testing.T, err error, want string) {
+	t.Helper()
+	var e *publisher.Error
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, publisher.Raced, e.Kind)
+	require.ErrorContains(t, err, want)
+}
+
+func TestPublishIsSettledWhenAnswersAreLost(t *testing.T) {
+	b := newBench(t)
+	ctx := context.Background()
+	b.store.SetFault(storer.Fault{LoseAnswers: true})
+	require.NoError(t, b.pub.Publish(ctx, b.sign(t, 1, "anna")))
+	_, writes := b.store.Calls()
+	require.Equal(t, 1, writes, "the write was made again")
+	b.store.SetFault(storer.Fault{})
+	_, got, err := b.pub.Current(ctx)
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), got.Version)
+}
+
+func TestPublishTwiceIsOnce(t *testing.T) {
+	b := newBench(t)
+	ctx := context.Background()
+	s := b.sign(t, 1, "anna")
+	require.NoError(t, b.pub.Publish(ctx, s))
+	require.NoError(t, b.pub.Publish(ctx, s))
+	list, err := b.pub.History(ctx)
+	require.NoError(t, err)
+	require.Len(t, list, 1)
+}
+
+func TestPublishOfARacerNamesTheWinner(t *testing.T) {
+	b := newBench(t)
+	ctx := context.Background()
+	require.NoError(t, b.pub.Publish(ctx, b.sign(t, 1, "anna")))
+	requireRaced(t, b.pub.Publish(ctx, b.sign(t, 1, "carl")), "version 1 by anna, approved by berta")
+}
+
+func TestPublishSkipsNoVersion(t *testing.T) {
+	b := newBench(t)
+	requireRaced(t, b.pub.Publish(context.Background(), b.sign(t, 3, "anna")), "version 0")
+}
+
+func TestExactlyOneOfManyRacersWins(t *testing.T) {
+	b := newBench(t)
+	ctx := context.Background()
+	const racers = 8
+	errs := make([]error, racers)
+	var wg sync.WaitGroup
+	for i := range racers {
+		s := b.sign(t, 1, fmt.Sprintf("racer-%d", i))
+		wg.Go(func() { errs[i] = b.pub.Publish(ctx, s) })
+	}
+	wg.Wait()
+	_, won, err := b.pub.Current(ctx)
+	require.NoError(t, err)
+	for i, err := range errs {
+		if author := fmt.Sprintf("racer-%d", i); author == won.Author {
+			require.NoError(t, err, author)
+			continue
+		}
+		requireRaced(t, err, "version 1 by "+won.Author)
+	}
+}
+
+func TestPublishRefusesAlteredBundles(t *testing.T) {
+	b := newBench(t)
+	s := b.sign(t, 1, "anna")
+	s.Bundle = []byte(strings.Replace(string(s.Bundle), "wien", "graz", 1))
+	require.ErrorContains(t, b.pub.Publish(context.Background(), s), "does not match")
+	_, writes := b.store.Calls()
+	require.Zero(t, writes)
+}
