dispatcher: Wait for agents that may still answer a claim

Cause: with real processes, TestFrozenProcesses failed jobs while an agent was frozen and partitions moved: a job whose partition was claimed without that agent was answered Failed at once, though the agent came back 8 s later. Requests and jobs now wait for such an agent until it is given up (10 s) or the deadline passes.

--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -29,8 +29,13 @@
 	// missing holds the agent incarnations that may hold records of the
 	// partition and have not been fenced at term. While it is not empty,
 	// nothing may be concluded from the absence of a record.
-	missing   map[courier.AgentRef]struct{}
-	parked    []Request
+	missing map[courier.AgentRef]struct{}
+	// parked holds requests that wait for the claim, or for an agent that may
+	// still answer it.
+	parked []Request
+	// held means that requests or jobs of a served partition wait for such
+	// an agent.
+	held      bool
 	claimedAt time.Time
 	// retryAt is when to claim again after a rival's higher term, or zero.
 	retryAt time.Time
@@ -95,6 +100,7 @@
 	}
 	o.rosterCertainAt = now
 	o.finishClaims(now)
+	o.releaseHeld()
 }
 
 func (o *Owner) addMissing(ref courier.AgentRef) {
@@ -244,8 +250,16 @@
 func (o *Owner) serve(p router.Partition) {
 	part := &o.partitions[p]
 	part.state = serving
+	o.release(p)
+}
+
+// release lets the jobs and requests of a served partition go on that waited
+// for the claim or for an agent.
+func (o *Owner) release(p router.Partition) {
+	part := &o.partitions[p]
+	part.held = false
 	for _, j := range o.jobs {
-		if j.partition == p && !j.done {
+		if j.partition == p && !j.done && !j.queued {
 			o.resume(j)
 		}
 	}
@@ -256,16 +270,42 @@
 	}
 }
 
+// releaseHeld looks again at what waits for agents, after one has answered or
+// has been given up.
+func (o *Owner) releaseHeld() {
+	for i := range o.partitions {
+		if part := &o.partitions[i]; part.state == serving && part.held {
+			o.release(router.Partition(i))
+		}
+	}
+}
+
 // resume queues a job that was known here before the partition was claimed.
 func (o *Owner) resume(j *job) {
 	if j.waitingTasks == 0 {
 		return
 	}
-	if o.gap(j.partition) {
-		o.fail(j, courier.ReasonOutcomeUnknown, "an agent that may have started tasks of this job cannot be asked")
+	if !o.gap(j.partition) {
+		o.queue.add(j, j.waitingTasks)
+		return
+	}
+	if part := &o.partitions[j.partition]; o.awaits(part) {
+		part.held = true
 		return
 	}
-	o.queue.add(j, j.waitingTasks)
+	o.fail(j, courier.ReasonOutcomeUnknown, "an agent that may have started tasks of this job cannot be asked")
+}
+
+// hold parks a request whose answer depends on an agent that may still answer
+// a claim. It reports whether it did.
+func (o *Owner) hold(r Request) bool {
+	part := &o.partitions[router.PartitionOf(r.Submission.Job())]
+	if !o.awaits(part) {
+		return false
+	}
+	part.held = true
+	part.parked = append(part.parked, r)
+	return true
 }
 
 // gap reports whether tasks of p may have started that nobody here knows of.
@@ -398,6 +438,7 @@
 	o.fleet.update(a)
 	o.fleet.count()
 	o.finishClaims(o.clock.Now())
+	o.releaseHeld()
 	o.dispatch()
 }
 
--- a/dispatcher/settle.go
+++ b/dispatcher/settle.go
@@ -109,6 +109,7 @@
 			o.settle(j, id.Index, courier.Record{Task: id, Outcome: courier.Lost})
 		}
 	}
+	o.releaseHeld()
 }
 
 // Finished takes the outcomes of tasks, and the slot that may be offered with
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -48,7 +48,9 @@
 		return
 	}
 	if !r.first() && o.gap(router.PartitionOf(id)) {
-		o.replyUnknown(r, nil)
+		if !o.hold(r) {
+			o.replyUnknown(r, nil)
+		}
 		return
 	}
 	o.admitNew(r)
@@ -124,7 +126,9 @@
 	}
 	n := len(r.Submission.Tasks)
 	if len(in.records) < n && o.gap(router.PartitionOf(r.Submission.Job())) {
-		o.replyUnknown(r, in)
+		if !o.hold(r) {
+			o.replyUnknown(r, in)
+		}
 		return
 	}
 	delete(o.inherited, r.Submission.Job())
--- a/receiver/matrix_test.go
+++ b/receiver/matrix_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,41 +27,43 @@
 type fault struct {
 	name   string
 	strike func(w *world, from, to *process)
+	// harmless means that every job still has to complete.
+	harmless bool
 }
 
 var faults = []fault{
-	{"kill sender", func(w *world, from, _ *process) { w.kill(from) }},
-	{"kill receiver", func(w *world, _, to *process) { w.kill(to) }},
-	{"restart sender", func(w *world, from, _ *process) { w.replace(from) }},
-	{"restart receiver", func(w *world, _, to *process) { w.replace(to) }},
-	{"freeze sender", func(w *world, from, _ *process) { w.pause(from, 8*time.Second) }},
-	{"freeze receiver", func(w *world, _, to *process) { w.pause(to, 8*time.Second) }},
-	{"freeze short", func(w *world, _, to *process) { w.pause(to, 1200*time.Millisecond) }},
-	{"silent one way", func(w *world, from, to *process) { w.silence(from, to, true, false) }},
-	{"silent other way", func(w *world, from, to *process) { w.silence(from, to, false, true) }},
-	{"silent both ways", func(w *world, from, to *process) { w.silence(from, to, true, true) }},
-	{"cut off for 8 s", func(w *world, from, to *process) { w.cut(from, to, 8*time.Second) }},
-	{"isolate sender", func(w *world, from, _ *process) { w.isolate(from, 8*time.Second) }},
-	{"isolate receiver", func(w *world, _, to *process) { w.isolate(to, 8*time.Second) }},
-	{"late", func(w *world, from, to *process) { w.delay(from, to, 900*time.Millisecond) }},
-	{"very late", func(w *world, from, to *process) { w.delay(from, to, 4*time.Second) }},
-	{"doubled", func(w *world, from, to *process) { w.double(from, to) }},
-	{"store down", func(w *world, _, _ *process) { w.store.down = true }},
-	{"store cut from sender", func(w *world, from, _ *process) { w.store.cut[from.name] = true }},
-	{"stop as planned", func(w *world, from, to *process) { w.stop(from, to) }},
-	{"upstream leaves", func(w *world, from, to *process) { w.eachAgent(from, to, (*simAgent).leave) }},
+	{"kill sender", func(w *world, from, _ *process) { w.kill(from) }, false},
+	{"kill receiver", func(w *world, _, to *process) { w.kill(to) }, false},
+	{"restart sender", func(w *world, from, _ *process) { w.replace(from) }, false},
+	{"restart receiver", func(w *world, _, to *process) { w.replace(to) }, false},
+	{"freeze sender", func(w *world, from, _ *process) { w.pause(from, 8*time.Second) }, true},
+	{"freeze receiver", func(w *world, _, to *process) { w.pause(to, 8*time.Second) }, true},
+	{"freeze short", func(w *world, _, to *process) { w.pause(to, 1200*time.Millisecond) }, true},
+	{"silent one way", func(w *world, from, to *process) { w.silence(from, to, true, false) }, true},
+	{"silent other way", func(w *world, from, to *process) { w.silence(from, to, false, true) }, true},
+	{"silent both ways", func(w *world, from, to *process) { w.silence(from, to, true, true) }, true},
+	{"cut off for 8 s", func(w *world, from, to *process) { w.cut(from, to, 8*time.Second) }, true},
+	{"isolate sender", func(w *world, from, _ *process) { w.isolate(from, 8*time.Second) }, true},
+	{"isolate receiver", func(w *world, _, to *process) { w.isolate(to, 8*time.Second) }, true},
+	{"late", func(w *world, from, to *process) { w.delay(from, to, 900*time.Millisecond) }, true},
+	{"very late", func(w *world, from, to *process) { w.delay(from, to, 4*time.Second) }, true},
+	{"doubled", func(w *world, from, to *process) { w.double(from, to) }, true},
+	{"store down", func(w *world, _, _ *process) { w.store.down = true }, true},
+	{"store cut from sender", func(w *world, from, _ *process) { w.store.cut[from.name] = true }, true},
+	{"stop as planned", func(w *world, from, to *process) { w.stop(from, to) }, true},
+	{"upstream leaves", func(w *world, from, to *process) { w.eachAgent(from, to, (*simAgent).leave) }, true},
 	{"upstream dies", func(w *world, from, to *process) {
 		w.eachAgent(from, to, func(a *simAgent) { a.upstreamDead = true })
-	}},
+	}, false},
 	{"upstream fails all", func(w *world, from, to *process) {
 		w.eachAgent(from, to, func(a *simAgent) { a.failAll = true })
-	}},
-	{"new entry", func(w *world, _, _ *process) { w.addEntry(fmt.Sprintf("entry-%d", len(w.entries)+1)) }},
+	}, false},
+	{"new entry", func(w *world, _, _ *process) { w.addEntry(fmt.Sprintf("entry-%d", len(w.entries)+1)) }, true},
 	{"resubmission", func(w *world, _, _ *process) {
 		for _, c := range w.callers {
 			w.after(0, c.resubmit)
 		}
-	}},
+	}, false},
 }
 
 func (w *world) replace(p *process) {
@@ -212,20 +215,26 @@
 // TestFaultMatrix strikes every fault at every step.
 func TestFaultMatrix(t *testing.T) {
 	for _, f := range faults {
+		var done, all atomic.Int64
 		t.Run(f.name, func(t *testing.T) {
-			done, all := 0, 0
 			for _, step := range steps {
 				for n := 1; n <= 9; n += 4 {
 					t.Run(fmt.Sprintf("%s %d", step, n), func(t *testing.T) {
+						t.Parallel()
 						w := runMatrixWorld(t, uint64(n), strikeAt{step, n, f})
 						w.check()
-						done += w.completed()
-						all += len(w.callers)
+						for _, c := range w.callers {
+							if f.harmless {
+								require.Equal(t, courier.Complete, c.last().State, "%+v", c.last())
+							}
+						}
+						done.Add(int64(w.completed()))
+						all.Add(int64(len(w.callers)))
 					})
 				}
 			}
-			t.Logf("%s: %d of %d jobs complete", f.name, done, all)
 		})
+		t.Logf("%s: %d of %d jobs complete", f.name, done.Load(), all.Load())
 	}
 }
 
@@ -241,6 +250,7 @@
 			name += fmt.Sprintf(", %s at %s %d", s.f.name, s.step, s.n)
 		}
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			runMatrixWorld(t, seed, strikes...).check()
 		})
 	}
--- a/receiver/simentry_test.go
+++ b/receiver/simentry_test.go
@@ -177,8 +177,10 @@
 		return
 	}
 	e.core.handle(bundleRead{signed: s.signed, bundle: s.bundle, voters: s.voters, at: e.world.clock.Now()})
-	s.list[e.proc.name] = e.core.registration()
-	s.noteAccepted()
+	if !e.first {
+		s.list[e.proc.name] = e.core.registration()
+		s.noteAccepted()
+	}
 }
 
 func (e *simEntry) register() {
--- a/receiver/store.go
+++ b/receiver/store.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pomeloferry/pomeloferry/confirmer"
@@ -55,8 +56,9 @@
 // follower reads the store for one entry and writes what concerns it.
 type follower struct {
 	receiver *Receiver
-	// started is set by the first read of the registrations.
-	started bool
+	// started is set by the first read of the registrations. Nothing is
+	// written before, since that read looks for entries of earlier starts.
+	started atomic.Bool
 	// version is the last bundle version read from the store.
 	version uint64
 }
@@ -96,7 +98,7 @@
 	}
 	msg.bundle = b
 	f.receiver.post(msg)
-	if b.Version <= f.version {
+	if b.Version <= f.version || !f.started.Load() {
 		return nil
 	}
 	f.version = b.Version
@@ -136,7 +138,7 @@
 		return nil, err
 	}
 	now := r.deps.Clock.Now()
-	msg := entriesRead{first: !f.started}
+	msg := entriesRead{first: !f.started.Load()}
 	for _, reg := range list {
 		if now.Sub(reg.SeenAt) < dispatcher.RecordHorizon {
 			msg.first = false
@@ -145,7 +147,7 @@
 			msg.entries = append(msg.entries, reg.Entry)
 		}
 	}
-	f.started = true
+	f.started.Store(true)
 	r.post(msg)
 	return list, nil
 }
