dispatcher: Ask a few agents before all of them

Cause: one waiting task made all 11 agents offer a slot, and 10 offers were declined. Two agents for each waiting task are asked first, and all of them at the next tick; only those asked hear that none waits any more.

Kept for the wasted messages of small jobs.

--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -28,10 +28,18 @@
 func (Polling) choose(o *Owner, service string) *agent { return o.fleet.idle.draw(service, o.rng) }
 func (Polling) asks() bool                             { return false }
 
+// askedPerTask is the number of agents that are asked first for each waiting
+// task. All are asked when tasks still wait at the next tick.
+const askedPerTask = 2
+
 // demandState is what the agents were last told of the waiting tasks.
 type demandState struct {
 	waiting int
 	at      time.Time
+	// asked holds the agents that were told of waiting tasks since there
+	// last were none; all means that every one was.
+	asked map[*agent]struct{}
+	all   bool
 }
 
 // batch gathers the tasks of one Start message.
@@ -122,32 +130,58 @@
 	return nil
 }
 
-// reportDemand tells the agents how many tasks wait: at once when tasks begin
-// or cease to wait or grow much in number, and from time to time.
+// reportDemand tells agents how many tasks wait: a few at once when tasks begin
+// to wait, all when they still wait later or grow much in number, and from
+// time to time. When none waits any more, those that were told hear of it.
 func (o *Owner) reportDemand(now time.Time) {
 	if !o.cfg.Placement.asks() {
 		return
 	}
+	d := &o.demand
 	n := o.queue.tasks
-	last := o.demand.waiting
-	began := (n == 0) != (last == 0)
-	grew := n > 2*last
-	due := n > 0 && now.Sub(o.demand.at) >= DemandInterval
-	if !began && !grew && !due {
-		return
+	switch {
+	case n == 0 && d.waiting > 0:
+		for _, a := range o.fleet.sorted() {
+			if _, ok := d.asked[a]; ok {
+				o.sendDemand(a, 0, 0)
+			}
+		}
+		*d = demandState{}
+	case n > 0 && d.waiting == 0:
+		d.asked = make(map[*agent]struct{})
+		o.ask(now, n*askedPerTask)
+	case n > 0 && (!d.all || n > 2*d.waiting || now.Sub(d.at) >= DemandInterval):
+		d.all = true
+		o.ask(now, len(o.fleet.agents))
 	}
-	o.demand = demandState{waiting: n, at: now}
+}
+
+// ask tells up to limit agents, drawn at random, how many tasks wait.
+func (o *Owner) ask(now time.Time, limit int) {
+	n := o.queue.tasks
+	o.demand.waiting = n
+	o.demand.at = now
 	age := time.Duration(now.UnixNano() - o.queue.earliest())
-	if n == 0 {
-		age = 0
-	}
-	for _, a := range o.fleet.sorted() {
+	list := o.fleet.sorted()
+	o.rng.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
+	for _, a := range list {
+		if limit <= 0 {
+			return
+		}
 		if a.startable() && !a.health.ejected {
-			o.send(a.ref.Agent, courier.Demand{Waiting: n, Age: age})
+			limit--
+			o.demand.asked[a] = struct{}{}
+			o.sendDemand(a, n, age)
 		}
 	}
 }
 
+func (o *Owner) sendDemand(a *agent, n int, age time.Duration) {
+	if a.linked {
+		o.send(a.ref.Agent, courier.Demand{Waiting: n, Age: age})
+	}
+}
+
 // Mixed draws among all agents with free slots, whether or not other owners
 // leave them to this one. It is the baseline of LateBinding's preference.
 type Mixed struct{}
