dispatcher: Refuse early what would miss its deadline

The wait was estimated from mean run times, but a job ends with its longest task.

Run times are now learned as a distribution, a job is admitted when the longest of its tasks would make it in 9 of 10 cases, and one whose next task would miss the deadline is given up at once. The load client's second copies had another deadline, and so another body; they are the same now.

--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -3,12 +3,22 @@
 import (
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/pomeloferry/pomeloferry/courier"
 )
 
 const (
-	// learnWeight is the weight of a new run time in the learned mean.
-	learnWeight = 0.05
+	// learnFirst is the number of run times to learn before they are used in
+	// place of the bundle's hint.
+	learnFirst = 20
+	// learnWindow is the number of run times after which older ones fade.
+	learnWindow = 2000
+	// missedShare is the share of jobs that may take longer than expected.
+	missedShare = 0.1
+	// maxRunMillis is the longest run time that is told apart.
+	maxRunMillis = 60_000
+	runDigits    = 2
 	// maxRetryAfter bounds the advice on when to come back.
 	maxRetryAfter = 60 * time.Second
 	// minRetryAfter keeps refused callers from coming back at once.
@@ -19,8 +29,8 @@
 
 // admission estimates waits and keeps the quotas of teams.
 type admission struct {
-	// runTimes holds the learned mean run time of each service.
-	runTimes map[string]time.Duration
+	// runTimes holds the learned run times of each service.
+	runTimes map[string]*runTimes
 	// teamTasks counts the unfinished tasks of each team's jobs.
 	teamTasks map[string]int
 	// promised is when the refused callers told so far will have been
@@ -29,26 +39,88 @@
 	promised time.Time
 }
 
+// runTimes holds the run times of a service: a full window of recent ones, and
+// the window before it.
+type runTimes struct {
+	recent *hdrhistogram.Histogram
+	before *hdrhistogram.Histogram
+}
+
+func newRunTimes() *runTimes {
+	return &runTimes{recent: newRunHistogram(), before: newRunHistogram()}
+}
+
+func newRunHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxRunMillis, runDigits)
+}
+
+func (t *runTimes) add(d time.Duration) {
+	_ = t.recent.RecordValue(min(max(d.Milliseconds(), 1), maxRunMillis))
+	if t.recent.TotalCount() >= learnWindow {
+		t.before, t.recent = t.recent, t.before
+		t.recent.Reset()
+	}
+}
+
+// larger returns the window with more run times.
+func (t *runTimes) larger() *hdrhistogram.Histogram {
+	if t.before.TotalCount() > t.recent.TotalCount() {
+		return t.before
+	}
+	return t.recent
+}
+
 func (m *admission) learn(service string, d time.Duration) {
 	if m.runTimes == nil {
-		m.runTimes = make(map[string]time.Duration)
+		m.runTimes = make(map[string]*runTimes)
+	}
+	t := m.runTimes[service]
+	if t == nil {
+		t = newRunTimes()
+		m.runTimes[service] = t
 	}
-	old, ok := m.runTimes[service]
-	if !ok {
-		m.runTimes[service] = d
-		return
+	t.add(d)
+}
+
+// learned returns the run times of a service, or nil while too few are known.
+func (m *admission) learned(service string) *hdrhistogram.Histogram {
+	t := m.runTimes[service]
+	if t == nil || t.larger().TotalCount() < learnFirst {
+		return nil
 	}
-	m.runTimes[service] = old + time.Duration(learnWeight*float64(d-old))
+	return t.larger()
 }
 
+// runTime returns the mean run time of a service's tasks.
 func (m *admission) runTime(o *Owner, service string) time.Duration {
-	if d, ok := m.runTimes[service]; ok {
-		return d
+	if h := m.learned(service); h != nil {
+		return time.Duration(h.Mean() * float64(time.Millisecond))
 	}
 	s, _ := o.bundle.Service(service)
 	return time.Duration(s.ExpectedRunMillis) * time.Millisecond
 }
 
+// longestOf returns a run time that the longest of n tasks seldom exceeds.
+func (m *admission) longestOf(o *Owner, service string, n int) time.Duration {
+	h := m.learned(service)
+	if h == nil {
+		return m.runTime(o, service)
+	}
+	q := 100 * (1 - missedShare/float64(n))
+	return time.Duration(h.ValueAtQuantile(q)) * time.Millisecond
+}
+
+// hopeless reports whether a waiting task of j that starts now is more likely
+// than not to miss the deadline.
+func (o *Owner) hopeless(j *job) bool {
+	h := o.admission.learned(j.sub.Service)
+	if h == nil {
+		return false
+	}
+	usual := time.Duration(h.ValueAtQuantile(50)) * time.Millisecond
+	return o.clock.Now().Add(usual).After(j.sub.Deadline)
+}
+
 func (m *admission) admitted(j *job) {
 	if m.teamTasks == nil {
 		m.teamTasks = make(map[string]int)
@@ -74,7 +146,7 @@
 		return courier.ReasonOverload, m.comeBack(o, n)
 	}
 	left := s.Deadline.Sub(o.clock.Now())
-	if m.wait(o, n)+m.runTime(o, s.Service) > left {
+	if m.wait(o, n)+m.longestOf(o, s.Service, n) > left {
 		return courier.ReasonOverload, m.comeBack(o, n)
 	}
 	return "", 0
--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -57,6 +57,10 @@
 	byAgent := make(map[*agent]*batch)
 	for _, service := range o.queue.names {
 		for j := o.queue.first(service); j != nil; j = o.queue.first(service) {
+			if o.hopeless(j) {
+				o.giveUp(j, courier.ReasonDeadline, "a task that starts now would miss the deadline")
+				continue
+			}
 			a := o.cfg.Placement.choose(o, service)
 			if a == nil {
 				break
@@ -121,10 +125,15 @@
 	o.send(a.ref.Agent, courier.Decline{Offer: offer})
 }
 
+// firstFor returns the job to start next at a, and gives up those that have
+// become hopeless.
 func (o *Owner) firstFor(a *agent) *job {
 	for _, service := range a.services {
-		if j := o.queue.first(service); j != nil {
-			return j
+		for j := o.queue.first(service); j != nil; j = o.queue.first(service) {
+			if !o.hopeless(j) {
+				return j
+			}
+			o.giveUp(j, courier.ReasonDeadline, "a task that starts now would miss the deadline")
 		}
 	}
 	return nil
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -116,6 +116,7 @@
 		j := l.newJob(fmt.Sprintf("%s-%d", l.cfg.Prefix, i), i, rng)
 		again := rng.IntN(100) < l.workload.ResubmitPercent
 		l.clock.Sleep(next.Sub(l.clock.Now()))
+		j.sub.Deadline = l.deadline()
 		l.jobs.Go(func() { l.run(ctx, j) })
 		if again {
 			l.jobs.Go(func() { l.resubmit(ctx, j) })
@@ -152,7 +153,6 @@
 
 // run sends a job, and again when it is refused and told when to come back.
 func (l *Loader) run(ctx context.Context, j job) {
-	j.sub.Deadline = l.deadline()
 	for range maxReturns {
 		began := l.clock.Now()
 		a, err := l.client.Once(ctx, j.entry, j.sub)
@@ -172,7 +172,6 @@
 func (l *Loader) resubmit(ctx context.Context, j job) {
 	l.clock.Sleep(resubmitDelay)
 	j.sub.Attempt = 2
-	j.sub.Deadline = l.deadline()
 	a, err := l.client.Once(ctx, j.entry+1, j.sub)
 	l.results.noteCopy(a, err)
 }
@@ -182,6 +181,7 @@
 	l.clock.Sleep(time.Duration(v.AtMillis) * time.Millisecond)
 	for i := range v.Jobs {
 		j := l.newJob(fmt.Sprintf("%s-wave%d-%d", l.cfg.Prefix, n, i), i, rng)
+		j.sub.Deadline = l.deadline()
 		l.jobs.Go(func() { l.run(ctx, j) })
 		if v.Cancel {
 			l.jobs.Go(func() {
--- a/loader/report.go
+++ b/loader/report.go
@@ -18,6 +18,8 @@
 	ratioScale = 1000
 	maxRatio   = 10_000 * ratioScale
 	digits     = 3
+	// warmUpSeconds are left out of the steady utilisation.
+	warmUpSeconds = 5
 )
 
 // Quantiles summarises response over ideal.
@@ -73,11 +75,14 @@
 	// messages that were refusals, declined offers, and what they answer.
 	MessagesPerTask float64
 	WastedPercent   float64
-	// Utilisation is the completed work over the capacity of the slots.
-	Utilisation float64
-	Timeline    []Second
-	Events      []string
-	Processes   []ProcessUse
+	// Utilisation is the completed work over the capacity of the slots, and
+	// SteadyUtilisation the same between the first seconds and the last
+	// arrival.
+	Utilisation       float64
+	SteadyUtilisation float64
+	Timeline          []Second
+	Events            []string
+	Processes         []ProcessUse
 }
 
 // results gathers the outcomes. It is safe for concurrent use.
@@ -201,10 +206,24 @@
 	}
 	out.Timeline = r.timeline
 	out.Utilisation = r.work.Seconds() / (took.Seconds() * float64(w.Slots))
+	out.SteadyUtilisation = r.steady(w)
 	out.addProcesses(before, after)
 	return out
 }
 
+// steady returns the utilisation without the ends of the experiment.
+func (r *results) steady(w Workload) float64 {
+	end := min(w.DurationMillis/1000, len(r.timeline))
+	if end <= warmUpSeconds {
+		return 0
+	}
+	work := 0.0
+	for _, s := range r.timeline[warmUpSeconds:end] {
+		work += s.WorkSeconds
+	}
+	return work / float64((end-warmUpSeconds)*w.Slots)
+}
+
 // addProcesses works out the differences of the processes' counts.
 func (g *Report) addProcesses(before, after map[string]processMetrics) {
 	var messages float64
@@ -231,7 +250,8 @@
 
 // Print writes the report for people.
 func (g Report) Print(w io.Writer) {
-	fmt.Fprintf(w, "load %d%% of %d slots for %.1f s; utilisation %.3f\n", g.Workload.LoadPercent, g.Workload.Slots, g.Seconds, g.Utilisation)
+	fmt.Fprintf(w, "load %d%% of %d slots for %.1f s; utilisation %.3f, steady %.3f\n",
+		g.Workload.LoadPercent, g.Workload.Slots, g.Seconds, g.Utilisation, g.SteadyUtilisation)
 	printQuantiles(w, "all jobs", g.Ratio)
 	for _, n := range slices.Sorted(maps.Keys(g.BySize)) {
 		printQuantiles(w, fmt.Sprintf("%d tasks", n), g.BySize[n])
