receiver: Compare with a naive version and check linearisability

Cause: the matrix checks promises one by one. A property test now compares the answers with the simplest dispatcher there is, and a linearisability checker judges two bodies racing under one key through all entries under faults.

Found: a first submission was answered NotRun because an entry that had just been woken refused a relayed copy of it before its bundle was confirmed again. The answer was true but not needed: requests now wait up to 2 s after a pause for the confirmation. Ruled out as a fault: with two bodies in flight at once, the later caller's may win; a trace showed overlapping calls, so the comparison with the naive version waits for the answer before it reuses a key.

--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -299,13 +299,18 @@
 // hold parks a request whose answer depends on an agent that may still answer
 // a claim. It reports whether it did.
 func (o *Owner) hold(r Request) bool {
-	part := &o.partitions[router.PartitionOf(r.Submission.Job())]
-	if !o.awaits(part) {
+	if !o.awaits(&o.partitions[router.PartitionOf(r.Submission.Job())]) {
 		return false
 	}
+	o.park(r)
+	return true
+}
+
+// park keeps a request of a served partition until the partition is released.
+func (o *Owner) park(r Request) {
+	part := &o.partitions[router.PartitionOf(r.Submission.Job())]
 	part.held = true
 	part.parked = append(part.parked, r)
-	return true
 }
 
 // gap reports whether tasks of p may have started that nobody here knows of.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -22,6 +22,9 @@
 	// still trusts its terms. It is shorter than the time that the others
 	// need to miss its heartbeats.
 	PauseLimit = 1500 * time.Millisecond
+	// FreshWait is how long after a pause requests wait for the bundle to be
+	// confirmed, in place of being refused.
+	FreshWait = 2 * time.Second
 	// ClaimTimeout bounds the wait for agents in a take-over. Agents that
 	// answer later close the gap that they left.
 	ClaimTimeout = time.Second
@@ -200,7 +203,11 @@
 	}
 	changed := b.Version != o.bundle.Version
 	o.bundle = b
+	wasFresh := o.fresh()
 	o.freshUntil = freshUntil
+	if !wasFresh && o.fresh() {
+		o.releaseHeld()
+	}
 	if changed {
 		o.fleet.setOut(b.OutDataCentres())
 		o.dispatch()
@@ -230,6 +237,7 @@
 	o.retryClaims(now)
 	o.dropLapsedAgents(now)
 	o.dropInheritances(now)
+	o.refuseStale(now)
 	o.fleet.tick(now)
 	o.dispatch()
 	o.reportDemand(now)
@@ -251,6 +259,13 @@
 	o.reclaimAll()
 }
 
+// refuseStale lets go of what waited in vain for the bundle to be confirmed.
+func (o *Owner) refuseStale(now time.Time) {
+	if !o.fresh() && now.Sub(o.wokeAt) >= FreshWait {
+		o.releaseHeld()
+	}
+}
+
 func (o *Owner) fresh() bool {
 	return o.bundle.Version > 0 && o.clock.Now().Before(o.freshUntil)
 }
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -84,6 +84,10 @@
 func (o *Owner) admitNew(r Request) {
 	now := o.clock.Now()
 	s := r.Submission
+	if !o.fresh() && now.Sub(o.wokeAt) < FreshWait {
+		o.park(r)
+		return
+	}
 	if !o.fresh() {
 		o.refuse(r, courier.ReasonNoBundle, "no configuration is confirmed at this entry", time.Second)
 		return
--- /dev/null
+++ b/receiver/model_test.go
@@ -0,0 +1,198 @@
+package receiver
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+)
+
+// TestMain makes the property tests draw the same cases every time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "200", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// naive is the simplest dispatcher there is: one process that never fails and
+// remembers everything.
+type naive struct {
+	// tasks holds the number of tasks of each key's first body.
+	tasks map[string]int
+}
+
+// submit returns the state that a submission has to end in.
+func (n *naive) submit(key string, tasks int) courier.State {
+	first, ok := n.tasks[key]
+	if !ok {
+		n.tasks[key] = tasks
+		return courier.Complete
+	}
+	if first != tasks {
+		return courier.Conflict
+	}
+	return courier.Complete
+}
+
+// TestAnswersMatchTheNaiveVersion submits the same random jobs, with
+// resubmissions and other bodies under used keys, to the naive version and to
+// a world in which processes freeze and links go silent. A key is used again
+// only when its last answer is there: which of two bodies in flight comes
+// first is open, and TestKeysAreLinearisable judges that.
+func TestAnswersMatchTheNaiveVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.Uint64Range(0, 1000).Draw(t, "seed"), 3, 3, 3)
+		model := &naive{tasks: make(map[string]int)}
+		var wanted []courier.State
+		last := make(map[string]*caller)
+		for range rapid.IntRange(1, 6).Draw(t, "steps") {
+			key := fmt.Sprintf("key-%d", rapid.IntRange(0, 3).Draw(t, "key"))
+			tasks := rapid.IntRange(1, 4).Draw(t, "tasks")
+			w.awaitAnswer(last[key])
+			_, used := model.tasks[key]
+			wanted = append(wanted, model.submit(key, tasks))
+			c := w.prepare(key, rapid.IntRange(0, 2).Draw(t, "entry"), tasks)
+			if used {
+				c.sub.Attempt = 2
+			}
+			c.send()
+			last[key] = c
+			w.run(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			w.disturb(rapid.IntRange(0, 5).Draw(t, "fault"), rapid.IntRange(0, 2).Draw(t, "target"))
+		}
+		w.run(40 * time.Second)
+		require.Empty(t, w.breaches)
+		for i, c := range w.callers {
+			require.Equal(t, wanted[i], c.last().State, "step %d: %+v", i, c.last())
+		}
+	})
+}
+
+// awaitAnswer lets the world go on until a caller has its answer.
+func (w *world) awaitAnswer(c *caller) {
+	for range 100 {
+		if c == nil || len(c.answers) > 0 {
+			return
+		}
+		w.run(100 * time.Millisecond)
+	}
+}
+
+// prepare returns a caller that has not sent its job yet. All jobs of a world
+// have the same deadline, since a body includes it.
+func (w *world) prepare(key string, entry, tasks int) *caller {
+	c := &caller{world: w, entry: entry, sub: courier.Submission{
+		Team: "team", Key: key, Service: "quote", Attempt: 1, Detached: true,
+		Deadline: time.Date(2026, 1, 1, 0, 0, 55, 0, time.UTC),
+	}}
+	for range tasks {
+		c.sub.Tasks = append(c.sub.Tasks, courier.Task{Payload: payload(150)})
+	}
+	w.callers = append(w.callers, c)
+	return c
+}
+
+// disturb strikes one of the faults that lose nothing.
+func (w *world) disturb(fault, target int) {
+	e, a := w.entries[target].proc, w.agents[target].proc
+	switch fault {
+	case 0:
+		w.pause(e, 3*time.Second)
+	case 1:
+		w.pause(a, 3*time.Second)
+	case 2:
+		w.silence(e, a, true, true)
+	case 3:
+		w.silence(w.entries[(target+1)%3].proc, e, true, false)
+	}
+}
+
+// registerInput is a submission of a body under one key.
+type registerInput struct{ body int }
+
+// registerOutput is its answer.
+type registerOutput struct{ state courier.State }
+
+// keyModel says that the first body under a key wins for good. An answer
+// Failed leaves open whether its body took the key; NotRun says it did not.
+var keyModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{0} },
+	Step: func(state, input, output any) []any {
+		owner, body := state.(int), input.(registerInput).body
+		switch output.(registerOutput).state {
+		case courier.Complete:
+			if owner == 0 || owner == body {
+				return []any{body}
+			}
+		case courier.Conflict:
+			if owner != 0 && owner != body {
+				return []any{owner}
+			}
+		case courier.Failed:
+			if owner == 0 {
+				return []any{0, body}
+			}
+			return []any{owner}
+		case courier.NotRun:
+			return []any{owner}
+		}
+		return nil
+	},
+}
+
+// TestKeysAreLinearisable races two bodies under one key through all entries,
+// while entries are killed, frozen and replaced.
+func TestKeysAreLinearisable(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, seed, 3, 3, 3)
+			rng := rand.New(rand.NewPCG(seed, 3))
+			w.arm(strikeAt{steps[rng.IntN(len(steps))], 1 + rng.IntN(10), faults[rng.IntN(10)]})
+			called := raceBodies(w, rng)
+			w.run(50 * time.Second)
+			require.Empty(t, w.breaches)
+			var history []porcupine.Operation
+			for i, c := range w.callers {
+				if len(c.answers) == 0 {
+					continue
+				}
+				history = append(history, porcupine.Operation{
+					ClientId: i,
+					Input:    registerInput{body: len(c.sub.Tasks)},
+					Call:     called[i].UnixNano(),
+					Output:   registerOutput{state: c.last().State},
+					Return:   c.answers[len(c.answers)-1].at.UnixNano(),
+				})
+			}
+			require.True(t, porcupine.CheckOperations(keyModel.ToModel(), history), "%+v", history)
+		})
+	}
+}
+
+// raceBodies submits two bodies under one key several times, and returns when.
+func raceBodies(w *world, rng *rand.Rand) []time.Time {
+	var called []time.Time
+	for i := range 8 {
+		c := w.prepare("key", i, 1+rng.IntN(2)*4)
+		if i > 0 {
+			c.sub.Attempt = 2
+		}
+		called = append(called, w.clock.Now())
+		c.send()
+		w.run(time.Duration(rng.IntN(600)) * time.Millisecond)
+	}
+	return called
+}
