dispatcher: Keep sums over the fleet up to date

Cause: admission summed the slots and tasks of all agents for each submission, each heartbeat counted the whole fleet, and each tick of 20 ms sorted it, so that an entry's cost grew with the number of agents. The sums are now kept as they change, and agents are looked over every 100 ms.

--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -154,30 +154,19 @@
 
 // slotShare estimates the slots that work for this owner.
 func (o *Owner) slotShare() int {
-	inUse := 0
-	for _, a := range o.fleet.agents {
-		inUse += len(a.tasks)
-	}
-	return max(1, inUse, o.fleet.slots/max(1, len(o.view)))
+	t := o.fleet.totals
+	return max(1, t.tasks, t.slots/max(1, len(o.view)))
 }
 
 // wait estimates the time until the last of n more tasks starts.
 func (m *admission) wait(o *Owner, n int) time.Duration {
-	ahead := o.queue.tasks + n - o.freeSlots()
+	ahead := o.queue.tasks + n - o.fleet.totals.free
 	if ahead <= 0 {
 		return 0
 	}
 	return time.Duration(ahead) * m.meanRun(o) / time.Duration(o.slotShare())
 }
 
-func (o *Owner) freeSlots() int {
-	free := 0
-	for _, a := range o.fleet.idle.list {
-		free += a.free()
-	}
-	return free
-}
-
 // meanRun returns the mean learned run time over the services.
 func (m *admission) meanRun(o *Owner) time.Duration {
 	var sum time.Duration
--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -378,7 +378,7 @@
 	for ref, ids := range j.sentTasks() {
 		if a := o.fleet.agents[ref.Agent]; a != nil && a.ref == ref {
 			for _, t := range ids {
-				delete(a.tasks, t)
+				o.fleet.unassign(a, t)
 			}
 		}
 	}
@@ -441,7 +441,6 @@
 	o.mergeRecords(a, fenced, r.Records)
 	o.requeueUnheard(a, fenced)
 	o.fleet.update(a)
-	o.fleet.count()
 	o.finishClaims(o.clock.Now())
 	o.releaseHeld()
 	o.dispatch()
@@ -486,12 +485,12 @@
 		o.queue.took(j)
 	}
 	*t = task{state: sent, agent: a.ref, link: a.link, sentAt: o.clock.Now()}
-	a.tasks[rec.Task] = struct{}{}
+	o.fleet.assign(a, rec.Task)
 }
 
 // settleMerged settles a merged task that has ended.
 func (o *Owner) settleMerged(a *agent, rec courier.Record) {
-	delete(a.tasks, rec.Task)
+	o.fleet.unassign(a, rec.Task)
 	j := o.jobs[rec.Task.Job]
 	if j != nil && !j.done && rec.Task.Index >= 0 && rec.Task.Index < len(j.tasks) {
 		o.settle(j, rec.Task.Index, rec)
@@ -523,14 +522,14 @@
 	for id := range a.tasks {
 		j := o.jobs[id.Job]
 		if j == nil || j.done {
-			delete(a.tasks, id)
+			o.fleet.unassign(a, id)
 			continue
 		}
 		t := &j.tasks[id.Index]
 		if t.state != sent || t.agent != a.ref || t.link >= a.link || !fenced[j.partition] {
 			continue
 		}
-		delete(a.tasks, id)
+		o.fleet.unassign(a, id)
 		o.requeue(j, id.Index)
 	}
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -51,6 +51,10 @@
 	DemandInterval = 500 * time.Millisecond
 )
 
+// lapseCheckInterval is the time between two looks for lapsed agents, and for
+// ejected ones to probe.
+const lapseCheckInterval = 100 * time.Millisecond
+
 // Waiter identifies one caller that waits for the answer to a job.
 type Waiter uint64
 
@@ -106,6 +110,8 @@
 	// lastTick is when the owner last ran; a longer gap than PauseLimit
 	// means that others may have taken over.
 	lastTick time.Time
+	// nextLapseCheck is when to look for lapsed agents again.
+	nextLapseCheck time.Time
 	// wokeAt is when the process started or was last seen to wake up.
 	wokeAt time.Time
 
@@ -235,10 +241,9 @@
 	o.expireJobs(now)
 	o.finishClaims(now)
 	o.retryClaims(now)
-	o.dropLapsedAgents(now)
 	o.dropInheritances(now)
 	o.refuseStale(now)
-	o.fleet.tick(now)
+	o.checkAgents(now)
 	o.dispatch()
 	o.reportDemand(now)
 }
--- a/dispatcher/dump.go
+++ b/dispatcher/dump.go
@@ -39,7 +39,7 @@
 		Serving:       o.Serves(),
 		Jobs:          len(o.jobs),
 		WaitingTasks:  o.queue.tasks,
-		Slots:         o.fleet.slots,
+		Slots:         o.fleet.totals.slots,
 		RosterCertain: !o.rosterCertainAt.After(o.clock.Now()),
 	}
 	for _, j := range o.jobs {
--- a/dispatcher/fleet.go
+++ b/dispatcher/fleet.go
@@ -33,6 +33,8 @@
 	health    health
 	// tasks holds the tasks that may be running there for this owner.
 	tasks map[courier.TaskID]struct{}
+	// counted is what the agent has added to the totals of the fleet.
+	counted agentCounts
 }
 
 // free returns the slots that should be free when a message arrives now.
@@ -68,8 +70,19 @@
 	// gone holds agents that may keep records but cannot be asked.
 	gone map[courier.AgentRef]goneAgent
 	out  []string
-	// slots is the sum over the agents that take new tasks.
+	// totals is the sum of what the agents count; see agentCounts.
+	totals agentCounts
+}
+
+// agentCounts is what one agent adds to the sums over the fleet, which are
+// kept up to date so that no decision has to look at every agent.
+type agentCounts struct {
+	// slots counts the slots of an agent that takes new tasks; free counts
+	// the free ones among them.
 	slots int
+	free  int
+	// tasks counts the tasks that may be running there for this owner.
+	tasks int
 }
 
 // goneAgent is an agent incarnation out of reach.
@@ -90,6 +103,34 @@
 	usable := a.startable() && !a.health.ejected
 	f.idle.set(a, usable && a.free() > 0)
 	f.own.set(a, usable && a.mine() > 0)
+	now := agentCounts{tasks: len(a.tasks)}
+	if a.startable() {
+		now.slots = a.slots
+	}
+	if usable {
+		now.free = max(0, a.free())
+	}
+	f.add(a, now)
+}
+
+// add replaces what an agent adds to the totals.
+func (f *fleet) add(a *agent, now agentCounts) {
+	f.totals.slots += now.slots - a.counted.slots
+	f.totals.free += now.free - a.counted.free
+	f.totals.tasks += now.tasks - a.counted.tasks
+	a.counted = now
+}
+
+// assign notes that a task may be running at an agent.
+func (f *fleet) assign(a *agent, id courier.TaskID) {
+	a.tasks[id] = struct{}{}
+	f.update(a)
+}
+
+// unassign notes that a task is not running at an agent any more.
+func (f *fleet) unassign(a *agent, id courier.TaskID) {
+	delete(a.tasks, id)
+	f.update(a)
 }
 
 // agentSet is a set of agents from which one can be drawn at random.
@@ -144,21 +185,11 @@
 // remove forgets an agent that is out of reach but remembers, until then,
 // that it may keep records.
 func (f *fleet) remove(a *agent, until time.Time) {
-	f.idle.set(a, false)
-	f.own.set(a, false)
+	a.linked = false
+	f.update(a)
+	f.add(a, agentCounts{})
 	delete(f.agents, a.ref.Agent)
 	f.gone[a.ref] = goneAgent{until: until}
-	f.count()
-}
-
-// count sums up the slots that take new tasks.
-func (f *fleet) count() {
-	f.slots = 0
-	for _, a := range f.agents {
-		if a.startable() {
-			f.slots += a.slots
-		}
-	}
 }
 
 func (f *fleet) setOut(dataCentres []string) {
@@ -167,7 +198,6 @@
 		a.out = slices.Contains(f.out, a.dataCentre)
 		f.update(a)
 	}
-	f.count()
 }
 
 // canServe reports whether any agent in reach runs the service.
@@ -198,6 +228,18 @@
 	return a
 }
 
+// lapsed returns the agents out of touch since limit or longer, by name.
+func (f *fleet) lapsed(limit time.Time) []*agent {
+	var out []*agent
+	for _, a := range f.agents {
+		if !a.linked && !a.lostAt.After(limit) {
+			out = append(out, a)
+		}
+	}
+	sortAgents(out)
+	return out
+}
+
 // sortedRefs returns the known agents among the keys of m, by name.
 func (f *fleet) sortedRefs(m map[courier.AgentRef][]courier.TaskID) []*agent {
 	var out []*agent
--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -88,7 +88,7 @@
 	i := j.takeWaiting(a, o.clock.Now())
 	o.queue.took(j)
 	id := courier.TaskID{Job: j.id, Index: i}
-	a.tasks[id] = struct{}{}
+	o.fleet.assign(a, id)
 	o.counts.Started++
 	o.budget.started()
 	return courier.StartTask{
--- a/dispatcher/settle.go
+++ b/dispatcher/settle.go
@@ -61,7 +61,6 @@
 		a.admitted = containsAll(an.Acked, o.peers)
 	}
 	o.setLoad(a, an.Load)
-	o.fleet.count()
 	o.dispatch()
 }
 
@@ -84,19 +83,22 @@
 	a.linked = false
 	a.lostAt = o.clock.Now()
 	o.fleet.update(a)
-	o.fleet.count()
 	o.retryRefusals(a)
 	if a.draining && len(a.tasks) == 0 {
 		o.loseAgent(a, RecordHorizon)
 	}
 }
 
-// dropLapsedAgents gives up agents that have been out of touch too long.
-func (o *Owner) dropLapsedAgents(now time.Time) {
-	for _, a := range o.fleet.sorted() {
-		if !a.linked && now.Sub(a.lostAt) >= AgentLapse {
-			o.loseAgent(a, SilentHorizon)
-		}
+// checkAgents gives up agents that have been out of touch too long, and lets
+// ejected ones have a probe. It looks at every agent, and so only seldom.
+func (o *Owner) checkAgents(now time.Time) {
+	if now.Before(o.nextLapseCheck) {
+		return
+	}
+	o.nextLapseCheck = now.Add(lapseCheckInterval)
+	o.fleet.tick(now)
+	for _, a := range o.fleet.lapsed(now.Add(-AgentLapse)) {
+		o.loseAgent(a, SilentHorizon)
 	}
 }
 
@@ -123,7 +125,7 @@
 	o.setLoad(a, f.Load)
 	ack := courier.Acked{Tasks: make([]courier.TaskID, 0, len(f.Records))}
 	for _, rec := range f.Records {
-		delete(a.tasks, rec.Task)
+		o.fleet.unassign(a, rec.Task)
 		if rec.Outcome == courier.Running {
 			continue
 		}
@@ -176,7 +178,7 @@
 	o.setLoad(a, r.Load)
 	o.counts.Refused++
 	if j := o.refusedJob(a, r); j != nil {
-		delete(a.tasks, r.Task)
+		o.fleet.unassign(a, r.Task)
 		o.putBackRefused(a, j, r.Task.Index, r.Reason)
 		if r.Reason == courier.RefusedTerm {
 			o.loseTo(j.partition, r.Term)
@@ -332,7 +334,7 @@
 	for _, a := range o.fleet.sortedRefs(running) {
 		ids := running[a.ref]
 		for _, id := range ids {
-			delete(a.tasks, id)
+			o.fleet.unassign(a, id)
 		}
 		if a.linked {
 			o.send(a.ref.Agent, courier.Stop{Tasks: ids})
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -157,7 +157,7 @@
 	j.tasks[i] = task{state: sent, agent: t.agent, link: t.link, sentAt: o.clock.Now()}
 	j.waitingTasks--
 	if a := o.fleet.agents[t.agent.Agent]; a != nil && a.ref == t.agent {
-		a.tasks[courier.TaskID{Job: j.id, Index: i}] = struct{}{}
+		o.fleet.assign(a, courier.TaskID{Job: j.id, Index: i})
 	}
 }
 
@@ -176,7 +176,7 @@
 		rec.Outcome = courier.Lost
 	}
 	if a != nil {
-		delete(a.tasks, rec.Task)
+		o.fleet.unassign(a, rec.Task)
 	}
 	o.settle(j, i, rec)
 }
--- /dev/null
+++ b/starter/starter_test.go
@@ -0,0 +1,167 @@
+package starter
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/router"
+)
+
+const entry = "entry-1"
+
+var term = courier.Term{Number: 1, Holder: entry}
+
+// newReadyLedger returns a ledger that would start tasks of entry-1.
+func newReadyLedger(clock clockwork.Clock, slots int) *Ledger {
+	l := NewLedger(clock, Identity{Agent: "agent-1", Incarnation: "a", DataCentre: "wien"})
+	l.SetUpstream(Upstream{Slots: slots, Services: []string{"quote"}})
+	l.LinkUp(entry, 1)
+	l.Confirm(courier.AnnounceReply{
+		Fresh: true, BundleVersion: 1, Stamp: clock.Since(l.base), Policy: &courier.AgentPolicy{BundleVersion: 1},
+	})
+	var all []router.Partition
+	for p := range router.Partitions {
+		all = append(all, router.Partition(p))
+	}
+	l.Claim(entry, courier.Claim{Term: term, Partitions: all})
+	l.Drain()
+	return l
+}
+
+func start(clock clockwork.Clock, number uint64) courier.Start {
+	return courier.Start{LinkNumber: 1, BundleVersion: 1, Tasks: []courier.StartTask{{
+		Number:   number,
+		Task:     courier.TaskID{Job: fmt.Sprintf("team/job-%d", number)},
+		Deadline: clock.Now().Add(time.Minute),
+		Term:     term,
+		Payload:  json.RawMessage(`{"Millis":100}`),
+	}}}
+}
+
+// outcome tells what a start led to: "run", a refusal, or nothing.
+func outcome(l *Ledger) string {
+	out := ""
+	for _, e := range l.Drain() {
+		switch e := e.(type) {
+		case Run:
+			out += "run"
+		case Send:
+			if r, ok := e.Msg.(courier.Refuse); ok {
+				out += string(r.Reason)
+			}
+		}
+	}
+	return out
+}
+
+func TestStart(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(l *Ledger, clock *clockwork.FakeClock, s *courier.Start)
+		want   string
+	}{
+		{"ready", func(*Ledger, *clockwork.FakeClock, *courier.Start) {}, "run"},
+		{"lower term", func(_ *Ledger, _ *clockwork.FakeClock, s *courier.Start) { s.Tasks[0].Term.Number = 0 }, "StaleTerm"},
+		{"other holder", func(_ *Ledger, _ *clockwork.FakeClock, s *courier.Start) { s.Tasks[0].Term.Holder = "entry-2" }, "StaleTerm"},
+		{"old link", func(l *Ledger, _ *clockwork.FakeClock, _ *courier.Start) { l.LinkUp(entry, 2) }, "StaleLink"},
+		{"number seen", func(_ *Ledger, _ *clockwork.FakeClock, s *courier.Start) { s.Tasks[0].Number = 0 }, ""},
+		{"deadline passed", func(_ *Ledger, c *clockwork.FakeClock, s *courier.Start) { s.Tasks[0].Deadline = c.Now() }, "DeadlinePassed"},
+		{"draining", func(l *Ledger, _ *clockwork.FakeClock, _ *courier.Start) { l.SetDraining() }, "Draining"},
+		{"upstream leaving", func(l *Ledger, _ *clockwork.FakeClock, _ *courier.Start) {
+			l.SetUpstream(Upstream{Slots: 1, Leaving: true})
+		}, "Draining"},
+		{"bundle not confirmed for 3 s", func(_ *Ledger, c *clockwork.FakeClock, _ *courier.Start) { c.Advance(FreshFor) }, "NotFresh"},
+		{"older bundle", func(_ *Ledger, _ *clockwork.FakeClock, s *courier.Start) { s.BundleVersion = 0 }, "NotFresh"},
+		{"data centre taken out", func(l *Ledger, c *clockwork.FakeClock, s *courier.Start) {
+			l.Confirm(courier.AnnounceReply{
+				Fresh: true, BundleVersion: 2, Stamp: c.Since(l.base),
+				Policy: &courier.AgentPolicy{BundleVersion: 2, OutDataCentres: []string{"wien"}},
+			})
+			s.BundleVersion = 2
+		}, "TakenOut"},
+		{"no free slot", func(l *Ledger, c *clockwork.FakeClock, s *courier.Start) {
+			l.Start(entry, start(c, 1))
+			l.Drain()
+			*s = start(c, 2)
+		}, "Busy"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			l := newReadyLedger(clock, 1)
+			s := start(clock, 1)
+			tt.change(l, clock, &s)
+			l.Start(entry, s)
+			require.Equal(t, tt.want, outcome(l))
+		})
+	}
+}
+
+func TestStartOnANewLinkIsAnsweredFromTheRecord(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := newReadyLedger(clock, 1)
+	s := start(clock, 1)
+	l.Start(entry, s)
+	require.Equal(t, "run", outcome(l))
+	l.Finish(courier.Record{Task: s.Tasks[0].Task, Outcome: courier.Succeeded, Result: json.RawMessage(`1`)})
+	l.LinkUp(entry, 2)
+	l.Drain()
+	s.LinkNumber = 2
+	l.Start(entry, s)
+	sent := l.Drain()
+	require.Len(t, sent, 1)
+	f := sent[0].(Send).Msg.(courier.Finished)
+	require.Equal(t, courier.Succeeded, f.Records[0].Outcome)
+}
+
+func TestPolicyNeverReverts(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := newReadyLedger(clock, 1)
+	for _, version := range []uint64{3, 2, 1} {
+		l.Confirm(courier.AnnounceReply{
+			Fresh: true, BundleVersion: version, Policy: &courier.AgentPolicy{BundleVersion: version},
+		})
+	}
+	require.Equal(t, uint64(3), l.Dump().BundleVersion)
+}
+
+// BenchmarkStart measures a task from its start to its acknowledgement.
+func BenchmarkStart(bm *testing.B) {
+	clock := clockwork.NewFakeClock()
+	l := newReadyLedger(clock, 8)
+	for i := range bm.N {
+		l.runOne(clock, uint64(i+1))
+	}
+}
+
+// runOne starts, ends and acknowledges one task.
+func (l *Ledger) runOne(clock clockwork.Clock, number uint64) {
+	s := start(clock, number)
+	l.Start(entry, s)
+	l.Finish(courier.Record{Task: s.Tasks[0].Task, Outcome: courier.Succeeded, Result: json.RawMessage(`"a result of some bytes"`)})
+	l.Acked(courier.Acked{Tasks: []courier.TaskID{s.Tasks[0].Task}})
+	l.Drain()
+}
+
+// BenchmarkMemory measures what a ledger keeps for a task that has ended.
+func BenchmarkMemory(bm *testing.B) {
+	clock := clockwork.NewFakeClock()
+	l := newReadyLedger(clock, 8)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range bm.N {
+		l.runOne(clock, uint64(i+1))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	bm.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(bm.N), "bytes/task")
+	runtime.KeepAlive(l)
+}
