dispatcher, starter: Split long files by topic

Counters of messages are looked up by type, not by a formatted name at every message; answers other than Complete are logged at info level. An unused reason and a struct of one field are gone.

--- a/agent/actor.go
+++ b/agent/actor.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"reflect"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/asynkron/protoactor-go/actor"
 
 	"github.com/pomeloferry/pomeloferry/courier"
@@ -60,6 +62,8 @@
 	// upstreamAt is when the upstream last announced itself.
 	upstreamAt time.Time
 	beatAt     time.Time
+	// sent counts the messages to entries, by their type.
+	sent map[reflect.Type]*metrics.Counter
 }
 
 func newLedgerActor(a *Agent) *ledgerActor {
@@ -68,9 +72,21 @@
 		ledger:  starter.NewLedger(a.deps.Clock, a.identity),
 		links:   make(map[*courier.Link]*entryLink),
 		byEntry: make(map[string]*entryLink),
+		sent:    make(map[reflect.Type]*metrics.Counter),
 	}
 }
 
+func (s *ledgerActor) count(msg any) {
+	t := reflect.TypeOf(msg)
+	c := s.sent[t]
+	if c == nil {
+		name := fmt.Sprintf("pomeloferry_agent_messages_out_total{type=%q}", t.Name())
+		c = s.agent.deps.Metrics.GetOrCreateCounter(name)
+		s.sent[t] = c
+	}
+	c.Inc()
+}
+
 // Receive implements actor.Actor.
 func (s *ledgerActor) Receive(ctx actor.Context) {
 	switch m := ctx.Message().(type) {
@@ -220,7 +236,7 @@
 	for _, e := range s.ledger.Drain() {
 		switch e := e.(type) {
 		case starter.Send:
-			s.agent.count("messages_out", fmt.Sprintf("%T", e.Msg))
+			s.count(e.Msg)
 			if l := s.byEntry[e.To]; l != nil {
 				l.link.Send(e.Msg)
 			}
--- a/agent/http.go
+++ b/agent/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -52,7 +51,3 @@
 
 // Dump returns the state of the ledger, for operators.
 func (a *Agent) Dump() (any, error) { return a.ask(dumpQuestion{}) }
-
-func (a *Agent) count(name, label string) {
-	a.deps.Metrics.GetOrCreateCounter(fmt.Sprintf("pomeloferry_agent_%s_total{type=%q}", name, label)).Inc()
-}
--- a/courier/message.go
+++ b/courier/message.go
@@ -323,7 +323,6 @@
 	ReasonNoBundle       Reason = "ConfigurationNotConfirmed"
 	ReasonOtherBody      Reason = "KeyUsedByAnotherBody"
 	ReasonRefusedBefore  Reason = "AttemptRefusedBefore"
-	ReasonStopping       Reason = "EntryStopping"
 )
 
 // Answer is the one answer to a submission.
--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -69,71 +68,6 @@
 	return router.Owner(p, o.view) == o.cfg.Entry
 }
 
-// SetRoster takes over the agents that a peer uses. Those without a link here
-// may hold records, and stay missing until they have been fenced. A certain
-// roster makes this one certain, if the peer gave it at or after the time asOf
-// of this clock and this process was not paused since.
-func (o *Owner) SetRoster(roster []courier.AgentRef, certain bool, asOf time.Time) {
-	o.wake()
-	now := o.clock.Now()
-	for _, ref := range roster {
-		if a := o.fleet.agents[ref.Agent]; a != nil && a.ref == ref {
-			continue
-		}
-		if _, ok := o.fleet.gone[ref]; ok {
-			continue
-		}
-		o.fleet.gone[ref] = goneAgent{until: now.Add(SilentHorizon)}
-		o.addMissing(ref)
-	}
-	if certain && !asOf.Before(o.wokeAt) {
-		o.SetRosterCertain()
-	}
-}
-
-// SetRosterCertain notes that no agent was used by an earlier owner that is
-// neither known here nor listed as gone.
-func (o *Owner) SetRosterCertain() {
-	now := o.clock.Now()
-	if !o.rosterCertainAt.After(now) {
-		return
-	}
-	o.rosterCertainAt = now
-	o.finishClaims(now)
-	o.releaseHeld()
-}
-
-func (o *Owner) addMissing(ref courier.AgentRef) {
-	for p := range o.partitions {
-		if part := &o.partitions[p]; part.state != foreign {
-			part.missing[ref] = struct{}{}
-		}
-	}
-}
-
-// Roster lists the agents that may hold records of tasks started from here,
-// and whether the list is complete.
-func (o *Owner) Roster() ([]courier.AgentRef, bool) {
-	var out []courier.AgentRef
-	for _, a := range o.fleet.sorted() {
-		if a.admitted {
-			out = append(out, a.ref)
-		}
-	}
-	now := o.clock.Now()
-	for ref, g := range o.fleet.gone {
-		if g.until.After(now) {
-			out = append(out, ref)
-		}
-	}
-	slices.SortFunc(out, compareRefs)
-	return out, !o.rosterCertainAt.After(now)
-}
-
-func compareRefs(a, b courier.AgentRef) int {
-	return cmp.Or(cmp.Compare(a.Agent, b.Agent), cmp.Compare(a.Incarnation, b.Incarnation))
-}
-
 // Terms returns the highest known term of each partition.
 func (o *Owner) Terms() []courier.Term { return slices.Clone(o.highest[:]) }
 
@@ -202,17 +136,6 @@
 	o.send(a.ref.Agent, c)
 }
 
-func (o *Owner) everyAgent() map[courier.AgentRef]struct{} {
-	out := make(map[courier.AgentRef]struct{}, len(o.fleet.agents)+len(o.fleet.gone))
-	for _, a := range o.fleet.agents {
-		out[a.ref] = struct{}{}
-	}
-	for ref := range o.fleet.gone {
-		out[ref] = struct{}{}
-	}
-	return out
-}
-
 // pauseJobs takes the jobs of partitions that are not served off the queue.
 func (o *Owner) pauseJobs() {
 	for _, j := range o.jobs {
@@ -237,16 +160,6 @@
 	}
 }
 
-// awaits reports whether an agent may still answer the claim soon.
-func (o *Owner) awaits(part *partition) bool {
-	for ref := range part.missing {
-		if a := o.fleet.agents[ref.Agent]; a != nil && a.ref == ref {
-			return true
-		}
-	}
-	return false
-}
-
 func (o *Owner) serve(p router.Partition) {
 	part := &o.partitions[p]
 	part.state = serving
@@ -313,25 +226,6 @@
 	part.parked = append(part.parked, r)
 }
 
-// gap reports whether tasks of p may have started that nobody here knows of.
-func (o *Owner) gap(p router.Partition) bool {
-	if o.rosterCertainAt.After(o.clock.Now()) {
-		return true
-	}
-	part := &o.partitions[p]
-	for ref := range part.missing {
-		a := o.fleet.agents[ref.Agent]
-		if a != nil && a.ref == ref {
-			return true
-		}
-		if _, ok := o.fleet.gone[ref]; ok {
-			return true
-		}
-		delete(part.missing, ref)
-	}
-	return false
-}
-
 // retryClaims claims again where a rival's term was higher.
 func (o *Owner) retryClaims(now time.Time) {
 	var again []router.Partition
@@ -418,135 +312,6 @@
 	}
 }
 
-// Claimed takes an agent's answer to a claim.
-func (o *Owner) Claimed(name string, link uint64, r courier.ClaimReply) {
-	o.wake()
-	a := o.fleet.linked(name, link)
-	if a == nil {
-		return
-	}
-	o.setLoad(a, r.Load)
-	a.answeredClaim = max(a.answeredClaim, r.Number)
-	for p, t := range r.Refused {
-		o.loseTo(p, t)
-	}
-	fenced := make(map[router.Partition]bool, len(r.Partitions))
-	for _, p := range r.Partitions {
-		if part := &o.partitions[p]; part.state != foreign && part.term == r.Term {
-			fenced[p] = true
-			delete(part.missing, a.ref)
-		}
-	}
-	o.mergeForbidden(fenced, r.Forbidden)
-	o.mergeRecords(a, fenced, r.Records)
-	o.requeueUnheard(a, fenced)
-	o.fleet.update(a)
-	o.finishClaims(o.clock.Now())
-	o.releaseHeld()
-	o.dispatch()
-}
-
-func (o *Owner) mergeRecords(a *agent, fenced map[router.Partition]bool, records []courier.Record) {
-	records = slices.DeleteFunc(records, func(r courier.Record) bool {
-		return !fenced[router.PartitionOf(r.Task.Job)]
-	})
-	for _, rec := range records {
-		o.merge(a, rec)
-	}
-	var ended []courier.TaskID
-	for _, rec := range records {
-		if rec.Outcome != courier.Running {
-			o.settleMerged(a, rec)
-			ended = append(ended, rec.Task)
-		}
-	}
-	if len(ended) > 0 {
-		o.send(a.ref.Agent, courier.Acked{Tasks: ended})
-	}
-}
-
-// merge notes that an agent has started a task.
-func (o *Owner) merge(a *agent, rec courier.Record) {
-	j := o.jobs[rec.Task.Job]
-	if j == nil {
-		o.inherit(a, rec)
-		return
-	}
-	i := rec.Task.Index
-	if j.done || i < 0 || i >= len(j.tasks) {
-		return
-	}
-	t := &j.tasks[i]
-	if t.state == ended {
-		return
-	}
-	if t.state == waiting {
-		j.waitingTasks--
-		o.queue.took(j)
-	}
-	*t = task{state: sent, agent: a.ref, link: a.link, sentAt: o.clock.Now()}
-	o.fleet.assign(a, rec.Task)
-}
-
-// settleMerged settles a merged task that has ended.
-func (o *Owner) settleMerged(a *agent, rec courier.Record) {
-	o.fleet.unassign(a, rec.Task)
-	j := o.jobs[rec.Task.Job]
-	if j != nil && !j.done && rec.Task.Index >= 0 && rec.Task.Index < len(j.tasks) {
-		o.settle(j, rec.Task.Index, rec)
-	}
-}
-
-func (o *Owner) inherit(a *agent, rec courier.Record) {
-	in := o.inherited[rec.Task.Job]
-	if in == nil {
-		in = &inheritance{digest: rec.Digest, records: make(map[int]inheritedTask)}
-		o.inherited[rec.Task.Job] = in
-	}
-	in.until = o.clock.Now().Add(RecordHorizon)
-	old, ok := in.records[rec.Task.Index]
-	if ok && old.outcome != courier.Running && rec.Outcome == courier.Running {
-		return
-	}
-	in.records[rec.Task.Index] = inheritedTask{
-		agent:   a.ref,
-		link:    a.link,
-		outcome: rec.Outcome,
-		result:  rec.Result,
-	}
-}
-
-// requeueUnheard makes tasks wait again that were sent on an earlier link and
-// never arrived: the agent refuses that link from now on.
-func (o *Owner) requeueUnheard(a *agent, fenced map[router.Partition]bool) {
-	for id := range a.tasks {
-		j := o.jobs[id.Job]
-		if j == nil || j.done {
-			o.fleet.unassign(a, id)
-			continue
-		}
-		t := &j.tasks[id.Index]
-		if t.state != sent || t.agent != a.ref || t.link >= a.link || !fenced[j.partition] {
-			continue
-		}
-		o.fleet.unassign(a, id)
-		o.requeue(j, id.Index)
-	}
-}
-
-func (o *Owner) dropInheritances(now time.Time) {
-	for id, in := range o.inherited {
-		if in.until.Before(now) {
-			delete(o.inherited, id)
-		}
-	}
-	for id, r := range o.refused {
-		if r.until.Before(now) {
-			delete(o.refused, id)
-		}
-	}
-}
-
 // addToClaim adds partition p to the claim of term t in claims.
 func addToClaim(claims []courier.Claim, t courier.Term, p int) []courier.Claim {
 	for i := range claims {
--- a/dispatcher/fleet.go
+++ b/dispatcher/fleet.go
@@ -67,8 +67,9 @@
 	// free slots other owners leave to this one.
 	idle agentSet
 	own  agentSet
-	// gone holds agents that may keep records but cannot be asked.
-	gone map[courier.AgentRef]goneAgent
+	// gone holds agents that may keep records but cannot be asked, with the
+	// time until which they matter.
+	gone map[courier.AgentRef]time.Time
 	out  []string
 	// totals is the sum of what the agents count; see agentCounts.
 	totals agentCounts
@@ -85,15 +86,10 @@
 	tasks int
 }
 
-// goneAgent is an agent incarnation out of reach.
-type goneAgent struct {
-	until time.Time
-}
-
 func newFleet() *fleet {
 	return &fleet{
 		agents: make(map[string]*agent),
-		gone:   make(map[courier.AgentRef]goneAgent),
+		gone:   make(map[courier.AgentRef]time.Time),
 	}
 }
 
@@ -189,7 +185,7 @@
 	f.update(a)
 	f.add(a, agentCounts{})
 	delete(f.agents, a.ref.Agent)
-	f.gone[a.ref] = goneAgent{until: until}
+	f.gone[a.ref] = until
 }
 
 func (f *fleet) setOut(dataCentres []string) {
@@ -268,8 +264,8 @@
 
 // tick lets ejected agents have a probe and forgets old absences.
 func (f *fleet) tick(now time.Time) {
-	for ref, g := range f.gone {
-		if g.until.Before(now) {
+	for ref, until := range f.gone {
+		if until.Before(now) {
 			delete(f.gone, ref)
 		}
 	}
--- a/receiver/http.go
+++ b/receiver/http.go
@@ -13,6 +13,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/pomeloferry/pomeloferry/approver"
 	"github.com/pomeloferry/pomeloferry/courier"
@@ -71,12 +72,17 @@
 	r.deps.Metrics.GetOrCreateCounter(fmt.Sprintf(
 		`pomeloferry_answers_total{state=%q,reason=%q,bundle_version="%d"}`, a.State, a.Reason, a.BundleVersion)).Inc()
 	r.deps.Metrics.GetOrCreateHistogram(`pomeloferry_answer_seconds`).Update(took.Seconds())
-	r.deps.Log.WithField("job", a.Job).
-		WithField("state", a.State).
-		WithField("reason", a.Reason).
-		WithField("bundle_version", a.BundleVersion).
-		WithField("millis", took.Milliseconds()).
-		Debug("answered")
+	level := logrus.InfoLevel
+	if a.State == courier.Complete {
+		level = logrus.DebugLevel
+	}
+	r.deps.Log.WithFields(logrus.Fields{
+		"job":            a.Job,
+		"state":          a.State,
+		"reason":         a.Reason,
+		"bundle_version": a.BundleVersion,
+		"millis":         took.Milliseconds(),
+	}).Log(level, "answered")
 }
 
 // parse reads a submission and returns what is wrong with it, if anything.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -7,6 +7,7 @@
 package registrar
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -187,12 +188,4 @@
 	return out
 }
 
-func compareInfos(a, b courier.EntryInfo) int {
-	switch {
-	case a.ID < b.ID:
-		return -1
-	case a.ID > b.ID:
-		return 1
-	}
-	return 0
-}
+func compareInfos(a, b courier.EntryInfo) int { return cmp.Compare(a.ID, b.ID) }
--- /dev/null
+++ b/starter/start.go
@@ -0,0 +1,161 @@
+package starter
+
+import (
+	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/router"
+)
+
+// Start starts the tasks that may start and refuses the others.
+func (l *Ledger) Start(entry string, s courier.Start) {
+	var refused []refusedTask
+	var known []courier.Record
+	e := l.entries[entry]
+	current := e != nil && e.link == s.LinkNumber
+	slot, held := l.takeOffer(entry, s.Offer)
+	for _, t := range s.Tasks {
+		if current && t.Number <= e.seen {
+			continue
+		}
+		if current {
+			e.seen = t.Number
+		}
+		p := router.PartitionOf(t.Task.Job)
+		if r := l.records[p][t.Task]; r != nil {
+			known = append(known, r.Record)
+			continue // The record answers for it: a start is never run twice.
+		}
+		if reason := l.refusal(e, s, t, p, held); reason != "" {
+			refused = append(refused, refusedTask{t, reason, l.terms[p]})
+			continue
+		}
+		if !held {
+			slot = l.taken.take(l.owned(entry), l.upstream.Slots)
+		}
+		held = false
+		l.begin(t, p, slot)
+	}
+	l.answerStart(entry, refused, known)
+	if held {
+		l.taken.release(slot)
+		l.offerFree()
+	}
+}
+
+// refusedTask is a task of a Start with the reason that it may not start.
+type refusedTask struct {
+	task   courier.StartTask
+	reason courier.Refusal
+	term   courier.Term
+}
+
+func (l *Ledger) answerStart(entry string, refused []refusedTask, known []courier.Record) {
+	for _, r := range refused {
+		msg := courier.Refuse{Number: r.task.Number, Task: r.task.Task, Reason: r.reason, Load: l.load(entry)}
+		if r.reason == courier.RefusedTerm {
+			msg.Term = r.term
+		}
+		l.send(entry, msg)
+	}
+	if len(known) > 0 {
+		l.send(entry, courier.Finished{Records: known, Load: l.load(entry)})
+	}
+}
+
+// refusal returns why t may not start, or "".
+func (l *Ledger) refusal(e *entryState, s courier.Start, t courier.StartTask, p router.Partition, held bool) courier.Refusal {
+	now := l.clock.Now()
+	switch {
+	case e == nil || e.link != s.LinkNumber:
+		return courier.RefusedLink
+	case l.terms[p] != t.Term:
+		return courier.RefusedTerm
+	case !t.Deadline.After(now):
+		return courier.RefusedDeadline
+	case l.draining || l.upstream.Leaving:
+		return courier.RefusedDraining
+	case l.takenOut():
+		return courier.RefusedTakenOut
+	case !l.fresh(now) || s.BundleVersion < l.policy.BundleVersion:
+		return courier.RefusedNotFresh
+	case !held && l.free() <= 0:
+		return courier.RefusedBusy
+	}
+	return ""
+}
+
+func (l *Ledger) begin(t courier.StartTask, p router.Partition, slot int) {
+	l.records[p][t.Task] = &record{
+		Record:    courier.Record{Task: t.Task, Digest: t.Digest, Outcome: courier.Running},
+		keepUntil: t.Deadline.Add(RecordGrace),
+		number:    t.Number,
+		slot:      slot,
+	}
+	l.running++
+	l.effects = append(l.effects, Run{Task: t})
+}
+
+// Refused takes back a start that the upstream positively did not run. The
+// task leaves the record, since it may start elsewhere.
+func (l *Ledger) Refused(id courier.TaskID) {
+	p := router.PartitionOf(id.Job)
+	r := l.records[p][id]
+	if r == nil || r.Outcome != courier.Running {
+		return
+	}
+	delete(l.records[p], id)
+	l.running--
+	l.taken.release(r.slot)
+	holder := l.terms[p].Holder
+	l.offerFree()
+	l.send(holder, courier.Refuse{
+		Number: r.number,
+		Task:   id,
+		Reason: courier.RefusedUpstream,
+		Load:   l.load(holder),
+	})
+}
+
+// Finish notes the end of a running task and reports it to the entry that
+// owns the task's partition now. The first outcome stays.
+func (l *Ledger) Finish(rec courier.Record) {
+	p := router.PartitionOf(rec.Task.Job)
+	r := l.records[p][rec.Task]
+	if r == nil || r.Outcome != courier.Running {
+		return
+	}
+	r.Outcome = rec.Outcome
+	r.Result = rec.Result
+	l.running--
+	l.taken.release(r.slot)
+	l.resultBytes += len(rec.Result)
+	holder := l.terms[p].Holder
+	id := l.nextOfferFor(holder)
+	l.offerFree() // Before the report, which must not count slots just offered.
+	l.send(holder, courier.Finished{Records: []courier.Record{r.Record}, Offer: id, Load: l.load(holder)})
+}
+
+// Acked notes that the owner has the results of tasks.
+func (l *Ledger) Acked(a courier.Acked) {
+	for _, id := range a.Tasks {
+		r := l.records[router.PartitionOf(id.Job)][id]
+		if r == nil || r.Outcome == courier.Running {
+			continue
+		}
+		r.acked = true
+		if l.resultBytes > ResultBytes {
+			l.resultBytes -= len(r.Result)
+			r.Result = nil
+			r.Outcome = courier.Lost
+		}
+	}
+}
+
+// Stop asks the upstream to stop the running ones of tasks.
+func (l *Ledger) Stop(s courier.Stop) {
+	for _, id := range s.Tasks {
+		r := l.records[router.PartitionOf(id.Job)][id]
+		if r != nil && r.Outcome == courier.Running {
+			l.effects = append(l.effects, Halt{Task: id})
+		}
+	}
+}
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -8,8 +8,6 @@
 package starter
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -72,7 +70,9 @@
 }
 
 func (Send) effect() {}
-func (Run) effect()  {}
+
+func (Run) effect() {}
+
 func (Halt) effect() {}
 
 // record is the memory of one started task.
@@ -254,217 +254,6 @@
 	l.offerFree()
 }
 
-func (l *Ledger) raiseTerms(terms []courier.Term) {
-	for p, t := range terms {
-		if p < len(l.terms) && l.terms[p].Less(t) {
-			l.terms[p] = t
-		}
-	}
-}
-
-// Claim fences the partitions of c against lower terms and reports what was
-// started in them.
-func (l *Ledger) Claim(entry string, c courier.Claim) {
-	reply := courier.ClaimReply{Number: c.Number, Term: c.Term}
-	lost := make(map[string][]router.Partition)
-	for _, p := range c.Partitions {
-		if p < 0 || p >= router.Partitions {
-			continue
-		}
-		old := l.terms[p]
-		if c.Term.Less(old) {
-			reply.Refused = withRefused(reply.Refused, p, old)
-			continue
-		}
-		if old.Holder != c.Term.Holder && old.Holder != "" {
-			lost[old.Holder] = append(lost[old.Holder], p)
-		}
-		l.terms[p] = c.Term
-		reply.Partitions = append(reply.Partitions, p)
-		reply.Records = l.appendRecords(reply.Records, p)
-	}
-	reply.Forbidden = l.forbiddenIn(reply.Partitions)
-	reply.Load = l.load(entry)
-	l.send(entry, reply)
-	for _, holder := range slices.Sorted(maps.Keys(lost)) {
-		l.send(holder, courier.Superseded{Term: c.Term, Partitions: lost[holder]})
-	}
-}
-
-func withRefused(m map[router.Partition]courier.Term, p router.Partition, t courier.Term) map[router.Partition]courier.Term {
-	if m == nil {
-		m = make(map[router.Partition]courier.Term)
-	}
-	m[p] = t
-	return m
-}
-
-func (l *Ledger) appendRecords(out []courier.Record, p router.Partition) []courier.Record {
-	first := len(out)
-	for _, r := range l.records[p] {
-		out = append(out, r.Record)
-	}
-	slices.SortFunc(out[first:], func(a, b courier.Record) int {
-		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index))
-	})
-	return out
-}
-
-// Start starts the tasks that may start and refuses the others.
-func (l *Ledger) Start(entry string, s courier.Start) {
-	var refused []refusedTask
-	var known []courier.Record
-	e := l.entries[entry]
-	current := e != nil && e.link == s.LinkNumber
-	slot, held := l.takeOffer(entry, s.Offer)
-	for _, t := range s.Tasks {
-		if current && t.Number <= e.seen {
-			continue
-		}
-		if current {
-			e.seen = t.Number
-		}
-		p := router.PartitionOf(t.Task.Job)
-		if r := l.records[p][t.Task]; r != nil {
-			known = append(known, r.Record)
-			continue // The record answers for it: a start is never run twice.
-		}
-		if reason := l.refusal(e, s, t, p, held); reason != "" {
-			refused = append(refused, refusedTask{t, reason, l.terms[p]})
-			continue
-		}
-		if !held {
-			slot = l.taken.take(l.owned(entry), l.upstream.Slots)
-		}
-		held = false
-		l.begin(t, p, slot)
-	}
-	l.answerStart(entry, refused, known)
-	if held {
-		l.taken.release(slot)
-		l.offerFree()
-	}
-}
-
-// refusedTask is a task of a Start with the reason that it may not start.
-type refusedTask struct {
-	task   courier.StartTask
-	reason courier.Refusal
-	term   courier.Term
-}
-
-func (l *Ledger) answerStart(entry string, refused []refusedTask, known []courier.Record) {
-	for _, r := range refused {
-		msg := courier.Refuse{Number: r.task.Number, Task: r.task.Task, Reason: r.reason, Load: l.load(entry)}
-		if r.reason == courier.RefusedTerm {
-			msg.Term = r.term
-		}
-		l.send(entry, msg)
-	}
-	if len(known) > 0 {
-		l.send(entry, courier.Finished{Records: known, Load: l.load(entry)})
-	}
-}
-
-// refusal returns why t may not start, or "".
-func (l *Ledger) refusal(e *entryState, s courier.Start, t courier.StartTask, p router.Partition, held bool) courier.Refusal {
-	now := l.clock.Now()
-	switch {
-	case e == nil || e.link != s.LinkNumber:
-		return courier.RefusedLink
-	case l.terms[p] != t.Term:
-		return courier.RefusedTerm
-	case !t.Deadline.After(now):
-		return courier.RefusedDeadline
-	case l.draining || l.upstream.Leaving:
-		return courier.RefusedDraining
-	case l.takenOut():
-		return courier.RefusedTakenOut
-	case !l.fresh(now) || s.BundleVersion < l.policy.BundleVersion:
-		return courier.RefusedNotFresh
-	case !held && l.free() <= 0:
-		return courier.RefusedBusy
-	}
-	return ""
-}
-
-func (l *Ledger) begin(t courier.StartTask, p router.Partition, slot int) {
-	l.records[p][t.Task] = &record{
-		Record:    courier.Record{Task: t.Task, Digest: t.Digest, Outcome: courier.Running},
-		keepUntil: t.Deadline.Add(RecordGrace),
-		number:    t.Number,
-		slot:      slot,
-	}
-	l.running++
-	l.effects = append(l.effects, Run{Task: t})
-}
-
-// Refused takes back a start that the upstream positively did not run. The
-// task leaves the record, since it may start elsewhere.
-func (l *Ledger) Refused(id courier.TaskID) {
-	p := router.PartitionOf(id.Job)
-	r := l.records[p][id]
-	if r == nil || r.Outcome != courier.Running {
-		return
-	}
-	delete(l.records[p], id)
-	l.running--
-	l.taken.release(r.slot)
-	holder := l.terms[p].Holder
-	l.offerFree()
-	l.send(holder, courier.Refuse{
-		Number: r.number,
-		Task:   id,
-		Reason: courier.RefusedUpstream,
-		Load:   l.load(holder),
-	})
-}
-
-// Finish notes the end of a running task and reports it to the entry that
-// owns the task's partition now. The first outcome stays.
-func (l *Ledger) Finish(rec courier.Record) {
-	p := router.PartitionOf(rec.Task.Job)
-	r := l.records[p][rec.Task]
-	if r == nil || r.Outcome != courier.Running {
-		return
-	}
-	r.Outcome = rec.Outcome
-	r.Result = rec.Result
-	l.running--
-	l.taken.release(r.slot)
-	l.resultBytes += len(rec.Result)
-	holder := l.terms[p].Holder
-	id := l.nextOfferFor(holder)
-	l.offerFree() // Before the report, which must not count slots just offered.
-	l.send(holder, courier.Finished{Records: []courier.Record{r.Record}, Offer: id, Load: l.load(holder)})
-}
-
-// Acked notes that the owner has the results of tasks.
-func (l *Ledger) Acked(a courier.Acked) {
-	for _, id := range a.Tasks {
-		r := l.records[router.PartitionOf(id.Job)][id]
-		if r == nil || r.Outcome == courier.Running {
-			continue
-		}
-		r.acked = true
-		if l.resultBytes > ResultBytes {
-			l.resultBytes -= len(r.Result)
-			r.Result = nil
-			r.Outcome = courier.Lost
-		}
-	}
-}
-
-// Stop asks the upstream to stop the running ones of tasks.
-func (l *Ledger) Stop(s courier.Stop) {
-	for _, id := range s.Tasks {
-		r := l.records[router.PartitionOf(id.Job)][id]
-		if r != nil && r.Outcome == courier.Running {
-			l.effects = append(l.effects, Halt{Task: id})
-		}
-	}
-}
-
 // Tick drops what has lapsed.
 func (l *Ledger) Tick() {
 	now := l.clock.Now()
