courier: Hold memory only for queued messages

Cause: each link kept an outbox of 8,192 slots, 128 KB, whether used or not; 11,000 links would have cost an entry 1.4 GB.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -58,7 +58,7 @@
 type Link struct {
 	conn   *jsonrpc2.Conn
 	socket net.Conn
-	outbox chan any
+	outbox *outbox
 	closed chan struct{}
 	once   sync.Once
 	h      Handler
@@ -68,7 +68,7 @@
 func NewLink(ctx context.Context, socket net.Conn, h Handler) *Link {
 	l := &Link{
 		socket: socket,
-		outbox: make(chan any, OutboxSize),
+		outbox: newOutbox(),
 		closed: make(chan struct{}),
 		h:      h,
 	}
@@ -98,10 +98,7 @@
 // Send queues msg, a value of a message type. It never blocks: a link whose
 // outbox is full is closed, since its receiver has stopped reading.
 func (l *Link) Send(msg any) {
-	select {
-	case <-l.closed:
-	case l.outbox <- msg:
-	default:
+	if !l.outbox.put(msg) {
 		l.Close()
 	}
 }
@@ -133,7 +130,9 @@
 		select {
 		case <-l.closed:
 			return
-		case msg := <-l.outbox:
+		case <-l.outbox.ready:
+		}
+		for _, msg := range l.outbox.take() {
 			if err := l.notify(ctx, msg); err != nil {
 				l.Close()
 				return
--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -15,7 +15,7 @@
 	// learnWindow is the number of run times after which older ones fade.
 	learnWindow = 2000
 	// missedShare is the share of jobs that may take longer than expected.
-	missedShare = 0.1
+	missedShare = 0.02
 	// maxRunMillis is the longest run time that is told apart.
 	maxRunMillis = 60_000
 	runDigits    = 2
