receiver: Close gaps in the tests that altered code showed

Found: a woken owner answered Failed for a queued job that its successor had answered NotRun, though nothing had started. TestWokenOwnerHonoursARefusal failed before. Results are acknowledged every 100 ms in place of one by one.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -51,9 +51,8 @@
 	DemandInterval = 500 * time.Millisecond
 )
 
-// lapseCheckInterval is the time between two looks for lapsed agents, and for
-// ejected ones to probe.
-const lapseCheckInterval = 100 * time.Millisecond
+// agentCheckInterval is the time between two looks at every agent.
+const agentCheckInterval = 100 * time.Millisecond
 
 // Waiter identifies one caller that waits for the answer to a job.
 type Waiter uint64
@@ -110,8 +109,8 @@
 	// lastTick is when the owner last ran; a longer gap than PauseLimit
 	// means that others may have taken over.
 	lastTick time.Time
-	// nextLapseCheck is when to look for lapsed agents again.
-	nextLapseCheck time.Time
+	// nextAgentCheck is when to look at the agents again.
+	nextAgentCheck time.Time
 	// wokeAt is when the process started or was last seen to wake up.
 	wokeAt time.Time
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -23,6 +23,8 @@
 	running map[string][]courier.StartTask
 	replies map[Waiter]courier.Answer
 	waiter  Waiter
+	// forbidden is what agents report as answered NotRun.
+	forbidden []courier.Forbidden
 }
 
 func testBundle() approver.Bundle {
@@ -83,7 +85,9 @@
 func (b *bench) receive(name string, msg any) {
 	switch m := msg.(type) {
 	case courier.Claim:
-		b.owner.Claimed(name, 1, courier.ClaimReply{Number: m.Number, Term: m.Term, Partitions: m.Partitions, Load: b.load(name)})
+		b.owner.Claimed(name, 1, courier.ClaimReply{
+			Number: m.Number, Term: m.Term, Partitions: m.Partitions, Load: b.load(name), Forbidden: b.forbidden,
+		})
 	case courier.Start:
 		b.running[name] = append(b.running[name], m.Tasks...)
 		b.seen[name] = m.Tasks[len(m.Tasks)-1].Number
@@ -191,6 +195,21 @@
 	require.Contains(t, b.replies, w, "the job is given up at once")
 }
 
+// TestWokenOwnerHonoursARefusal wakes an owner with a queued job that its
+// successor has answered NotRun meanwhile.
+func TestWokenOwnerHonoursARefusal(t *testing.T) {
+	b := newBench(1, 1)
+	b.submit("running", 1, 30*time.Second)
+	w := b.submit("queued", 1, 30*time.Second)
+	b.forbidden = []courier.Forbidden{{Job: "team/queued", Attempt: 1}}
+	b.clock.Advance(2 * PauseLimit)
+	b.owner.Tick()
+	b.pump()
+	b.finish("agent-0", courier.Succeeded)
+	require.Equal(t, courier.NotRun, b.replies[w].State)
+	require.Empty(t, b.running["agent-0"])
+}
+
 // TestCancellationWave cancels 1,000 waiting jobs: the slots stay in use for
 // others, and every caller is answered.
 func TestCancellationWave(t *testing.T) {
--- a/dispatcher/fleet.go
+++ b/dispatcher/fleet.go
@@ -33,6 +33,8 @@
 	health    health
 	// tasks holds the tasks that may be running there for this owner.
 	tasks map[courier.TaskID]struct{}
+	// acks holds the tasks whose results have arrived since the last Acked.
+	acks []courier.TaskID
 	// counted is what the agent has added to the totals of the fleet.
 	counted agentCounts
 }
--- a/dispatcher/forbid.go
+++ b/dispatcher/forbid.go
@@ -21,9 +21,9 @@
 }
 
 // refuseFinally answers NotRun to the waiters of a submission of which nothing
-// has started. When only one copy was ever sent, the answer is true at once.
-func (o *Owner) refuseFinally(s courier.Submission, onlyCopy bool, answer courier.Answer, waiters []Waiter) {
-	if onlyCopy {
+// has started. When it is certain that no other copy can run, it does so at once.
+func (o *Owner) refuseFinally(s courier.Submission, certain bool, answer courier.Answer, waiters []Waiter) {
+	if certain {
 		o.noteRefusal(s, s.Attempt)
 		o.replyRefusal(answer, waiters)
 		return
@@ -125,7 +125,18 @@
 			o.refused[m.Job] = refusedAttempt{attempt: m.Attempt, until: until}
 		}
 		if j := o.jobs[m.Job]; j != nil && !j.done && j.attempt <= m.Attempt {
-			o.giveUp(j, courier.ReasonRefusedBefore, "a later owner answered NotRun")
+			o.endForbidden(j)
 		}
 	}
 }
+
+// endForbidden ends a job here that another owner has answered NotRun. That
+// owner knew that nothing had started.
+func (o *Owner) endForbidden(j *job) {
+	const detail = "a later owner answered NotRun"
+	if len(j.mayHaveRun()) > 0 {
+		o.fail(j, courier.ReasonRefusedBefore, detail)
+		return
+	}
+	o.endNotRun(j, courier.ReasonRefusedBefore, detail, true)
+}
--- a/dispatcher/settle.go
+++ b/dispatcher/settle.go
@@ -24,6 +24,7 @@
 	a.linked = true
 	a.link = an.LinkNumber
 	a.sentTasks = 0
+	a.acks = nil
 	a.lastClaim = 0
 	a.answeredClaim = 0
 	o.claimFrom(a)
@@ -89,14 +90,16 @@
 	}
 }
 
-// checkAgents gives up agents that have been out of touch too long, and lets
-// ejected ones have a probe. It looks at every agent, and so only seldom.
+// checkAgents acknowledges results, gives up agents that have been out of
+// touch too long, and lets ejected ones have a probe. It looks at every agent,
+// and so only seldom.
 func (o *Owner) checkAgents(now time.Time) {
-	if now.Before(o.nextLapseCheck) {
+	if now.Before(o.nextAgentCheck) {
 		return
 	}
-	o.nextLapseCheck = now.Add(lapseCheckInterval)
+	o.nextAgentCheck = now.Add(agentCheckInterval)
 	o.fleet.tick(now)
+	o.sendAcks()
 	for _, a := range o.fleet.lapsed(now.Add(-AgentLapse)) {
 		o.loseAgent(a, SilentHorizon)
 	}
@@ -123,18 +126,27 @@
 		return
 	}
 	o.setLoad(a, f.Load)
-	ack := courier.Acked{Tasks: make([]courier.TaskID, 0, len(f.Records))}
 	for _, rec := range f.Records {
 		o.fleet.unassign(a, rec.Task)
 		if rec.Outcome == courier.Running {
 			continue
 		}
 		o.finishTask(a, rec)
-		ack.Tasks = append(ack.Tasks, rec.Task)
+		a.acks = append(a.acks, rec.Task)
 	}
 	o.useOffer(a, f.Offer)
 	o.dispatch()
-	o.send(name, ack)
+}
+
+// sendAcks acknowledges the results that have arrived since the last time.
+// Agents wait for this only when they drain, so it need not be at once.
+func (o *Owner) sendAcks() {
+	for _, a := range o.fleet.agents {
+		if a.linked && len(a.acks) > 0 {
+			o.send(a.ref.Agent, courier.Acked{Tasks: a.acks})
+			a.acks = nil
+		}
+	}
 }
 
 func (o *Owner) finishTask(a *agent, rec courier.Record) {
@@ -291,6 +303,12 @@
 		o.fail(j, reason, detail)
 		return
 	}
+	o.endNotRun(j, reason, detail, j.onlyCopy)
+}
+
+// endNotRun ends a job of which nothing has started. Certain means that no
+// copy of it can start anything any more.
+func (o *Owner) endNotRun(j *job, reason courier.Reason, detail string, certain bool) {
 	answer := courier.Answer{
 		Job:        j.id,
 		State:      courier.NotRun,
@@ -307,7 +325,7 @@
 	s.Attempt = j.attempt
 	o.finish(j, answer)
 	delete(o.jobs, j.id)
-	o.refuseFinally(s, j.onlyCopy, answer, waiters)
+	o.refuseFinally(s, certain, answer, waiters)
 }
 
 // finish gives every caller the final answer and stops what still runs.
--- /dev/null
+++ b/receiver/roster_test.go
@@ -0,0 +1,90 @@
+package receiver
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/courier"
+)
+
+// TestAllEntriesReplaced loses every entry at once while tasks run on an agent
+// that the new entry cannot reach. The new entry knows nothing of that agent,
+// and must not run again what may be running there.
+func TestAllEntriesReplaced(t *testing.T) {
+	w := newWorld(t, 11, 3, 3, 4)
+	c := w.submit("job", 0, 12, 3000, 50*time.Second)
+	w.run(time.Second)
+	require.Len(t, w.starts, 12)
+	for _, e := range w.entries[:3] {
+		w.kill(e.proc)
+	}
+	fresh := w.addEntry("entry-4")
+	w.cut(fresh.proc, w.agents[0].proc, time.Minute)
+	w.run(5 * time.Second)
+	c.entry = 3
+	c.resubmit()
+	w.run(55 * time.Second)
+	w.check()
+	require.Equal(t, courier.Failed, c.last().State, "%+v", c.last())
+}
+
+// TestAgentKnownToOneEntry adds an agent that only one entry can reach. That
+// entry must not use it, since a successor would not know whom to ask.
+func TestAgentKnownToOneEntry(t *testing.T) {
+	w := newWorld(t, 12, 3, 3, 1)
+	lonely := w.addAgent("agent-4", 0, "wien", 8)
+	for _, e := range w.entries[1:] {
+		w.cut(lonely.proc, e.proc, time.Hour)
+	}
+	w.run(3 * time.Second)
+	for i := range 12 {
+		w.submit(fmt.Sprintf("job-%d", i), 0, 4, 1000, 50*time.Second)
+	}
+	w.run(1500 * time.Millisecond)
+	w.kill(w.entries[0].proc)
+	w.run(55 * time.Second)
+	w.check()
+	for _, s := range w.startLog {
+		require.NotEqual(t, lonely, s.agent, "%v was started where a successor cannot ask", s.task)
+	}
+}
+
+// TestPausedEntryForgetsItsRoster pauses an entry while an agent joins, and
+// kills the owner that used the agent before the paused entry wakes. What the
+// owner said before the agent joined may wait in a buffer meanwhile.
+func TestPausedEntryForgetsItsRoster(t *testing.T) {
+	for _, heard := range []time.Duration{0, time.Second} {
+		t.Run(fmt.Sprintf("heard for %v", heard), func(t *testing.T) {
+			w := newWorld(t, 13, 2, 1, 1)
+			sleeper, owner := w.entries[0], w.entries[1]
+			w.pause(sleeper.proc, 10*time.Second)
+			w.run(heard)
+			w.cut(sleeper.proc, owner.proc, time.Hour)
+			w.run(4 * time.Second)
+			late := w.addAgent("agent-2", 0, "graz", 8)
+			w.cut(sleeper.proc, late.proc, time.Hour)
+			w.run(2 * time.Second)
+			c := w.submit("job", 1, 6, 6000, 50*time.Second)
+			w.run(time.Second)
+			require.NotEmpty(t, w.startsOn(late), "the owner did not use the new agent")
+			w.kill(owner.proc)
+			w.run(55 * time.Second)
+			w.check()
+			require.NotEqual(t, courier.NotRun, c.last().State)
+		})
+	}
+}
+
+// startsOn returns the starts on an agent.
+func (w *world) startsOn(a *simAgent) []startEvent {
+	var out []startEvent
+	for _, s := range w.startLog {
+		if s.agent == a {
+			out = append(out, s)
+		}
+	}
+	return out
+}
