--- a/receiver/world_test.go
+++ b/receiver/world_test.go
@@ -328,17 +328,6 @@
 	w.wires = live
 }
 
-// wiresOf returns the open wires that end at p.
-func (w *world) wiresOf(p *process) []*wire {
-	var out []*wire
-	for _, x := range w.wires {
-		if x.a.owner == p || x.b.owner == p {
-			out = append(out, x)
-		}
-	}
-	return out
-}
-
 // payload returns the payload of a task that runs for a time.
 func payload(millis int) json.RawMessage {
 	return json.RawMessage(fmt.Sprintf(`{"Millis":%d}`, millis))
