--- a/agent/agent.go
+++ b/agent/agent.go
@@ -66,7 +66,7 @@
 func NewAgent(deps provider.Deps, cfg Config) (*Agent, error) {
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
-		return nil, &Error{Op: "listen", Kind: Unusable, Err: err}
+		return nil, &Error{Op: "Listen", Kind: Unusable, Err: err}
 	}
 	deps = deps.WithField("agent", cfg.ID).WithField("data_centre", cfg.DataCentre)
 	a := &Agent{
--- a/receiver/http.go
+++ b/receiver/http.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -28,9 +27,6 @@
 	queryTimeout = 3 * time.Second
 )
 
-// requestGauge counts the requests being handled.
-type requestGauge struct{ n atomic.Int64 }
-
 // Problem is the body of an answer to a bad request.
 type Problem struct {
 	// Field is the part of the request at fault.
@@ -55,8 +51,8 @@
 }
 
 func (r *Receiver) serveSubmit(w http.ResponseWriter, req *http.Request) {
-	r.handling.n.Add(1)
-	defer r.handling.n.Add(-1)
+	r.handling.Add(1)
+	defer r.handling.Add(-1)
 	s, p := r.parse(http.MaxBytesReader(w, req.Body, MaxBodyBytes))
 	if p != nil {
 		writeProblem(w, *p)
@@ -198,7 +194,7 @@
 		return nil, err
 	}
 	dump := answer.(Dump)
-	dump.Requests = r.handling.n.Load()
+	dump.Requests = r.handling.Load()
 	return dump, nil
 }
 
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -74,19 +75,20 @@
 	system   *actor.ActorSystem
 	pid      *actor.PID
 	peers    *peerSet
-	handling requestGauge
+	// handling counts the submissions being handled.
+	handling atomic.Int64
 }
 
 // NewReceiver returns an entry that listens already.
 func NewReceiver(deps provider.Deps, cfg Config, store Store) (*Receiver, error) {
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
-		return nil, &Error{Op: "listen for callers", Kind: Unusable, Err: err}
+		return nil, &Error{Op: "Listen", Kind: Unusable, Err: err}
 	}
 	links, err := net.Listen("tcp", cfg.Link)
 	if err != nil {
 		_ = listener.Close()
-		return nil, &Error{Op: "listen for links", Kind: Unusable, Err: err}
+		return nil, &Error{Op: "Link", Kind: Unusable, Err: err}
 	}
 	r := &Receiver{
 		deps:     deps.WithField("entry", cfg.ID).WithField("data_centre", cfg.DataCentre),
--- a/receiver/roster_test.go
+++ b/receiver/roster_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/router"
 )
 
 // TestAllEntriesReplaced loses every entry at once while tasks run on an agent
@@ -78,6 +79,33 @@
 	}
 }
 
+// TestOwnerAndAgentDieTogether loses the owner of a relayed job together with
+// the only agent that has a record of it. The entry that relayed it sends it to
+// the next owner, which must not take that copy for the first one.
+func TestOwnerAndAgentDieTogether(t *testing.T) {
+	w := newWorld(t, 14, 3, 3, 4)
+	key := ownedBy("entry-2")
+	c := w.submit(key, 0, 1, 3000, 50*time.Second)
+	w.run(time.Second)
+	require.Len(t, w.startLog, 1)
+	w.kill(w.startLog[0].agent.proc)
+	w.kill(w.entries[1].proc)
+	w.run(55 * time.Second)
+	w.check()
+	require.Equal(t, courier.Failed, c.last().State, "%+v", c.last())
+}
+
+// ownedBy returns a key that falls to one of three entries.
+func ownedBy(entry string) string {
+	for i := 0; ; i++ {
+		key := fmt.Sprintf("key-%d", i)
+		p := router.PartitionOf("team/" + key)
+		if router.Owner(p, []string{"entry-1", "entry-2", "entry-3"}) == entry {
+			return key
+		}
+	}
+}
+
 // startsOn returns the starts on an agent.
 func (w *world) startsOn(a *simAgent) []startEvent {
 	var out []startEvent
