dispatcher: Count refused starts by reason

All 341 refusals were Busy: jobs of 30 tasks take slots that the other owners' reports still show as free. Ruled out: TakenOut and NotFresh, of which there was none. No change of policy; the reasons are in the dump now.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -144,6 +144,8 @@
 	budget    retryBudget
 	demand    demandState
 	counts    Counts
+	// refusedFor counts the refused starts by reason.
+	refusedFor map[courier.Refusal]uint64
 
 	effects []Effect
 }
@@ -183,6 +185,7 @@
 		waiters:         make(map[Waiter]*job),
 		refused:         make(map[string]refusedAttempt),
 		refusals:        make(map[string]*refusal),
+		refusedFor:      make(map[courier.Refusal]uint64),
 		inherited:       make(map[string]*inheritance),
 		queue:           newQueue(cfg.Order),
 		fleet:           newFleet(),
--- a/dispatcher/dump.go
+++ b/dispatcher/dump.go
@@ -1,12 +1,15 @@
 package dispatcher
 
 import (
+	"maps"
+
 	"github.com/pomeloferry/pomeloferry/courier"
 )
 
 // Dump is an owner's state as operators see it.
 type Dump struct {
 	Counts        Counts
+	RefusedFor    map[courier.Refusal]uint64
 	Serving       int
 	Jobs          int
 	Unfinished    int
@@ -36,6 +39,7 @@
 func (o *Owner) Dump() Dump {
 	d := Dump{
 		Counts:        o.counts,
+		RefusedFor:    maps.Clone(o.refusedFor),
 		Serving:       o.Serves(),
 		Jobs:          len(o.jobs),
 		WaitingTasks:  o.queue.tasks,
--- a/dispatcher/settle.go
+++ b/dispatcher/settle.go
@@ -189,6 +189,7 @@
 	}
 	o.setLoad(a, r.Load)
 	o.counts.Refused++
+	o.refusedFor[r.Reason]++
 	if j := o.refusedJob(a, r); j != nil {
 		o.fleet.unassign(a, r.Task)
 		o.putBackRefused(a, j, r.Task.Index, r.Reason)
