dispatcher: Tell agents of waiting tasks at once

Cause: at 80% load of mixed sizes single tasks of 50 to 100 ms waited 50 ms and more for a slot, though one becomes free every 6.5 ms: the demand went out at the next tick of 20 ms, to two agents, and to all a tick later. It now goes out with the event, to 16 agents when no slot is known to be free; and it is withdrawn with the event too. Ruled out: the order of the queue, by which such a task is next at once.

--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -28,9 +28,16 @@
 func (Polling) choose(o *Owner, service string) *agent { return o.fleet.idle.draw(service, o.rng) }
 func (Polling) asks() bool                             { return false }
 
-// askedPerTask is the number of agents that are asked first for each waiting
-// task. All are asked when tasks still wait at the next tick.
-const askedPerTask = 2
+const (
+	// askedPerTask is the number of agents that are asked first for each
+	// waiting task while some slots may be free.
+	askedPerTask = 2
+	// askedWhenFull is the number asked first while no slot is known to be
+	// free: the next one to become free is wanted, wherever it is.
+	askedWhenFull = 16
+	// askAllAfter is when all agents are asked, if tasks still wait.
+	askAllAfter = 20 * time.Millisecond
+)
 
 // demandState is what the agents were last told of the waiting tasks.
 type demandState struct {
@@ -139,7 +146,7 @@
 	return nil
 }
 
-// reportDemand tells agents how many tasks wait: a few at once when tasks begin
+// reportDemand tells agents how many tasks wait: some at once when tasks begin
 // to wait, all when they still wait later or grow much in number, and from
 // time to time. When none waits any more, those that were told hear of it.
 func (o *Owner) reportDemand(now time.Time) {
@@ -158,13 +165,25 @@
 		*d = demandState{}
 	case n > 0 && d.waiting == 0:
 		d.asked = make(map[*agent]struct{})
-		o.ask(now, n*askedPerTask)
-	case n > 0 && (!d.all || n > 2*d.waiting || now.Sub(d.at) >= DemandInterval):
+		o.ask(now, o.askedFirst(n))
+	case n > 0 && (o.askAllDue(now) || n > 2*d.waiting || now.Sub(d.at) >= DemandInterval):
 		d.all = true
 		o.ask(now, len(o.fleet.agents))
 	}
 }
 
+// askedFirst returns how many agents to ask first for n waiting tasks.
+func (o *Owner) askedFirst(n int) int {
+	if o.fleet.totals.free == 0 {
+		return max(askedWhenFull, n*askedPerTask)
+	}
+	return n * askedPerTask
+}
+
+func (o *Owner) askAllDue(now time.Time) bool {
+	return !o.demand.all && now.Sub(o.demand.at) >= askAllAfter
+}
+
 // ask tells up to limit agents, drawn at random, how many tasks wait.
 func (o *Owner) ask(now time.Time, limit int) {
 	n := o.queue.tasks
--- a/dispatcher/settle.go
+++ b/dispatcher/settle.go
@@ -136,6 +136,7 @@
 	}
 	o.useOffer(a, f.Offer)
 	o.dispatch()
+	o.reportDemand(o.clock.Now())
 }
 
 // sendAcks acknowledges the results that have arrived since the last time.
@@ -178,6 +179,7 @@
 	}
 	o.setLoad(a, f.Load)
 	o.useOffer(a, f.Offer)
+	o.reportDemand(o.clock.Now())
 }
 
 // Refused takes an agent's word that tasks have not started.
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -20,6 +20,7 @@
 	case serving:
 		o.admit(r)
 		o.dispatch()
+		o.reportDemand(o.clock.Now())
 	case claiming:
 		part.parked = append(part.parked, r)
 	default:
