--- /dev/null
+++ b/receiver/agents.go
@@ -0,0 +1,74 @@
+package receiver
+
+import (
+	"github.com/pomeloferry/pomeloferry/courier"
+)
+
+// agentLink is a link on which an agent has announced itself.
+type agentLink struct {
+	name   string
+	number uint64
+	// bundleVersion is the version that the agent works under.
+	bundleVersion uint64
+}
+
+func (c *core) receiveFromAgent(a agentLink, msg any) {
+	switch m := msg.(type) {
+	case *courier.ClaimReply:
+		c.owner.Claimed(a.name, a.number, *m)
+	case *courier.Forbidden:
+		c.owner.Forbidden(a.name, a.number, *m)
+	case *courier.Finished:
+		c.owner.Finished(a.name, a.number, *m)
+	case *courier.Refuse:
+		c.owner.Refused(a.name, a.number, *m)
+	case *courier.Offer:
+		c.owner.Offered(a.name, a.number, *m)
+	case *courier.Superseded:
+		c.owner.Superseded(*m)
+	}
+}
+
+// announced takes an agent's heartbeat and answers it. The answer goes out
+// before anything else on a new link, since it names this entry.
+func (c *core) announced(l link, an courier.Announce) {
+	known, ok := c.agents[l]
+	reply := c.announceReply(an)
+	if !ok {
+		reply.Terms = c.owner.Terms()
+	}
+	l.Send(reply)
+	c.agents[l] = agentLink{name: an.Agent, number: an.LinkNumber, bundleVersion: an.BundleVersion}
+	if ok {
+		if known.number == an.LinkNumber {
+			c.owner.AgentSeen(an)
+		}
+		return
+	}
+	if old := c.byAgent[an.Agent]; old != nil {
+		delete(c.agents, old)
+		old.Close()
+	}
+	c.byAgent[an.Agent] = l
+	c.owner.AgentUp(an)
+}
+
+func (c *core) announceReply(an courier.Announce) courier.AnnounceReply {
+	confirmed := c.confirmer.Confirmed()
+	bundle := c.confirmer.Bundle()
+	reply := courier.AnnounceReply{
+		Entry:         c.info,
+		Entries:       c.registrar.Alive(),
+		Stamp:         an.Stamp,
+		Fresh:         !confirmed.IsZero(),
+		Age:           max(0, c.deps.Clock.Since(confirmed)),
+		BundleVersion: bundle.Version,
+	}
+	if an.BundleVersion < bundle.Version {
+		reply.Policy = &courier.AgentPolicy{
+			BundleVersion:  bundle.Version,
+			OutDataCentres: bundle.OutDataCentres(),
+		}
+	}
+	return reply
+}
--- /dev/null
+++ b/receiver/bundle.go
@@ -0,0 +1,71 @@
+package receiver
+
+import (
+	"encoding/json"
+
+	"github.com/pomeloferry/pomeloferry/approver"
+	"github.com/pomeloferry/pomeloferry/confirmer"
+	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/starter"
+)
+
+// adopt takes what was in the store.
+func (c *core) adopt(m bundleRead) {
+	old := c.confirmer.Bundle().Version
+	c.confirmer.StoreRead(m.at, m.signed, m.bundle, m.voters)
+	c.bundleChanged(old, "store")
+}
+
+// bundleChanged logs a bundle newer than version old, and tells the owner.
+func (c *core) bundleChanged(old uint64, source string) {
+	if b := c.confirmer.Bundle(); b.Version != old {
+		c.deps.Log.WithField("bundle_version", b.Version).WithField("source", source).Info("bundle in force")
+	}
+	c.refreshBundle()
+}
+
+func (c *core) refreshBundle() {
+	c.owner.SetBundle(c.confirmer.Bundle(), c.confirmer.Confirmed().Add(starter.FreshFor))
+}
+
+// adoptFromPeer takes over a newer bundle and a newer list of voters. The
+// bundle's signature is checked again, since peers are not trusted with it.
+func (c *core) adoptFromPeer(h courier.PeerHello) {
+	var voters confirmer.Voters
+	if len(h.Voters) > 0 && json.Unmarshal(h.Voters, &voters) == nil {
+		c.confirmer.AdoptVoters(voters)
+	}
+	if len(h.Bundle) == 0 {
+		return
+	}
+	var signed approver.Signed
+	err := json.Unmarshal(h.Bundle, &signed)
+	if err == nil {
+		var b approver.Bundle
+		if b, err = c.cfg.Trust.Verify(signed); err == nil {
+			c.confirmer.Adopt(signed, b)
+		}
+	}
+	if err != nil {
+		c.deps.Log.WithError(err).WithField("from", h.Entry.ID).Error("bundle refused")
+	}
+}
+
+// registration returns what the entry writes about itself.
+func (c *core) registration() Registration {
+	reg := Registration{
+		Entry:         c.info,
+		Incarnation:   c.incarnation,
+		DataCentre:    c.cfg.DataCentre,
+		BundleVersion: c.confirmer.Bundle().Version,
+		VotersVersion: c.confirmer.Voters().Version,
+		Agents:        len(c.agents),
+		SeenAt:        c.deps.Clock.Now(),
+	}
+	for _, a := range c.agents {
+		if a.bundleVersion == reg.BundleVersion {
+			reg.AgentsInForce++
+		}
+	}
+	return reg
+}
--- a/receiver/core.go
+++ b/receiver/core.go
@@ -13,7 +13,6 @@
 	"github.com/pomeloferry/pomeloferry/dispatcher"
 	"github.com/pomeloferry/pomeloferry/provider"
 	"github.com/pomeloferry/pomeloferry/registrar"
-	"github.com/pomeloferry/pomeloferry/starter"
 )
 
 // The messages of the core actor.
@@ -78,20 +77,6 @@
 	Close()
 }
 
-// agentLink is a link on which an agent has announced itself.
-type agentLink struct {
-	name   string
-	number uint64
-	// bundleVersion is the version that the agent works under.
-	bundleVersion uint64
-}
-
-// relayKey names a relayed request of another entry.
-type relayKey struct {
-	link link
-	id   uint64
-}
-
 // core owns the dispatcher and the view of the entries. It handles one message
 // at a time, without input or output but through the links.
 type core struct {
@@ -240,86 +225,6 @@
 	}
 }
 
-func (c *core) receiveFromAgent(a agentLink, msg any) {
-	switch m := msg.(type) {
-	case *courier.ClaimReply:
-		c.owner.Claimed(a.name, a.number, *m)
-	case *courier.Forbidden:
-		c.owner.Forbidden(a.name, a.number, *m)
-	case *courier.Finished:
-		c.owner.Finished(a.name, a.number, *m)
-	case *courier.Refuse:
-		c.owner.Refused(a.name, a.number, *m)
-	case *courier.Offer:
-		c.owner.Offered(a.name, a.number, *m)
-	case *courier.Superseded:
-		c.owner.Superseded(*m)
-	}
-}
-
-// announced takes an agent's heartbeat and answers it. The answer goes out
-// before anything else on a new link, since it names this entry.
-func (c *core) announced(l link, an courier.Announce) {
-	known, ok := c.agents[l]
-	reply := c.announceReply(an)
-	if !ok {
-		reply.Terms = c.owner.Terms()
-	}
-	l.Send(reply)
-	c.agents[l] = agentLink{name: an.Agent, number: an.LinkNumber, bundleVersion: an.BundleVersion}
-	if ok {
-		if known.number == an.LinkNumber {
-			c.owner.AgentSeen(an)
-		}
-		return
-	}
-	if old := c.byAgent[an.Agent]; old != nil {
-		delete(c.agents, old)
-		old.Close()
-	}
-	c.byAgent[an.Agent] = l
-	c.owner.AgentUp(an)
-}
-
-func (c *core) announceReply(an courier.Announce) courier.AnnounceReply {
-	confirmed := c.confirmer.Confirmed()
-	bundle := c.confirmer.Bundle()
-	reply := courier.AnnounceReply{
-		Entry:         c.info,
-		Entries:       c.registrar.Alive(),
-		Stamp:         an.Stamp,
-		Fresh:         !confirmed.IsZero(),
-		Age:           max(0, c.deps.Clock.Since(confirmed)),
-		BundleVersion: bundle.Version,
-	}
-	if an.BundleVersion < bundle.Version {
-		reply.Policy = &courier.AgentPolicy{
-			BundleVersion:  bundle.Version,
-			OutDataCentres: bundle.OutDataCentres(),
-		}
-	}
-	return reply
-}
-
-// adopt takes what was in the store.
-func (c *core) adopt(m bundleRead) {
-	old := c.confirmer.Bundle().Version
-	c.confirmer.StoreRead(m.at, m.signed, m.bundle, m.voters)
-	c.bundleChanged(old, "store")
-}
-
-// bundleChanged logs a bundle newer than version old, and tells the owner.
-func (c *core) bundleChanged(old uint64, source string) {
-	if b := c.confirmer.Bundle(); b.Version != old {
-		c.deps.Log.WithField("bundle_version", b.Version).WithField("source", source).Info("bundle in force")
-	}
-	c.refreshBundle()
-}
-
-func (c *core) refreshBundle() {
-	c.owner.SetBundle(c.confirmer.Bundle(), c.confirmer.Confirmed().Add(starter.FreshFor))
-}
-
 // heard takes the heartbeat of another entry.
 func (c *core) heard(h courier.PeerHello) {
 	c.registrar.Heard(h)
@@ -338,29 +243,6 @@
 	c.bundleChanged(old, h.Entry.ID)
 }
 
-// adoptFromPeer takes over a newer bundle and a newer list of voters. The
-// bundle's signature is checked again, since peers are not trusted with it.
-func (c *core) adoptFromPeer(h courier.PeerHello) {
-	var voters confirmer.Voters
-	if len(h.Voters) > 0 && json.Unmarshal(h.Voters, &voters) == nil {
-		c.confirmer.AdoptVoters(voters)
-	}
-	if len(h.Bundle) == 0 {
-		return
-	}
-	var signed approver.Signed
-	err := json.Unmarshal(h.Bundle, &signed)
-	if err == nil {
-		var b approver.Bundle
-		if b, err = c.cfg.Trust.Verify(signed); err == nil {
-			c.confirmer.Adopt(signed, b)
-		}
-	}
-	if err != nil {
-		c.deps.Log.WithError(err).WithField("from", h.Entry.ID).Error("bundle refused")
-	}
-}
-
 // hello returns the heartbeat for another entry. The roster in it is complete
 // for its receiver once the receiver's own heartbeat has arrived here: from
 // then on an agent is used only when the receiver knows it.
@@ -390,45 +272,6 @@
 	return h
 }
 
-// registration returns what the entry writes about itself.
-func (c *core) registration() Registration {
-	reg := Registration{
-		Entry:         c.info,
-		Incarnation:   c.incarnation,
-		DataCentre:    c.cfg.DataCentre,
-		BundleVersion: c.confirmer.Bundle().Version,
-		VotersVersion: c.confirmer.Voters().Version,
-		Agents:        len(c.agents),
-		SeenAt:        c.deps.Clock.Now(),
-	}
-	for _, a := range c.agents {
-		if a.bundleVersion == reg.BundleVersion {
-			reg.AgentsInForce++
-		}
-	}
-	return reg
-}
-
-func (c *core) relayed(l link, m courier.Relay) {
-	key := relayKey{link: l, id: m.ID}
-	w := c.newWaiter(func(a courier.Answer) {
-		delete(c.relays, key)
-		l.Send(courier.RelayReply{ID: m.ID, Answer: a})
-	})
-	c.relays[key] = w
-	c.owner.Submit(newRequest(m.Submission, m.Resent, w))
-}
-
-func (c *core) relayLeft(key relayKey) {
-	w, ok := c.relays[key]
-	if !ok {
-		return
-	}
-	delete(c.relays, key)
-	delete(c.answers, w)
-	c.owner.Leave(w)
-}
-
 // closed notes the end of an accepted link. The jobs relayed over it go on,
 // since their entry asks again over a new link.
 func (c *core) closed(l link) {
--- /dev/null
+++ b/receiver/relay.go
@@ -0,0 +1,31 @@
+package receiver
+
+import (
+	"github.com/pomeloferry/pomeloferry/courier"
+)
+
+// relayKey names a relayed request of another entry.
+type relayKey struct {
+	link link
+	id   uint64
+}
+
+func (c *core) relayed(l link, m courier.Relay) {
+	key := relayKey{link: l, id: m.ID}
+	w := c.newWaiter(func(a courier.Answer) {
+		delete(c.relays, key)
+		l.Send(courier.RelayReply{ID: m.ID, Answer: a})
+	})
+	c.relays[key] = w
+	c.owner.Submit(newRequest(m.Submission, m.Resent, w))
+}
+
+func (c *core) relayLeft(key relayKey) {
+	w, ok := c.relays[key]
+	if !ok {
+		return
+	}
+	delete(c.relays, key)
+	delete(c.answers, w)
+	c.owner.Leave(w)
+}
