--- a/agent/actor.go
+++ b/agent/actor.go
@@ -208,6 +208,7 @@
 	} else {
 		s.ledger.Confirm(r)
 	}
+	s.agent.deps.BundleVersion.Store(s.ledger.BundleVersion())
 	s.agent.links.learn(r.Entries)
 }
 
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -25,7 +25,10 @@
 	"github.com/pomeloferry/pomeloferry/worker"
 )
 
-const loopback = "127.0.0.1:0"
+const (
+	loopback  = "127.0.0.1:0"
+	storeName = "store"
+)
 
 // Approver is the name under which a launched deployment's bundles are signed.
 const Approver = "approver"
@@ -85,7 +88,7 @@
 }
 
 func (d *Deployment) start() error {
-	addr, err := d.serve("store", d.Store)
+	addr, err := d.serve(storeName, d.Store)
 	if err != nil {
 		return err
 	}
@@ -237,16 +240,22 @@
 	<-p.done
 }
 
-// Stop ends every process.
+// Stop ends every process, the store last.
 func (d *Deployment) Stop() {
 	d.mu.Lock()
 	list := d.processes
 	d.processes = make(map[string]process)
 	d.mu.Unlock()
+	store := list[storeName]
+	delete(list, storeName)
 	for _, p := range list {
 		p.stop()
 	}
 	for _, p := range list {
 		<-p.done
 	}
+	if store.stop != nil {
+		store.stop()
+		<-store.done
+	}
 }
--- a/provider/provider.go
+++ b/provider/provider.go
@@ -5,6 +5,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/jonboulle/clockwork"
@@ -19,6 +20,9 @@
 	Log *logrus.Entry
 	// Metrics is served at /metrics. It is never nil.
 	Metrics *metrics.Set
+	// BundleVersion is the version of the bundle in force at the process.
+	// Every log line names it.
+	BundleVersion *atomic.Uint64
 }
 
 // NewDeps returns the dependencies of a real process that logs to w.
@@ -26,13 +30,34 @@
 	log := logrus.New()
 	log.SetOutput(w)
 	log.SetFormatter(&logrus.JSONFormatter{})
+	version := &atomic.Uint64{}
+	log.AddHook(versionHook{version: version})
 	return Deps{
-		Clock:   clockwork.NewRealClock(),
-		Log:     logrus.NewEntry(log),
-		Metrics: metrics.NewSet(),
+		Clock:         clockwork.NewRealClock(),
+		Log:           logrus.NewEntry(log),
+		Metrics:       metrics.NewSet(),
+		BundleVersion: version,
 	}
 }
 
+// versionHook adds the version of the bundle in force to log lines that do not
+// name another one.
+type versionHook struct {
+	version *atomic.Uint64
+}
+
+// Levels implements logrus.Hook.
+func (versionHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (h versionHook) Fire(e *logrus.Entry) error {
+	const field = "bundle_version"
+	if _, ok := e.Data[field]; !ok {
+		e.Data[field] = h.version.Load()
+	}
+	return nil
+}
+
 // WithField returns a copy of d whose log lines carry one more field.
 func (d Deps) WithField(key string, value any) Deps {
 	d.Log = d.Log.WithField(key, value)
--- a/receiver/bundle.go
+++ b/receiver/bundle.go
@@ -19,6 +19,7 @@
 // bundleChanged logs a bundle newer than version old, and tells the owner.
 func (c *core) bundleChanged(old uint64, source string) {
 	if b := c.confirmer.Bundle(); b.Version != old {
+		c.deps.BundleVersion.Store(b.Version)
 		c.deps.Log.WithField("bundle_version", b.Version).WithField("source", source).Info("bundle in force")
 	}
 	c.refreshBundle()
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -195,6 +195,9 @@
 	return true
 }
 
+// BundleVersion returns the version of the policy in force.
+func (l *Ledger) BundleVersion() uint64 { return l.policy.BundleVersion }
+
 // LinkUp notes a new link to an entry; the old link's messages are refused
 // from now on.
 func (l *Ledger) LinkUp(entry string, link uint64) {
