receiver: Drop peers that nobody knows any more

Cause: an entry dialled the address of every entry it had ever heard of, for ever; the comment said otherwise. Addresses that the view has forgotten (after a minute) are dropped now, those of the settings stay. TestPeersThatAreForgottenAreDropped failed before.

--- a/courier/submission.go
+++ b/courier/submission.go
@@ -46,8 +46,8 @@
 	NotRun State = "NotRun"
 	// Pending means that the job is still being worked on.
 	Pending State = "Pending"
-	// Unheard means that the asked entry knows nothing about the job.
-	Unheard State = "Unknown"
+	// Unknown means that the asked entry knows nothing about the job.
+	Unknown State = "Unknown"
 	// Moved is never shown to callers: another entry owns the job now.
 	Moved State = "Moved"
 	// Conflict means that the key is in use by another body.
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -220,7 +220,7 @@
 
 // State returns what is known of a job.
 func (o *Owner) State(id string) courier.Answer {
-	a := courier.Answer{Job: id, State: courier.Unheard, BundleVersion: o.bundle.Version, Entry: o.cfg.Entry}
+	a := courier.Answer{Job: id, State: courier.Unknown, BundleVersion: o.bundle.Version, Entry: o.cfg.Entry}
 	p := router.PartitionOf(id)
 	if o.partitions[p].state == foreign {
 		a.State = courier.Moved
--- a/receiver/http.go
+++ b/receiver/http.go
@@ -140,7 +140,7 @@
 		http.Error(w, "the owner of the job does not answer", http.StatusServiceUnavailable)
 		return
 	}
-	if a.State == courier.Unheard {
+	if a.State == courier.Unknown {
 		writeJSON(w, http.StatusNotFound, a)
 		return
 	}
--- a/receiver/peer.go
+++ b/receiver/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 type peer struct {
 	set    *peerSet
 	target string
+	// stop ends the link and its goroutine.
+	stop context.CancelFunc
 
 	mu   sync.Mutex
 	id   string
@@ -53,10 +56,21 @@
 }
 
 // learn adds the link addresses of entries and drops those no longer known.
+// Those named in the settings stay.
 func (s *peerSet) learn(entries []courier.EntryInfo) {
+	known := make(map[string]bool, len(entries))
 	for _, e := range entries {
+		known[e.Link] = true
 		s.add(e.Link, e.ID)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for target, p := range s.peers {
+		if !known[target] && !slices.Contains(s.receiver.cfg.Peers, target) {
+			p.stop()
+			delete(s.peers, target)
+		}
+	}
 }
 
 func (s *peerSet) add(target, id string) {
@@ -65,9 +79,10 @@
 	if s.ctx == nil || target == s.receiver.info.Link || s.peers[target] != nil {
 		return
 	}
-	p := &peer{set: s, target: target, id: id, pending: make(map[uint64]chan courier.Answer)}
+	ctx, stop := context.WithCancel(s.ctx)
+	p := &peer{set: s, target: target, id: id, stop: stop, pending: make(map[uint64]chan courier.Answer)}
 	s.peers[target] = p
-	go p.run(s.ctx)
+	go p.run(ctx)
 }
 
 // find returns a peer with an open link to the entry called id, or nil.
