receiver: Name the bundle in answers without an owner

Cause: reading the routing as a newcomer: an answer that an entry gives when no owner answered before the deadline had BundleVersion 0, though every answer is to name the version. It names the version in force at the entry now.

--- a/receiver/route.go
+++ b/receiver/route.go
@@ -47,7 +47,9 @@
 		admitted = admitted || a.Admitted || (sent && err != nil)
 		select {
 		case <-limit.Done():
-			return unanswered(r.cfg.ID, s, admitted)
+			a := unanswered(r.cfg.ID, s, admitted)
+			a.BundleVersion = r.deps.BundleVersion.Load()
+			return a
 		case <-r.deps.Clock.After(routePause):
 		}
 	}
