announcer: Serve a dump of every process

Cause: the stand-ins for the store and the upstream had no state dump, and agents and entries served theirs by two copies of the same code. One handler serves all four now, and SIGUSR1 works for all.

--- a/agent/http.go
+++ b/agent/http.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/pomeloferry/pomeloferry/announcer"
 	"github.com/pomeloferry/pomeloferry/worker"
 )
 
@@ -13,7 +14,7 @@
 func (a *Agent) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /announce", a.serveAnnounce)
-	mux.HandleFunc("GET /dump", a.serveDump)
+	mux.Handle("GET /dump", announcer.ServeDump(a))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		a.deps.Metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
@@ -37,17 +38,5 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (a *Agent) serveDump(w http.ResponseWriter, _ *http.Request) {
-	dump, err := a.Dump()
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	e := json.NewEncoder(w)
-	e.SetIndent("", "  ")
-	_ = e.Encode(dump)
-}
-
 // Dump returns the state of the ledger, for operators.
 func (a *Agent) Dump() (any, error) { return a.ask(dumpQuestion{}) }
--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -29,6 +30,21 @@
 	Dump() (any, error)
 }
 
+// ServeDump returns a handler that writes the state of d as JSON.
+func ServeDump(d Dumper) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		dump, err := d.Dump()
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		_ = e.Encode(dump)
+	})
+}
+
 // DumpOnSignal logs the state of d whenever the process gets SIGUSR1, until
 // ctx ends.
 func DumpOnSignal(ctx context.Context, deps provider.Deps, d Dumper) {
--- a/commander/process.go
+++ b/commander/process.go
@@ -122,7 +122,9 @@
 
 // Run implements the command.
 func (c *storeCommand) Run(env *environment) error {
-	return serve(env.ctx, c.Listen, storer.NewStore(env.deps.Clock).Handler(), nil)
+	s := storer.NewStore(env.deps.Clock)
+	go announcer.DumpOnSignal(env.ctx, env.deps, s)
+	return serve(env.ctx, c.Listen, s.Handler(), nil)
 }
 
 type upstreamCommand struct{ processFlags }
@@ -150,6 +152,7 @@
 		},
 		Agent: a.Listen,
 	})
+	go announcer.DumpOnSignal(env.ctx, env.deps, w)
 	return serve(env.ctx, u.Listen, w.Handler(), w)
 }
 
--- a/receiver/http.go
+++ b/receiver/http.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/pomeloferry/pomeloferry/announcer"
 	"github.com/pomeloferry/pomeloferry/approver"
 	"github.com/pomeloferry/pomeloferry/courier"
 )
@@ -45,7 +46,7 @@
 	mux.HandleFunc("DELETE /v1/jobs/{team}/{key}", func(w http.ResponseWriter, req *http.Request) {
 		r.serveQuery(w, req, true)
 	})
-	mux.HandleFunc("GET /dump", r.serveDump)
+	mux.Handle("GET /dump", announcer.ServeDump(r))
 	mux.HandleFunc("GET /metrics", r.serveMetrics)
 	return mux
 }
@@ -178,15 +179,6 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-func (r *Receiver) serveDump(w http.ResponseWriter, _ *http.Request) {
-	dump, err := r.Dump()
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		return
-	}
-	writeJSON(w, http.StatusOK, dump)
-}
-
 // Dump returns the state of the entry, for operators.
 func (r *Receiver) Dump() (any, error) {
 	answer, err := r.ask(dumpQuestion{})
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -14,6 +14,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/pomeloferry/pomeloferry/announcer"
 	"github.com/pomeloferry/pomeloferry/keeper"
 )
 
@@ -148,8 +149,8 @@
 	return string(b)
 }
 
-// Handler returns the store's interface, and one at /fault to set a Fault and
-// one at /calls to read the numbers of calls, for experiments.
+// Handler returns the store's interface, and for experiments /fault to set a
+// Fault, /calls to read the numbers of calls, and /dump.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/v3/", s)
@@ -161,6 +162,7 @@
 		}
 		s.SetFault(f)
 	})
+	mux.Handle("GET /dump", announcer.ServeDump(s))
 	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) {
 		reads, writes := s.Calls()
 		_ = json.NewEncoder(w).Encode(map[string]int{"Reads": reads, "Writes": writes})
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/pomeloferry/pomeloferry/announcer"
 	"github.com/pomeloferry/pomeloferry/provider"
 )
 
@@ -184,6 +185,7 @@
 	mux.HandleFunc("GET /starts", func(rw http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(rw).Encode(w.Starts())
 	})
+	mux.Handle("GET /dump", announcer.ServeDump(w))
 	mux.HandleFunc("POST /behaviour", func(rw http.ResponseWriter, r *http.Request) {
 		var b Behaviour
 		if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
