dispatcher: Name the field that the bundle does not allow

Cause: an unknown service and too many tasks for a service got the same sentence, which named neither. The detail now names Service or Tasks, the value found and the value allowed. TestWhatTheBundleDoesNotAllowIsNamed covers both; the tests of dispatcher pass, and those of receiver on worlds and bundles.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -210,6 +210,21 @@
 	require.Empty(t, b.running["agent-0"])
 }
 
+func TestWhatTheBundleDoesNotAllowIsNamed(t *testing.T) {
+	b := newBench(1, 1)
+	bundle := testBundle()
+	bundle.Version = 2
+	bundle.Services[0].TaskLimit = 2
+	b.owner.SetBundle(bundle, b.clock.Now().Add(time.Hour))
+	many := b.replies[b.submit("many", 3, time.Second)]
+	require.Equal(t, courier.NotRun, many.State)
+	require.Contains(t, many.Detail, "Tasks: found 3, allowed up to 2")
+	s := courier.Submission{Team: "team", Key: "odd", Service: "odd", Attempt: 1, Deadline: b.clock.Now().Add(time.Second)}
+	b.owner.Submit(Request{Submission: s, Waiter: 99})
+	b.pump()
+	require.Contains(t, b.replies[99].Detail, `Service: found "odd", allowed a service of bundle version 2`)
+}
+
 // TestCancellationWave cancels 1,000 waiting jobs: the slots stay in use for
 // others, and every caller is answered.
 func TestCancellationWave(t *testing.T) {
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -97,9 +97,8 @@
 		o.refuse(r, courier.ReasonDeadline, "the deadline has passed", 0)
 		return
 	}
-	service, ok := o.bundle.Service(s.Service)
-	if !ok || len(s.Tasks) > service.TaskLimit {
-		o.refuse(r, courier.ReasonUnknownService, "the bundle in force has no such service, or a lower task limit", 0)
+	if detail := o.serviceFault(s); detail != "" {
+		o.refuse(r, courier.ReasonUnknownService, detail, 0)
 		return
 	}
 	if !o.fleet.canServe(s.Service) {
@@ -114,6 +113,19 @@
 	o.queue.add(j, j.waitingTasks)
 }
 
+// serviceFault names the field of s that the bundle in force does not allow,
+// or returns "".
+func (o *Owner) serviceFault(s courier.Submission) string {
+	service, ok := o.bundle.Service(s.Service)
+	if !ok {
+		return fmt.Sprintf("Service: found %q, allowed a service of bundle version %d", s.Service, o.bundle.Version)
+	}
+	if n := len(s.Tasks); n > service.TaskLimit {
+		return fmt.Sprintf("Tasks: found %d, allowed up to %d for service %q", n, service.TaskLimit, s.Service)
+	}
+	return ""
+}
+
 func (o *Owner) addJob(r Request) *job {
 	j := newJob(r, o.clock.Now())
 	o.jobs[j.id] = j
