dispatcher: Choose the next job in one place

Cause: read through once more, the loop that gives up hopeless jobs stood twice, in dispatch and where an offer is used; nextFor serves both now. registrar kept an incarnation of each entry that nothing read; it is gone. Behaviour is unchanged. Checked: vet, the tests of dispatcher, and of receiver the worlds, take-outs, outages, rosters and the matrix's kills and planned stops (4.5 s); the rest was not run again.

--- a/dispatcher/placement.go
+++ b/dispatcher/placement.go
@@ -63,11 +63,7 @@
 	var batches []*batch
 	byAgent := make(map[*agent]*batch)
 	for _, service := range o.queue.names {
-		for j := o.queue.first(service); j != nil; j = o.queue.first(service) {
-			if o.hopeless(j) {
-				o.giveUp(j, courier.ReasonDeadline, "a task that starts now would miss the deadline")
-				continue
-			}
+		for j := o.nextFor(service); j != nil; j = o.nextFor(service) {
 			a := o.cfg.Placement.choose(o, service)
 			if a == nil {
 				break
@@ -132,16 +128,24 @@
 	o.send(a.ref.Agent, courier.Decline{Offer: offer})
 }
 
-// firstFor returns the job to start next at a, and gives up those that have
-// become hopeless.
+// firstFor returns the job to start next at a, or nil.
 func (o *Owner) firstFor(a *agent) *job {
 	for _, service := range a.services {
-		for j := o.queue.first(service); j != nil; j = o.queue.first(service) {
-			if !o.hopeless(j) {
-				return j
-			}
-			o.giveUp(j, courier.ReasonDeadline, "a task that starts now would miss the deadline")
+		if j := o.nextFor(service); j != nil {
+			return j
+		}
+	}
+	return nil
+}
+
+// nextFor returns the job of service to start next, or nil, and gives up those
+// before it that have become hopeless.
+func (o *Owner) nextFor(service string) *job {
+	for j := o.queue.first(service); j != nil; j = o.queue.first(service) {
+		if !o.hopeless(j) {
+			return j
 		}
+		o.giveUp(j, courier.ReasonDeadline, "a task that starts now would miss the deadline")
 	}
 	return nil
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -29,10 +29,9 @@
 
 // member is what is known of another entry.
 type member struct {
-	info        courier.EntryInfo
-	incarnation string
-	ready       bool
-	leaving     bool
+	info    courier.EntryInfo
+	ready   bool
+	leaving bool
 	// stamp is the last stamp received; the next heartbeat echoes it.
 	stamp         time.Duration
 	bundleVersion uint64
@@ -96,7 +95,6 @@
 	}
 	g.Learn([]courier.EntryInfo{h.Entry})
 	m := g.members[h.Entry.ID]
-	m.incarnation = h.Incarnation
 	m.stamp = h.Stamp
 	m.bundleVersion = h.BundleVersion
 	m.votersVersion = h.VotersVersion
