announcer: Stop a front without dropping a request; soaker: Take ports that stay free

The client trace shows a connection that had not been reused and ended with EOF within 5 ms of the call. Ruled out: idle connections closed as a request crossed (not reused), connections never accepted (those are reset).

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -110,17 +110,17 @@
 		actor.WithMailbox(actor.Bounded(mailboxSize)),
 	))
 	defer a.system.Shutdown()
-	front := &http.Server{
+	front := announcer.NewFront(a.deps.Clock, &http.Server{
 		Handler:           platform.NewFront(a.deps.Clock, a),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleConnTimeout,
-	}
+	}, a.listeners.front)
 	ready := &http.Server{Handler: platform.NewReadyServer(a.isReady), ReadHeaderTimeout: headerTimeout}
 	metrics := &http.Server{Handler: announcer.ServeMetrics(a.deps, a), ReadHeaderTimeout: headerTimeout}
 
 	var g run.Group
 	g.Add(func() error { return a.drainAfter(ctx, inner, front) }, func(error) { cancel() })
-	g.Add(func() error { return a.serveFront(inner, front) }, func(error) { _ = front.Close() })
+	g.Add(func() error { return front.Serve(inner) }, func(error) { front.Close() })
 	g.Add(func() error { return announcer.Serve(ready, a.listeners.ready) }, func(error) { _ = ready.Close() })
 	g.Add(func() error { return announcer.Serve(metrics, a.listeners.metrics) }, func(error) { _ = metrics.Close() })
 	g.Add(func() error { return a.tick(inner) }, func(error) { cancel() })
@@ -137,19 +137,9 @@
 	return !a.stopping.Load() && a.configuration.Load() != nil && a.connected.Load()
 }
 
-// serveFront serves callers. A planned shutdown of the server does not end the
-// run group, since the drain goes on.
-func (a *Acceptor) serveFront(ctx context.Context, s *http.Server) error {
-	err := announcer.Serve(s, a.listeners.front)
-	if err == nil {
-		<-ctx.Done()
-	}
-	return err
-}
-
 // drainAfter waits for the planned stop, turns the balancer away, and waits
 // until every request has been answered.
-func (a *Acceptor) drainAfter(ctx, inner context.Context, front *http.Server) error {
+func (a *Acceptor) drainAfter(ctx, inner context.Context, front *announcer.Front) error {
 	select {
 	case <-ctx.Done():
 	case <-inner.Done():
@@ -160,8 +150,8 @@
 	limit, cancel := context.WithTimeout(inner, a.cfg.Grace-stopReserve)
 	defer cancel()
 	a.deps.Clock.Sleep(leaveDelay)
-	if err := front.Shutdown(limit); err != nil {
-		a.deps.Log.WithError(err).WithField("in_flight", a.handling.Load()).Warn("requests cut off by the end of the grace period")
+	if left := front.Drain(limit); left > 0 {
+		a.deps.Log.WithField("in_flight", left).Warn("requests cut off by the end of the grace period")
 	}
 	return nil
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -114,13 +114,13 @@
 	defer r.system.Shutdown()
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	server := &http.Server{Handler: r.handler(), ReadHeaderTimeout: 5 * time.Second}
+	front := announcer.NewFront(r.deps.Clock, &http.Server{Handler: r.handler(), ReadHeaderTimeout: 5 * time.Second}, r.listener)
 
 	f := &follower{receiver: r}
 
 	var g run.Group
-	g.Add(func() error { return r.drainAfter(ctx, inner, server, f) }, func(error) { cancel() })
-	g.Add(func() error { return r.serveHTTP(inner, server) }, func(error) { _ = server.Close() })
+	g.Add(func() error { return r.drainAfter(ctx, inner, front, f) }, func(error) { cancel() })
+	g.Add(func() error { return front.Serve(inner) }, func(error) { front.Close() })
 	g.Add(func() error { return r.acceptLinks(inner) }, func(error) { _ = r.links.Close() })
 	g.Add(func() error { return r.tick(inner) }, func(error) { cancel() })
 	g.Add(func() error { return r.peers.run(inner) }, func(error) { cancel() })
@@ -138,20 +138,9 @@
 // LinkAddr returns where agents and other entries reach the entry.
 func (r *Receiver) LinkAddr() string { return r.info.Link }
 
-// serveHTTP serves callers; a planned shutdown of the server does not end the
-// run group, since the drain goes on.
-func (r *Receiver) serveHTTP(ctx context.Context, server *http.Server) error {
-	err := server.Serve(r.listener)
-	if err == http.ErrServerClosed {
-		<-ctx.Done()
-		return nil
-	}
-	return err
-}
-
 // drainAfter waits for the planned stop, gives the partitions to the other
 // entries and waits until every request has been answered.
-func (r *Receiver) drainAfter(ctx, inner context.Context, server *http.Server, f *follower) error {
+func (r *Receiver) drainAfter(ctx, inner context.Context, front *announcer.Front, f *follower) error {
 	select {
 	case <-ctx.Done():
 	case <-inner.Done():
@@ -162,8 +151,8 @@
 	r.deps.Clock.Sleep(LeaveDelay)
 	limit, cancel := context.WithTimeout(inner, DrainLimit)
 	defer cancel()
-	if err := server.Shutdown(limit); err != nil {
-		r.deps.Log.WithError(err).Warn("requests cut off by the drain limit")
+	if left := front.Drain(limit); left > 0 {
+		r.deps.Log.WithField("in_flight", left).Warn("requests cut off by the drain limit")
 	}
 	r.awaitIdle(limit)
 	if err := f.write(limit, true); err != nil {
--- a/soaker/deployment_test.go
+++ b/soaker/deployment_test.go
@@ -14,10 +14,12 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/pomeloferry/pomeloferry/platform"
@@ -119,14 +121,29 @@
 	cancel  context.CancelFunc
 }
 
+const (
+	// portFirst and portLast bound the ports of the programs. They lie below
+	// those that the kernel gives to outgoing connections, which would
+	// otherwise take a port between its choice and the program's start.
+	portFirst = 15_000
+	portLast  = 30_000
+)
+
+// nextPort is the last port that was handed out.
+var nextPort atomic.Int64
+
 // freePorts returns ports of loopback that nothing listens on.
 func freePorts(t testing.TB, n int) []int {
 	var out []int
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(out) < n {
+		port := portFirst + int(nextPort.Add(1)-1)%(portLast-portFirst)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
 		require.NoError(t, err)
-		defer l.Close()
-		out = append(out, l.Addr().(*net.TCPAddr).Port)
+		require.NoError(t, l.Close())
+		out = append(out, port)
 	}
 	return out
 }
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -242,5 +242,5 @@
 	defer d.watch.mu.Unlock()
 	t.Logf("%v", d.watch.counts)
 	require.Empty(t, d.watch.broken)
-	require.Zero(t, d.watch.counts["cut off"], "requests cut off by planned stops")
+	require.Zero(t, d.watch.counts["cut off"], "requests cut off by planned stops: %s", d.watch.cuts)
 }
--- a/soaker/watcher_test.go
+++ b/soaker/watcher_test.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"syscall"
@@ -35,6 +36,8 @@
 	evacuated map[string]time.Time
 	broken    []string
 	counts    map[string]int
+	// cuts tells of each request whose connection ended without an answer.
+	cuts []string
 }
 
 func newWatcher() *watcher {
@@ -99,6 +102,15 @@
 	w.counts[what]++
 }
 
+// cutOff notes a request whose connection ended without a whole answer.
+func (w *watcher) cutOff(front, id string, began time.Time, conn httptrace.GotConnInfo, err error) {
+	w.count("cut off")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cuts = append(w.cuts, fmt.Sprintf("%s %s at %s after %s (connection reused: %t, idle before for %s): %v",
+		time.Now().Format(time.RFC3339Nano), id, front, time.Since(began), conn.Reused, conn.IdleTime, err))
+}
+
 // refusal notes that all tries to hand a job in were refused.
 func (w *watcher) refusal(job string) {
 	w.mu.Lock()
@@ -153,12 +165,17 @@
 	r.Host = hostName
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
+	began := time.Now()
+	var conn httptrace.GotConnInfo
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) { conn = i },
+	}))
 	resp, err := client.Do(r)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return "broken", true
 	}
 	if err != nil {
-		w.count("cut off")
+		w.cutOff(front, id, began, conn, err)
 		return "broken", true
 	}
 	defer resp.Body.Close()
@@ -167,7 +184,7 @@
 	}
 	raw, err := io.ReadAll(resp.Body)
 	if err != nil {
-		w.count("cut off")
+		w.cutOff(front, id, began, conn, err)
 		return "broken", true
 	}
 	switch resp.StatusCode {
