scheduler, executor: Share scarce room out by turns; place a report's room at its agent only

Its log shows 7,354 runs in 4 s that lost the race for room told to all entries (NoRoom after 12 ms), and it fell behind: each report of each agent looked at the whole queue at all agents.

Now entries tell what waits; an agent with less room than that tells it to one entry at a time, in proportion; a report places at its own agent only.

Also: an entry refuses nothing for lack of room in the first 150 ms, while it opens its links, and waits for the outcome of its first read of the store; links redial sooner after an outage; only the probe decides on an ejected worker (runs placed before doubled its span); looks at a dead or resetting worker back off (1,200 a second at a flapping one); a stopping entry closes idle connections and refuses jobs that cannot end before it does.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -68,13 +68,18 @@
 	pid         *actor.PID
 	// configuration is the one in force; nil before the first.
 	configuration atomic.Pointer[scheduler.Configuration]
+	// read is closed when the first read of the operators' directives has an
+	// outcome.
+	read chan struct{}
 	// connected is whether a worker can be reached.
 	connected atomic.Bool
 	stopping  atomic.Bool
-	tickets   atomic.Uint64
-	handling  atomic.Int64
-	meters    meters
-	lag       lag
+	// stopBy is when a planned stop ends, in Unix nanoseconds; zero before one.
+	stopBy   atomic.Int64
+	tickets  atomic.Uint64
+	handling atomic.Int64
+	meters   meters
+	lag      lag
 }
 
 // NewAcceptor returns an entry that listens already.
@@ -83,6 +88,7 @@
 		deps:        deps.WithField("entry", cfg.ID).WithField("data_centre", cfg.DataCentre),
 		cfg:         cfg,
 		store:       store,
+		read:        make(chan struct{}),
 		incarnation: deps.Clock.Now().UnixMilli(),
 		meters:      newMeters(deps.Metrics),
 		lag:         lag{clock: deps.Clock},
@@ -145,6 +151,7 @@
 	case <-inner.Done():
 		return nil
 	}
+	a.stopBy.Store(a.deps.Clock.Now().Add(a.cfg.Grace - stopReserve).UnixNano())
 	a.stopping.Store(true)
 	a.deps.Log.WithField("in_flight", a.handling.Load()).Info("entry draining")
 	limit, cancel := context.WithTimeout(inner, a.cfg.Grace-stopReserve)
--- a/acceptor/directives.go
+++ b/acceptor/directives.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -33,8 +34,10 @@
 // follow keeps the configuration up to date until ctx ends.
 func (d *directives) follow(ctx context.Context) error {
 	a := d.acceptor
+	var first sync.Once
 	for ctx.Err() == nil {
 		err := d.next(ctx)
+		first.Do(func() { close(a.read) })
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/acceptor/jobs.go
+++ b/acceptor/jobs.go
@@ -18,6 +18,16 @@
 	return *c, true
 }
 
+// AwaitConfiguration implements platform.Jobs. The first read of the store
+// takes milliseconds; callers who arrive meanwhile are better off waiting for
+// its outcome than coming back later.
+func (a *Acceptor) AwaitConfiguration(ctx context.Context) {
+	select {
+	case <-a.read:
+	case <-ctx.Done():
+	}
+}
+
 // Submit implements platform.Jobs.
 func (a *Acceptor) Submit(ctx context.Context, j scheduler.Job) scheduler.Answer {
 	a.handling.Add(1)
@@ -27,6 +37,10 @@
 		a.Turned(j.ID, "entry is behind by "+behind.String())
 		return scheduler.Answer{Outcome: scheduler.Overloaded, RetryAfter: time.Second, Why: "entry is behind"}
 	}
+	if a.endsTooLate(j) {
+		a.Turned(j.ID, "entry stops before the job can end")
+		return scheduler.Answer{Outcome: scheduler.Unavailable, RetryAfter: time.Second, Why: "entry stops"}
+	}
 	ticket := a.tickets.Add(1)
 	reply := make(chan scheduler.Answer, 1)
 	a.post(submit{ticket: ticket, job: j, reply: reply})
@@ -54,6 +68,12 @@
 	return answer
 }
 
+// endsTooLate reports whether a planned stop would cut a job off.
+func (a *Acceptor) endsTooLate(j scheduler.Job) bool {
+	by := a.stopBy.Load()
+	return by != 0 && a.deps.Clock.Now().Add(j.Most()).UnixNano() > by
+}
+
 // State implements platform.Jobs.
 func (a *Acceptor) State(id string) scheduler.Answer {
 	return ask[scheduler.Answer](a, stateQuestion{job: id})
--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -15,9 +15,11 @@
 
 const (
 	// redialBase and redialMost bound the pause before a link is opened again;
-	// the pause doubles with each failure and is jittered.
-	redialBase = 20 * time.Millisecond
-	redialMost = 500 * time.Millisecond
+	// the pause doubles after each redialRound failures and is jittered. Agents
+	// that return together with their entry are found within a few base pauses.
+	redialBase  = 20 * time.Millisecond
+	redialMost  = 500 * time.Millisecond
+	redialRound = 5
 	// directoryWait is how long one watch of the directory waits.
 	directoryWait = 2 * time.Second
 	// storePause is the pause after a failed call to the store.
@@ -46,6 +48,7 @@
 	now := c.acceptor.deps.Clock.Now()
 	directives, _ := c.acceptor.Configuration()
 	evacuated := slices.Sorted(maps.Keys(directives.Evacuated))
+	want := c.scheduler.Want()
 	for _, l := range c.links {
 		if now.Sub(l.beatAt) < messenger.BeatInterval {
 			continue
@@ -56,6 +59,7 @@
 			Echo:      l.echo,
 			Revision:  directives.Revision,
 			Evacuated: evacuated,
+			Want:      want,
 		})
 	}
 }
@@ -310,12 +314,18 @@
 			a.deps.Log.WithField("agent", r.Agent).Info("agent forgotten")
 			return
 		}
-		pause := min(redialBase<<min(failures, 10), redialMost)
+		pause := redialPause(failures)
 		failures++
 		a.deps.Clock.Sleep(pause/2 + time.Duration(rand.Int64N(int64(pause))))
 	}
 }
 
+// redialPause is the pause after some dials that failed, without jitter.
+func redialPause(failures int) time.Duration {
+	const doublings = 10
+	return min(redialBase<<min(failures/redialRound, doublings), redialMost)
+}
+
 // Receive implements messenger.Handler.
 func (a *Acceptor) Receive(l *messenger.Link, msg any) { a.post(linkMessage{link: l, msg: msg}) }
 
--- a/announcer/front.go
+++ b/announcer/front.go
@@ -75,14 +75,16 @@
 // Close ends the front at once.
 func (f *Front) Close() { _ = f.server.Close() }
 
-// Drain takes no more connections and waits until every request has been
-// answered, or ctx ends. It returns the number of requests still in progress.
+// Drain takes no more connections, closes those that are idle, and waits until
+// every request has been answered, or ctx ends. It returns the number of
+// requests still in progress.
 func (f *Front) Drain(ctx context.Context) int {
 	f.mu.Lock()
 	f.draining = true
 	f.busyAt = f.clock.Now()
 	f.mu.Unlock()
 	_ = f.listener.Close()
+	f.server.SetKeepAlivesEnabled(false)
 	for {
 		left, quiet := f.look()
 		if quiet || ctx.Err() != nil {
--- a/attendant/core.go
+++ b/attendant/core.go
@@ -199,6 +199,8 @@
 			if l := c.links[e.Entry]; l != nil {
 				l.Send(e.Report)
 			}
+		case executor.Wake:
+			a.deps.Clock.AfterFunc(e.After, func() { a.post(tick{}) })
 		case executor.Note:
 			a.note(e)
 		}
--- a/executor/effect.go
+++ b/executor/effect.go
@@ -49,6 +49,11 @@
 	Report messenger.Report
 }
 
+// Wake asks for a Tick after a while.
+type Wake struct {
+	After time.Duration
+}
+
 // Note is a line for the log about one run.
 type Note struct {
 	Run   messenger.Run
@@ -62,6 +67,7 @@
 func (Stop) effect()  {}
 func (Look) effect()  {}
 func (Tell) effect()  {}
+func (Wake) effect()  {}
 func (Note) effect()  {}
 
 func compareRuns(a, b messenger.Run) int {
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -28,6 +28,12 @@
 	// changed is whether the entry has not heard of the present room.
 	changed bool
 	toldAt  time.Time
+	// told is the room that the entry was last told of.
+	told messenger.Demand
+	// want is what waits there, and share the room that it has had in
+	// proportion to that.
+	want  messenger.Want
+	share float64
 	// beatAt is when the progress of runs was last told.
 	beatAt  time.Time
 	ended   []messenger.End
@@ -58,6 +64,7 @@
 	e.complete = false
 	e.upstream = false
 	e.changed = true
+	e.want = messenger.Want{}
 	if x.upstream.Born == 0 && x.upstream.ID == "" && h.Upstream.Born != 0 {
 		x.SetUpstream(h.Upstream)
 	}
@@ -78,6 +85,7 @@
 	}
 	e.echo = b.Stamp
 	x.direct(name, b)
+	x.wants(e, b.Want)
 	if x.stamp()-b.Echo <= entryPatience || b.Echo == 0 {
 		e.heard = x.clock.Now()
 	}
@@ -146,12 +154,13 @@
 // tellChanged reports to the entries that have something to hear.
 func (x *Executor) tellChanged() {
 	now := x.clock.Now()
+	x.nextTurn(now)
 	interval := roomInterval * time.Duration(len(x.order))
 	for _, e := range x.order {
 		if !e.open {
 			continue
 		}
-		urgent := len(e.ended) > 0 || len(e.refused) > 0
+		urgent := len(e.ended) > 0 || len(e.refused) > 0 || (x.turns.contended && x.offer(e) != e.told)
 		if urgent || (e.changed && now.Sub(e.toldAt) >= interval) {
 			x.tell(e, now, false)
 		}
@@ -177,7 +186,7 @@
 		Stamp:       x.stamp(),
 		Echo:        e.echo,
 		Seen:        e.seen,
-		Free:        x.spoken(),
+		Free:        x.offer(e),
 		Unanswered:  x.look.unanswered,
 		FailedJobs:  x.failures.jobs,
 		Entries:     x.inTouch(),
@@ -207,6 +216,7 @@
 	e.ended = nil
 	e.refused = nil
 	e.changed = false
+	e.told = r.Free
 	e.toldAt = now
 	x.emit(Tell{Entry: e.name, Report: r})
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -25,8 +25,11 @@
 	busyWait = 50 * time.Millisecond
 	// idleWait is the same for a worker without runs.
 	idleWait = 250 * time.Millisecond
-	// retryPause is the pause after a look that failed at once.
+	// retryPause is the pause after a look that failed. It doubles with
+	// each further failure up to retryMost, since each opens a connection; a
+	// heartbeat of the worker ends it.
 	retryPause = 40 * time.Millisecond
+	retryMost  = 640 * time.Millisecond
 	// entryPatience is how long an entry may be silent before its runs are
 	// stopped.
 	entryPatience = messenger.SilenceLimit
@@ -100,6 +103,7 @@
 	// paces and failures tell entries how sound the worker is.
 	paces    paces
 	failures failures
+	turns    turns
 
 	effects []Effect
 }
@@ -191,6 +195,7 @@
 		x.drainingSince = x.clock.Now()
 	}
 	x.upstream = u
+	x.look.notBefore = time.Time{}
 	x.upstreamChanged()
 	x.nextLook()
 }
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -346,3 +346,26 @@
 	beat("e", 6)
 	require.Equal(t, 1, starts(3), "the data centre is taken back")
 }
+
+func TestDeadWorkerIsLookedAtLessAndLessUntilItIsHeardOf(t *testing.T) {
+	for name, out := range map[string]executor.Outcome{"refuses connections": executor.NotSent, "resets them": executor.Unanswered} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.x.LookFailed(1, out)
+			looks := 0
+			const step, span = 20 * time.Millisecond, 10 * time.Second
+			for range int(span / step) {
+				b.clock.Advance(step)
+				b.x.Tick()
+				for b.drain(); len(b.looks) > 0; b.drain() {
+					looks++
+					require.LessOrEqual(t, looks, 24, "each look opens a connection")
+					b.x.LookFailed(b.looks[0].Number, out)
+				}
+			}
+			b.x.SetUpstream(upstream(2))
+			b.drain()
+			require.Len(t, b.looks, 1, "a heartbeat is answered with a look at once")
+		})
+	}
+}
--- a/executor/look.go
+++ b/executor/look.go
@@ -30,6 +30,12 @@
 	*l = look{number: l.number}
 }
 
+// pause is how long to wait after a look that failed.
+func (l *look) pause() time.Duration {
+	const doublings = 4
+	return min(retryPause<<min(max(l.unanswered-1, 0), doublings), retryMost)
+}
+
 // lapsed reports whether no look can have kept a lease alive until now.
 func (l *look) lapsed(now time.Time) bool { return now.After(leaseEnd(l.renewedAt)) }
 
@@ -104,9 +110,13 @@
 	case Unanswered:
 		l.unanswered++
 		x.token++
+		if x.silent() {
+			// The first one is looked into at once.
+			l.notBefore = x.clock.Now().Add(l.pause())
+		}
 	default:
 		l.unanswered++
-		l.notBefore = x.clock.Now().Add(retryPause)
+		l.notBefore = x.clock.Now().Add(l.pause())
 	}
 	x.changed()
 	x.nextLook()
--- a/executor/start.go
+++ b/executor/start.go
@@ -41,6 +41,8 @@
 	e.seen = p.Number
 	now := x.clock.Now()
 	stale := x.stamp()-p.Echo > placeAge
+	x.wants(e, p.Want)
+	var taken messenger.Demand
 	for _, t := range p.Tasks {
 		if known := x.runs[t.Run]; known != nil {
 			x.claim(known, owner, t, p)
@@ -53,7 +55,9 @@
 		r := &run{Task: t, owner: owner, job: p.Job, spec: p.Spec, phase: waiting, expires: now.Add(p.Patience)}
 		x.add(r)
 		x.waiting = append(x.waiting, r)
+		taken = taken.Plus(t.Demand)
 	}
+	x.charge(e, taken)
 	x.changed()
 	x.pump()
 }
--- /dev/null
+++ b/executor/turn.go
@@ -0,0 +1,109 @@
+package executor
+
+import (
+	"time"
+
+	"github.com/pomeloferry/pomeloferry/messenger"
+)
+
+const (
+	// turnSpan is how long an entry may take to use the room that it alone has
+	// been told of. It covers the way there and back and a busy entry.
+	turnSpan = 3 * time.Millisecond
+	// turnRest is how long a turn goes on after its entry has placed a run, for
+	// the other runs of the same moment.
+	turnRest = time.Millisecond
+)
+
+// turns share scarce room out. When several entries have tasks that wait, the
+// room that falls free is told to one of them at a time. Told to all, it would
+// be taken by the first and refused to the others, whose tasks would have lost
+// the time; and entries with many callers would get no more of it than those
+// with few.
+type turns struct {
+	// holder is the entry whose turn it is; nil when there is none.
+	holder *entry
+	until  time.Time
+	// used is whether the holder has placed a run in its turn.
+	used bool
+	// contended is whether several entries have tasks that wait.
+	contended bool
+	// level is the share of the last holder when its turn began.
+	level float64
+}
+
+// wants notes what waits at an entry.
+func (x *Executor) wants(e *entry, w messenger.Want) {
+	if e.want.CPU == 0 && w.CPU > 0 {
+		// What it did not ask for before is not made up for.
+		e.share = max(e.share, x.turns.level)
+	}
+	e.want = w
+}
+
+// charge counts the room that an entry takes against its share, in proportion
+// to what waits there.
+func (x *Executor) charge(e *entry, taken messenger.Demand) {
+	e.share += float64(taken.CPU) / float64(max(e.want.CPU+taken.CPU, 1))
+	if x.turns.holder == e {
+		x.turns.used = true
+		x.turns.until = x.clock.Now().Add(turnRest)
+		x.emit(Wake{After: turnRest})
+	}
+}
+
+// nextTurn ends a turn that is over and gives the next one.
+func (x *Executor) nextTurn(now time.Time) {
+	t := &x.turns
+	room := x.spoken()
+	t.contended = x.contended(room, now)
+	if !t.contended {
+		t.holder = nil
+		return
+	}
+	if t.holder != nil && now.Before(t.until) && x.canUse(t.holder, room, now) {
+		return
+	}
+	if t.holder != nil && !t.used && !now.Before(t.until) {
+		// It has not used what it was told of: it wants nothing until it says so.
+		t.holder.want = messenger.Want{}
+	}
+	t.holder = nil
+	for _, e := range x.order {
+		if x.canUse(e, room, now) && (t.holder == nil || e.share < t.holder.share) {
+			t.holder = e
+		}
+	}
+	if t.holder != nil {
+		t.level = t.holder.share
+		t.until = now.Add(turnSpan)
+		t.used = false
+		x.emit(Wake{After: turnSpan})
+	}
+}
+
+// contended reports whether several entries have tasks that wait, and more than
+// there is room for.
+func (x *Executor) contended(room messenger.Demand, now time.Time) bool {
+	n, cpu := 0, 0
+	for _, e := range x.order {
+		if e.open && e.want.CPU > 0 && now.Sub(e.heard) <= entryPatience {
+			n++
+			cpu += e.want.CPU
+		}
+	}
+	return n > 1 && cpu > room.CPU
+}
+
+// canUse reports whether an entry has a task that fits the room.
+func (x *Executor) canUse(e *entry, room messenger.Demand, now time.Time) bool {
+	return e.open && e.want.CPU > 0 && now.Sub(e.heard) <= entryPatience && e.want.Least.Fits(room)
+}
+
+// offer returns the room that an entry is told of.
+func (x *Executor) offer(e *entry) messenger.Demand {
+	if x.turns.contended && x.turns.holder != e {
+		return messenger.Demand{}
+	}
+	return x.spoken()
+}
--- /dev/null
+++ b/executor/turn_test.go
@@ -0,0 +1,159 @@
+package executor_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/executor"
+	"github.com/pomeloferry/pomeloferry/messenger"
+)
+
+// crowd is an executor with several entries, whose room is full until leave.
+type crowd struct {
+	*bench
+	names []string
+	// told is the room that each entry was last told of, in thousandths of a
+	// core.
+	told map[string]int
+	runs int
+	// ended counts the runs that the worker has ended, and look is the number of
+	// its last look.
+	ended int64
+	look  uint64
+}
+
+const (
+	taskCPU  = 1000
+	crowdCPU = 8000
+)
+
+func newCrowd(t *testing.T, entries int) *crowd {
+	c := &crowd{bench: newBench(t), told: make(map[string]int), look: 1}
+	c.x.Closed("e")
+	for i := range entries {
+		name := fmt.Sprintf("entry-%d", i)
+		c.names = append(c.names, name)
+		c.x.Hello(messenger.Hello{Entry: name, Incarnation: 1})
+	}
+	c.take()
+	return c
+}
+
+// take notes what the entries are told.
+func (c *crowd) take() {
+	for _, e := range c.x.Drain() {
+		switch m := e.(type) {
+		case executor.Tell:
+			c.told[m.Entry] = m.Report.Free.CPU
+			c.stamp = m.Report.Stamp
+		case executor.Look:
+			c.look = m.Number
+		case executor.Start:
+			c.x.Started(m.Run, m.Token, executor.Accepted)
+		}
+	}
+}
+
+// want tells the agent what waits at an entry.
+func (c *crowd) want(name string, tasks int) {
+	c.x.Beat(name, messenger.Beat{Stamp: 1, Want: messenger.Want{CPU: tasks * taskCPU, Least: messenger.Demand{CPU: taskCPU}}})
+	c.take()
+}
+
+// use places one task of an entry with some still waiting.
+func (c *crowd) use(name string, waiting int) {
+	c.runs++
+	r := taskRun(c.runs)
+	c.x.Place(name, messenger.Place{
+		Number: uint64(c.runs), Job: "j", Service: "quotes", Patience: 12 * time.Millisecond, Echo: c.stamp,
+		Tasks: []messenger.Task{{Run: r, Demand: messenger.Demand{CPU: taskCPU}, Estimate: time.Second}},
+		Want:  messenger.Want{CPU: waiting * taskCPU, Least: messenger.Demand{CPU: taskCPU}},
+	})
+	c.take()
+}
+
+func taskRun(i int) messenger.Run {
+	return messenger.Run{Task: fmt.Sprintf("j%d.0.0.0", i), Number: 1}
+}
+
+// pass lets time go on.
+func (c *crowd) pass(d time.Duration) {
+	c.clock.Advance(d)
+	c.x.Tick()
+	c.take()
+}
+
+// holders lists the entries that have been told of room.
+func (c *crowd) holders() []string {
+	var out []string
+	for _, name := range c.names {
+		if c.told[name] >= taskCPU {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func TestRoomIsToldToAllWhileOnlyOneEntryHasTasksThatWait(t *testing.T) {
+	c := newCrowd(t, 3)
+	c.want("entry-1", 5)
+	c.pass(50 * time.Millisecond)
+	require.Equal(t, c.names, c.holders())
+}
+
+func TestScarceRoomIsToldToOneEntryAtATime(t *testing.T) {
+	c := newCrowd(t, 3)
+	c.want("entry-1", 15)
+	c.want("entry-2", 15)
+	c.pass(time.Millisecond)
+	first := c.holders()
+	require.Len(t, first, 1)
+	require.NotContains(t, first, "entry-0", "nothing waits there")
+	c.pass(10 * time.Millisecond)
+	second := c.holders()
+	require.Len(t, second, 1)
+	require.NotEqual(t, first, second, "a turn that is not used passes on")
+}
+
+func TestRoomIsSharedInProportionToWhatWaits(t *testing.T) {
+	c := newCrowd(t, 3)
+	used := make(map[string]int)
+	for range 400 {
+		for i, name := range c.names {
+			c.want(name, 10*(1+i))
+		}
+		c.pass(2 * time.Millisecond)
+		for i, name := range c.names {
+			if c.told[name] >= taskCPU {
+				c.use(name, 10*(1+i))
+				used[name]++
+				break
+			}
+		}
+		c.freeOldest()
+	}
+	total := used["entry-0"] + used["entry-1"] + used["entry-2"]
+	require.Greater(t, total, 100)
+	for i, name := range c.names {
+		require.InDelta(t, float64(1+i)/6, float64(used[name])/float64(total), 0.05, name)
+	}
+}
+
+// freeOldest ends the oldest run once the room is full.
+func (c *crowd) freeOldest() {
+	if c.runs-int(c.ended) < crowdCPU/taskCPU {
+		return
+	}
+	c.ended++
+	seen := executor.Seen{Number: c.look, Born: 1, Ended: []executor.Ended{
+		{Number: c.ended, End: messenger.End{Run: taskRun(int(c.ended)), How: messenger.Done}},
+	}}
+	for i := int(c.ended) + 1; i <= c.runs; i++ {
+		seen.Running = append(seen.Running, messenger.Progress{Run: taskRun(i)})
+	}
+	c.x.Looked(seen)
+	c.take()
+}
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a link.
-	dialTimeout = 300 * time.Millisecond
+	// dialTimeout bounds the opening of a link. A machine without power leaves
+	// it unanswered; the farthest one answers within 50 ms.
+	dialTimeout = 120 * time.Millisecond
 	// messageLimit bounds one message, in bytes.
 	messageLimit = 1 << 20
 )
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -32,6 +32,11 @@
 	return Demand{CPU: d.CPU - o.CPU, Memory: d.Memory - o.Memory, GPU: d.GPU - o.GPU}
 }
 
+// Least returns the smaller of d and o in each respect.
+func (d Demand) Least(o Demand) Demand {
+	return Demand{CPU: min(d.CPU, o.CPU), Memory: min(d.Memory, o.Memory), GPU: min(d.GPU, o.GPU)}
+}
+
 // Fits reports whether d can be taken out of room.
 func (d Demand) Fits(room Demand) bool {
 	return d.CPU <= room.CPU && d.Memory <= room.Memory && d.GPU <= room.GPU
@@ -65,6 +70,15 @@
 	// the store cannot reach starts nothing there either.
 	Revision  int64    `cbor:"3,keyasint,omitempty"`
 	Evacuated []string `cbor:"4,keyasint,omitempty"`
+	Want      Want     `cbor:"5,keyasint,omitempty"`
+}
+
+// Want is what waits at an entry for room. Agents share scarce room out by it.
+type Want struct {
+	// CPU is the sum over the tasks that wait, in thousandths of a core.
+	CPU int `cbor:"1,keyasint,omitempty"`
+	// Least is the room without which none of them can start.
+	Least Demand `cbor:"2,keyasint,omitempty"`
 }
 
 // Place asks an agent to run tasks of one step.
@@ -81,6 +95,8 @@
 	// Echo is the agent's last Stamp that the entry has seen. An agent that
 	// has been paused tells by it that the message is old.
 	Echo time.Duration `cbor:"7,keyasint,omitempty"`
+	// Want is what still waits after this.
+	Want Want `cbor:"8,keyasint,omitempty"`
 }
 
 // Task is one run to start.
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -8,8 +8,14 @@
 
 const (
 	// admitShare is the share of a job's slack that the wait before it may
-	// take for the job to be taken on.
-	admitShare = 0.4
+	// take for the job to be taken on; waitMost bounds that wait, so that no
+	// caller is kept in doubt for long.
+	admitShare = 0.6
+	waitMost   = 350 * time.Millisecond
+	// settleTime is how long after its first configuration an entry refuses
+	// nothing for lack of room: its links to the agents are still being opened,
+	// so it does not know the room yet.
+	settleTime = 150 * time.Millisecond
 	// backLeast and backMost bound the time after which callers are asked to
 	// come back.
 	backLeast = time.Second
@@ -27,7 +33,7 @@
 	if now.Add(j.least()).After(j.Deadline) {
 		return Answer{Outcome: Overloaded, RetryAfter: backLeast, Why: "caller waits for less than the work takes"}, false
 	}
-	if wait := s.expectedWait(j); wait > s.patience(j) {
+	if wait := s.expectedWait(j); wait > s.patience(j) && !now.Before(s.settled) {
 		s.short = true
 		return Answer{Outcome: Overloaded, RetryAfter: s.backIn(), Why: "expected wait " + wait.String()}, false
 	}
@@ -36,7 +42,8 @@
 
 // patience is how long a job may wait for its first task.
 func (s *Scheduler) patience(j *job) time.Duration {
-	return time.Duration(admitShare * float64(j.latest.Sub(j.arrived)))
+	usual := min(time.Duration(admitShare*float64(j.latest.Sub(j.arrived))), waitMost)
+	return max(usual, s.settled.Sub(j.arrived))
 }
 
 // impossible tells why no known worker could ever run a job, or returns
@@ -70,9 +77,15 @@
 // comes before it; nil stands for a job that comes last. Other entries are
 // taken to have as much queued.
 func (s *Scheduler) expectedWait(j *job) time.Duration {
+	if len(s.queue) == 0 {
+		return 0
+	}
+	if j != nil {
+		j.rank = s.rank(j.Queue)
+	}
 	var work float64
 	for _, q := range s.queue {
-		if j == nil || s.before(q, j) < 0 {
+		if j == nil || before(q, j) < 0 {
 			work += q.queued()
 		}
 	}
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/pomeloferry/pomeloferry/messenger"
 )
 
 const (
@@ -27,28 +29,47 @@
 // harm all that is sent there.
 type health struct {
 	ejected bool
-	// probing means that one task is out whose outcome decides.
-	probing bool
-	until   time.Time
-	span    time.Duration
+	// probe is the run whose outcome decides; empty when none is out. The ends
+	// of runs that were placed before the ejection tell nothing new.
+	probe messenger.Run
+	until time.Time
+	span  time.Duration
 }
 
 // usable reports whether tasks may be placed.
 func (h *health) usable(now time.Time) bool {
-	return !h.ejected || (!h.probing && now.After(h.until)) || now.After(h.until.Add(ejectMost))
+	return !h.ejected || (!h.probing() && now.After(h.until)) || now.After(h.until.Add(ejectMost))
 }
 
+// probing reports whether a probe is out.
+func (h *health) probing() bool { return h.probe != messenger.Run{} }
+
 // sent notes a placement. The first one after the span is the probe.
-func (h *health) sent() {
+func (h *health) sent(r messenger.Run) {
 	if h.ejected {
-		h.probing = true
+		h.probe = r
 	}
 }
 
+// probed reports whether a run is the probe.
+func (h *health) probed(r messenger.Run) bool { return h.ejected && h.probe == r }
+
 // succeeded notes a run that was done at a pace.
-func (h *health) succeeded(pace float64) {
-	if h.ejected && pace >= slowShare {
+func (h *health) succeeded(r messenger.Run, pace float64) {
+	if !h.probed(r) {
+		return
+	}
+	if pace >= slowShare {
 		*h = health{}
+		return
+	}
+	h.unproven(r)
+}
+
+// unproven notes that a run has ended without telling anything of the worker.
+func (h *health) unproven(r messenger.Run) {
+	if h.probed(r) {
+		h.probe = messenger.Run{}
 	}
 }
 
@@ -57,7 +78,7 @@
 	h.span = min(max(2*h.span, ejectFirst), ejectMost)
 	h.until = now.Add(h.span)
 	h.ejected = true
-	h.probing = false
+	h.probe = messenger.Run{}
 }
 
 // judge ejects a worker on its agent's word. The agent sees the runs of all
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -67,13 +67,21 @@
 	return longest
 }
 
+// estimateError is how far estimates usually are off, either way.
+const estimateError = 0.4
+
 // least returns the time that the job takes if the estimates are as far too
 // high as they usually get.
 func (j Job) least() time.Duration {
-	const estimateError = 0.4
 	return time.Duration((1 - estimateError) * float64(j.chain()))
 }
 
+// Most returns the time that the job takes if the estimates are as far too low
+// as they usually get.
+func (j Job) Most() time.Duration {
+	return time.Duration((1 + estimateError) * float64(j.chain()))
+}
+
 // objective returns the time in which the job is to be complete.
 func (j Job) objective() time.Duration {
 	return time.Duration(j.Queue.Stretch*float64(j.chain())) + j.Queue.Slack
@@ -141,6 +149,10 @@
 	queuedUp bool
 	// begun means that a task may have started.
 	begun bool
+	// overdue means that latest had passed, and rank is the place of its kind,
+	// both as of when the queue was last sorted.
+	overdue bool
+	rank    int
 	// latest is when the first task must start for the job to be in time.
 	latest time.Time
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -58,17 +59,36 @@
 	return -int(lost / shareStep)
 }
 
+// sortQueue brings the queue into the order in which its jobs are placed.
+func (s *Scheduler) sortQueue(now time.Time) {
+	ranks := make(map[string]int)
+	for _, j := range s.queue {
+		if _, ok := ranks[j.Queue.Name]; !ok {
+			ranks[j.Queue.Name] = s.rank(j.Queue)
+		}
+		j.rank = ranks[j.Queue.Name]
+		j.overdue = now.After(j.latest)
+	}
+	slices.SortStableFunc(s.queue, before)
+}
+
 // before orders jobs: those begun first, since what they have done is lost if
-// they are late; then by their queues' rank; then those that must start
+// they are late; those last that will be late whatever happens; then by their queues' rank; then those that must start
 // soonest.
-func (s *Scheduler) before(a, b *job) int {
+func before(a, b *job) int {
 	if a.begun != b.begun {
 		if a.begun {
 			return -1
 		}
 		return 1
 	}
-	if c := cmp.Compare(s.rank(a.Queue), s.rank(b.Queue)); c != 0 {
+	if a.overdue != b.overdue {
+		if b.overdue {
+			return -1
+		}
+		return 1
+	}
+	if c := cmp.Compare(a.rank, b.rank); c != 0 {
 		return c
 	}
 	if c := a.latest.Compare(b.latest); c != 0 {
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -20,9 +20,10 @@
 	}
 	s.dropPlaced()
 	now := s.clock.Now()
-	slices.SortStableFunc(s.queue, func(a, b *job) int { return s.before(a, b) })
+	s.want = s.waitingWork()
+	s.sortQueue(now)
 	for _, j := range slices.Clone(s.queue) {
-		s.placeJob(j, now)
+		s.placeJob(j, s.byName, now)
 	}
 	for _, j := range slices.Clone(s.queue) {
 		if s.hopeless(j, now) {
@@ -32,6 +33,53 @@
 	s.dropPlaced()
 }
 
+// passAt places what waits at one agent, whose room has changed. The others
+// were found without room in the last pass, so that looking at them again at
+// each report of each agent would only cost time when there is least of it.
+func (s *Scheduler) passAt(a *agent) {
+	if len(s.queue) == 0 || !s.want.Least.Fits(a.free()) {
+		return
+	}
+	now := s.clock.Now()
+	only := []*agent{a}
+	s.want = s.waitingWork()
+	for _, j := range s.queue {
+		if s.hopeless(j, now) {
+			continue
+		}
+		s.placeJob(j, only, now)
+		if !s.want.Least.Fits(a.free()) {
+			break
+		}
+	}
+	s.dropPlaced()
+}
+
+// waitingWork returns what the queue holds.
+func (s *Scheduler) waitingWork() messenger.Want {
+	var w messenger.Want
+	for _, j := range s.queue {
+		for _, t := range j.tasks {
+			if t.state != ready {
+				continue
+			}
+			d := t.demand()
+			if w.CPU == 0 {
+				w.Least = d
+			}
+			w.CPU += d.CPU
+			w.Least = w.Least.Least(d)
+		}
+	}
+	return w
+}
+
+// Want returns what waits for room.
+func (s *Scheduler) Want() messenger.Want {
+	s.want = s.waitingWork()
+	return s.want
+}
+
 // dropPlaced drops the jobs from the queue that have no task to place.
 func (s *Scheduler) dropPlaced() {
 	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool {
@@ -42,6 +90,7 @@
 
 // enqueue makes pass look at a job that has tasks to place.
 func (s *Scheduler) enqueue(j *job) {
+	s.requeued++
 	if !j.queuedUp {
 		j.queuedUp = true
 		s.queue = append(s.queue, j)
@@ -50,7 +99,7 @@
 
 // placeJob sends as many of a job's waiting tasks as there is room for. Tasks
 // go to as few workers as possible, so that one bad worker harms few jobs.
-func (s *Scheduler) placeJob(j *job, now time.Time) {
+func (s *Scheduler) placeJob(j *job, agents []*agent, now time.Time) {
 	for step := range j.Steps {
 		var todo []*task
 		for _, t := range j.tasks {
@@ -59,7 +108,7 @@
 			}
 		}
 		for len(todo) > 0 {
-			a, n := s.choose(j, step, todo, now)
+			a, n := s.choose(agents, j, step, todo, now)
 			if a == nil {
 				break
 			}
@@ -69,13 +118,16 @@
 	}
 }
 
-// choose returns the agent for the first of the tasks, and how many of them it
+// choose returns the one of the agents for the first of the tasks, and how many of them it
 // can take. An agent that can take all comes first, the fullest of these;
 // else the one that can take most.
-func (s *Scheduler) choose(j *job, step int, todo []*task, now time.Time) (*agent, int) {
+func (s *Scheduler) choose(agents []*agent, j *job, step int, todo []*task, now time.Time) (*agent, int) {
 	var best *agent
 	var bestFit fit
-	for _, a := range s.byName {
+	for _, a := range agents {
+		if !j.Steps[step].Demand.Fits(a.free()) {
+			continue
+		}
 		if !a.serves(j.Queue, s.config, now) || !a.sound(now) || !a.suits(j.Steps[step]) {
 			continue
 		}
@@ -170,8 +222,10 @@
 			Estimate: j.Steps[t.step].Estimate,
 		})
 	}
+	s.want.CPU = max(s.want.CPU-sum.CPU, 0)
+	p.Want = s.want
 	a.pending = append(a.pending, pending{number: p.Number, demand: sum})
-	a.health.sent()
+	a.health.sent(p.Tasks[0].Run)
 	s.emit(Send{Agent: a.name, Message: p})
 	s.emit(Note{Job: j.ID, Queue: j.Queue.Name, Run: p.Tasks[0].Run, Agent: a.name, What: "tasks placed", Age: now.Sub(a.reportedAt)})
 }
--- a/scheduler/play_test.go
+++ b/scheduler/play_test.go
@@ -55,6 +55,32 @@
 	require.LessOrEqual(t, float64(s.late), 0.05*float64(s.all))
 }
 
+// TestScarceRoomIsSharedByWhatWaits plays a burst on many entries, one of which
+// gets a quarter of the callers, and compares it with one entry that sees all
+// the room at once and has nobody to race with.
+func TestScarceRoomIsSharedByWhatWaits(t *testing.T) {
+	const (
+		entries = 9
+		agents  = 44
+		factor  = 6.3
+		span    = 2 * time.Second
+	)
+	play := func(entries int) *world {
+		w := newWorld(t, 50, entries, agents, cores)
+		w.loadAt(w.entries[:1], span, factor/4)
+		w.loadAt(w.entries[entries-1:], span, factor/4)
+		w.loadAt(w.entries, span, factor/2)
+		w.run(span + 2*time.Second)
+		w.check()
+		return w
+	}
+	alone, together := play(1).summary(), play(entries).summary()
+	t.Logf("one entry %+v, %d entries %+v", alone, entries, together)
+	inAim := func(s summary) float64 { return float64(s.inAim) / float64(s.all) }
+	require.GreaterOrEqual(t, inAim(together), 0.95*inAim(alone))
+	require.LessOrEqual(t, float64(together.late), 0.02*float64(together.all))
+}
+
 func TestBadWorkers(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -54,6 +54,7 @@
 	a.report = r
 	a.reportedAt = s.clock.Now()
 	a.covered()
+	waiting := s.requeued
 	for _, e := range r.Ended {
 		s.ended(a, e)
 	}
@@ -67,7 +68,11 @@
 		s.reconcile(a, r)
 	}
 	s.judge(a)
-	s.pass()
+	if r.Complete || s.requeued != waiting {
+		s.pass()
+		return
+	}
+	s.passAt(a)
 }
 
 // reconcile compares an agent's complete list with what was placed there.
@@ -162,7 +167,7 @@
 func (s *Scheduler) finish(a *agent, t *task) {
 	s.throughput.add(t.work(), s.clock.Now())
 	took := s.clock.Since(t.placedAt)
-	a.health.succeeded(float64(t.job.Steps[t.step].Estimate) / float64(max(took, time.Millisecond)))
+	a.health.succeeded(t.current(), float64(t.job.Steps[t.step].Estimate)/float64(max(took, time.Millisecond)))
 	delete(a.tasks, t.current())
 	j := t.job
 	t.state = finished
@@ -180,7 +185,7 @@
 
 // fail takes in a run that failed, by its own fault or the worker's.
 func (s *Scheduler) fail(a *agent, t *task) {
-	if a.health.ejected {
+	if a.health.probed(t.current()) {
 		s.eject(a, "failed the probe")
 	}
 	t.failures++
@@ -221,6 +226,7 @@
 // again makes a task wait for a worker once more.
 func (s *Scheduler) again(t *task, why string) {
 	s.emit(Note{Job: t.job.ID, Queue: t.job.Queue.Name, Run: t.current(), Agent: t.agent.name, What: "task to be placed again", Why: why, Age: s.clock.Since(t.job.arrived)})
+	t.agent.health.unproven(t.current())
 	delete(t.agent.tasks, t.current())
 	t.agent = nil
 	t.state = ready
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -45,9 +45,17 @@
 	forget  []string
 	number  uint64
 	effects []Effect
+	// requeued counts the times that a job was put into the queue.
+	requeued uint64
+	// want is what waited for room when it was last counted, less what has been
+	// placed since.
+	want messenger.Want
 	// throughput is the work done lately; short is for Short.
 	throughput throughput
 	short      bool
+	// settled is when the entry can be taken to know the room; zero before the
+	// first configuration.
+	settled time.Time
 }
 
 // record is the outcome of a job that is over.
@@ -82,6 +90,9 @@
 // Configure puts a configuration into force.
 func (s *Scheduler) Configure(c Configuration) {
 	s.config = c
+	if s.settled.IsZero() {
+		s.settled = s.clock.Now().Add(settleTime)
+	}
 	s.pass()
 }
 
@@ -209,6 +220,7 @@
 	s.withdraw(j.in(placed))
 	for _, t := range j.tasks {
 		if t.agent != nil {
+			t.agent.health.unproven(t.current())
 			delete(t.agent.tasks, t.current())
 		}
 		t.state = finished
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -25,6 +26,8 @@
 	clock := clockwork.NewFakeClock()
 	b := &bench{t: t, clock: clock, s: scheduler.NewScheduler(clock, "dc-0"), replies: make(map[uint64]scheduler.Answer)}
 	b.s.Configure(configuration())
+	// The entry has been up for long enough to know its agents.
+	clock.Advance(time.Second)
 	return b
 }
 
@@ -67,6 +70,16 @@
 	}
 }
 
+// ejected reports whether the worker at an agent is set aside.
+func (b *bench) ejected(agent string) bool {
+	for _, a := range b.s.Dump().Agents {
+		if a.Name == agent {
+			return a.Ejected
+		}
+	}
+	return false
+}
+
 // placed returns the one Place among the last messages.
 func (b *bench) placed() messenger.Place {
 	b.t.Helper()
@@ -187,6 +200,60 @@
 	}
 }
 
+func TestNothingIsRefusedForLackOfRoomWhileLinksAreBeingOpened(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := &bench{t: t, clock: clock, s: scheduler.NewScheduler(clock, "dc-0"), replies: make(map[uint64]scheduler.Answer)}
+	b.s.Configure(configuration())
+	const jobs = 6
+	for i := range jobs {
+		b.s.Submit(uint64(1+i), b.job(fmt.Sprintf("%016x", 1+i), 8))
+	}
+	clock.Advance(100 * time.Millisecond)
+	b.s.Tick()
+	b.drain()
+	require.Empty(t, b.replies, "the room is not known yet")
+	b.open("a")
+	placed := 0
+	for _, j := range b.s.Dump().Waiting {
+		if j.Placed > 0 || j.Ready == 0 {
+			placed++
+		}
+	}
+	clock.Advance(time.Second)
+	b.s.Tick()
+	b.drain()
+	require.Len(t, b.replies, jobs-1-placed, "what found no room is refused once the room is known")
+	for _, a := range b.replies {
+		require.Equal(t, scheduler.Overloaded, a.Outcome)
+	}
+}
+
+func TestOnlyTheProbeDecidesOnAnEjectedWorker(t *testing.T) {
+	b := newBench(t)
+	b.open("a")
+	b.open("b")
+	end := func(r messenger.Run, how messenger.How, failed int, seen uint64) {
+		x := report("a", seen)
+		x.Ended = []messenger.End{{Run: r, How: how}}
+		x.FailedJobs = failed
+		b.s.Report(x)
+		b.drain()
+	}
+	// Three jobs are out at the worker when two of them fail.
+	for i := range 3 {
+		j := b.job(fmt.Sprintf("%016x", 1+i), 1)
+		j.Deadline = b.clock.Now().Add(time.Minute)
+		j.Steps[0].Estimate = 10 * time.Second
+		b.s.Submit(uint64(1+i), j)
+		b.drain()
+	}
+	end(messenger.Run{Task: "0000000000000001.0.0.0", Number: 1}, messenger.Failed, 1, 3)
+	end(messenger.Run{Task: "0000000000000002.0.0.0", Number: 1}, messenger.Failed, 2, 3)
+	require.True(t, b.ejected("a"))
+	end(messenger.Run{Task: "0000000000000003.0.0.0", Number: 1}, messenger.Done, 2, 3)
+	require.True(t, b.ejected("a"), "a run of before the ejection tells nothing new")
+}
+
 func TestTaskThatFailsTooOftenFailsItsJobOnDifferentWorkers(t *testing.T) {
 	b := newBench(t)
 	for _, a := range []string{"a", "b", "c"} {
