--- a/soaker/deployment_test.go
+++ b/soaker/deployment_test.go
@@ -40,6 +40,7 @@
 var program string
 
 func TestMain(m *testing.M) {
+	nextPort.Store(int64(os.Getpid()) * portsPerProcess)
 	dir, err := os.MkdirTemp("", "soaker")
 	if err != nil {
 		panic(err)
@@ -129,7 +130,10 @@
 	portLast  = 30_000
 )
 
-// nextPort is the last port that was handed out.
+// portsPerProcess spaces the ports of soaks that run side by side.
+const portsPerProcess = 97
+
+// nextPort is the next port to hand out, counted from portFirst.
 var nextPort atomic.Int64
 
 // freePorts returns ports of loopback that nothing listens on.
