--- a/commander/bundle.go
+++ b/commander/bundle.go
@@ -185,15 +185,21 @@
 	}
 }
 
-type showCommand struct{ storeFlags }
-
-// Run implements the command.
-func (c *showCommand) Run(env *environment) error {
+// current reads the newest bundle from the store.
+func (c storeFlags) current(env *environment) (approver.Bundle, error) {
 	p, err := c.publisher(env)
 	if err != nil {
-		return err
+		return approver.Bundle{}, err
 	}
 	_, b, err := p.Current(env.ctx)
+	return b, err
+}
+
+type showCommand struct{ storeFlags }
+
+// Run implements the command.
+func (c *showCommand) Run(env *environment) error {
+	b, err := c.current(env)
 	if err != nil {
 		return err
 	}
--- a/commander/datacentre.go
+++ b/commander/datacentre.go
@@ -86,11 +86,7 @@
 
 // Run implements the command.
 func (c *dataCentresCommand) Run(env *environment) error {
-	p, err := c.publisher(env)
-	if err != nil {
-		return err
-	}
-	_, b, err := p.Current(env.ctx)
+	b, err := c.current(env)
 	if err != nil {
 		return err
 	}
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -11,7 +11,6 @@
 	"net"
 	"reflect"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -56,24 +55,20 @@
 
 // Link is one connection to another process.
 type Link struct {
-	conn   *jsonrpc2.Conn
-	socket net.Conn
-	outbox *Outbox
-	closed chan struct{}
-	once   sync.Once
-	h      Handler
+	*Sender
+	conn *jsonrpc2.Conn
+	h    Handler
 }
 
 // NewLink starts a link over socket. The link closes socket in the end.
 func NewLink(ctx context.Context, socket net.Conn, h Handler) *Link {
-	l := &Link{
-		socket: socket,
-		outbox: NewOutbox(),
-		closed: make(chan struct{}),
-		h:      h,
-	}
+	l := &Link{h: h}
+	l.Sender = NewSender(func() {
+		_ = socket.Close()
+		_ = l.conn.Close()
+	})
 	ready := make(chan struct{})
-	stream := jsonrpc2.NewBufferedStream(&limitedConn{Conn: socket}, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(LimitedConn{Conn: socket, Limit: SilenceLimit}, jsonrpc2.VarintObjectCodec{})
 	receive := func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) {
 		<-ready
 		l.receive(r)
@@ -95,44 +90,13 @@
 	return NewLink(ctx, socket, h), nil
 }
 
-// Send queues msg, a value of a message type. It never blocks: a link whose
-// outbox is full is closed, since its receiver has stopped reading.
-func (l *Link) Send(msg any) {
-	if !l.outbox.Put(msg) {
-		l.Close()
-	}
-}
-
-// Close ends the link. Messages still queued are dropped.
-func (l *Link) Close() {
-	l.once.Do(func() {
-		close(l.closed)
-		_ = l.socket.Close()
-		_ = l.conn.Close()
-	})
-}
-
-// Done is closed when the link has ended.
-func (l *Link) Done() <-chan struct{} { return l.closed }
-
-// Ended reports whether the link has ended.
-func (l *Link) Ended() bool {
-	select {
-	case <-l.closed:
-		return true
-	default:
-		return false
-	}
-}
-
 func (l *Link) write(ctx context.Context) {
 	for {
-		select {
-		case <-l.closed:
+		list, ok := l.Next()
+		if !ok {
 			return
-		case <-l.outbox.Ready:
 		}
-		for _, msg := range l.outbox.Take() {
+		for _, msg := range list {
 			if err := l.notify(ctx, msg); err != nil {
 				l.Close()
 				return
@@ -190,24 +154,3 @@
 
 // Printf implements jsonrpc2.Logger.
 func (quietLogger) Printf(string, ...any) {}
-
-// limitedConn ends reads and writes that wait longer than SilenceLimit.
-type limitedConn struct {
-	net.Conn
-}
-
-// Read implements io.Reader.
-func (c *limitedConn) Read(p []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(SilenceLimit)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Read(p)
-}
-
-// Write implements io.Writer.
-func (c *limitedConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(SilenceLimit)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(p)
-}
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"reflect"
-	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -48,10 +47,8 @@
 // for longer than SilenceLimit, it closes for good, and what was not delivered
 // is dropped.
 type Link struct {
-	socket net.Conn
-	outbox *courier.Outbox
-	closed chan struct{}
-	once   sync.Once
+	*courier.Sender
+	socket courier.LimitedConn
 	h      Handler
 }
 
@@ -61,7 +58,11 @@
 		// What is on its way when a link is given up must not arrive later.
 		_ = tcp.SetLinger(0)
 	}
-	l := &Link{socket: socket, outbox: courier.NewOutbox(), closed: make(chan struct{}), h: h}
+	l := &Link{
+		Sender: courier.NewSender(func() { _ = socket.Close() }),
+		socket: courier.LimitedConn{Conn: socket, Limit: SilenceLimit},
+		h:      h,
+	}
 	go l.write()
 	go l.read()
 	return l
@@ -77,54 +78,21 @@
 	return NewLink(socket, h), nil
 }
 
-// Send queues msg, a value of a message type. It never blocks: a link whose
-// outbox is full is closed, since its receiver has stopped reading.
-func (l *Link) Send(msg any) {
-	if !l.outbox.Put(msg) {
-		l.Close()
-	}
-}
-
-// Close ends the link.
-func (l *Link) Close() {
-	l.once.Do(func() {
-		close(l.closed)
-		_ = l.socket.Close()
-	})
-}
-
-// Done is closed when the link has ended.
-func (l *Link) Done() <-chan struct{} { return l.closed }
-
-// Ended reports whether the link has ended.
-func (l *Link) Ended() bool {
-	select {
-	case <-l.closed:
-		return true
-	default:
-		return false
-	}
-}
-
 func (l *Link) write() {
 	defer l.Close()
 	var batch []byte
 	for {
-		select {
-		case <-l.closed:
+		list, ok := l.Next()
+		if !ok {
 			return
-		case <-l.outbox.Ready:
 		}
 		batch = batch[:0]
-		for _, msg := range l.outbox.Take() {
+		for _, msg := range list {
 			var err error
 			if batch, err = appendMessage(batch, msg); err != nil {
 				return
 			}
 		}
-		if err := l.socket.SetWriteDeadline(time.Now().Add(SilenceLimit)); err != nil {
-			return
-		}
 		if _, err := l.socket.Write(batch); err != nil {
 			return
 		}
@@ -134,7 +102,7 @@
 func (l *Link) read() {
 	defer l.h.Closed(l)
 	defer l.Close()
-	in := bufio.NewReader(deadlineReader{l.socket})
+	in := bufio.NewReader(l.socket)
 	for {
 		msg, err := readMessage(in)
 		if err != nil {
@@ -144,17 +112,6 @@
 	}
 }
 
-// deadlineReader ends reads that wait longer than SilenceLimit.
-type deadlineReader struct{ net.Conn }
-
-// Read implements io.Reader.
-func (r deadlineReader) Read(p []byte) (int, error) {
-	if err := r.SetReadDeadline(time.Now().Add(SilenceLimit)); err != nil {
-		return 0, err
-	}
-	return r.Conn.Read(p)
-}
-
 // appendMessage appends msg as it goes over the wire.
 func appendMessage(out []byte, msg any) ([]byte, error) {
 	number := -1
