executor, scheduler: Count what waits in tasks and in every resource

Tasks that ask for no core at all, or for accelerators, were not seen as waiting, so that their entry was told of no room while others competed.

--- a/executor/start.go
+++ b/executor/start.go
@@ -42,7 +42,7 @@
 	now := x.clock.Now()
 	stale := x.stamp()-p.Echo > placeAge
 	x.wants(e, p.Want)
-	var taken messenger.Demand
+	taken := 0
 	for _, t := range p.Tasks {
 		if known := x.runs[t.Run]; known != nil {
 			x.claim(known, owner, t, p)
@@ -55,7 +55,7 @@
 		r := &run{Task: t, owner: owner, job: p.Job, spec: p.Spec, phase: waiting, expires: now.Add(p.Patience)}
 		x.add(r)
 		x.waiting = append(x.waiting, r)
-		taken = taken.Plus(t.Demand)
+		taken++
 	}
 	x.charge(e, taken)
 	x.changed()
--- a/executor/turn.go
+++ b/executor/turn.go
@@ -26,7 +26,8 @@
 	until  time.Time
 	// used is whether the holder has placed a run in its turn.
 	used bool
-	// contended is whether several entries have tasks that wait.
+	// contended is whether several entries have tasks that wait, and more than
+	// there is room for.
 	contended bool
 	// level is the share of the last holder when its turn began.
 	level float64
@@ -34,17 +35,17 @@
 
 // wants notes what waits at an entry.
 func (x *Executor) wants(e *entry, w messenger.Want) {
-	if e.want.CPU == 0 && w.CPU > 0 {
+	if e.want.Tasks == 0 && w.Tasks > 0 {
 		// What it did not ask for before is not made up for.
 		e.share = max(e.share, x.turns.level)
 	}
 	e.want = w
 }
 
-// charge counts the room that an entry takes against its share, in proportion
-// to what waits there.
-func (x *Executor) charge(e *entry, taken messenger.Demand) {
-	e.share += float64(taken.CPU) / float64(max(e.want.CPU+taken.CPU, 1))
+// charge counts the tasks that an entry has placed against its share, in
+// proportion to what waits there.
+func (x *Executor) charge(e *entry, placed int) {
+	e.share += float64(placed) / float64(max(e.want.Tasks+placed, 1))
 	if x.turns.holder == e {
 		x.turns.used = true
 		x.turns.until = x.clock.Now().Add(turnRest)
@@ -85,19 +86,25 @@
 // contended reports whether several entries have tasks that wait, and more than
 // there is room for.
 func (x *Executor) contended(room messenger.Demand, now time.Time) bool {
-	n, cpu := 0, 0
+	n := 0
+	var sum messenger.Demand
 	for _, e := range x.order {
-		if e.open && e.want.CPU > 0 && now.Sub(e.heard) <= entryPatience {
+		if x.wanting(e, now) {
 			n++
-			cpu += e.want.CPU
+			sum = sum.Plus(e.want.Sum)
 		}
 	}
-	return n > 1 && cpu > room.CPU
+	return n > 1 && !sum.Fits(room)
 }
 
 // canUse reports whether an entry has a task that fits the room.
 func (x *Executor) canUse(e *entry, room messenger.Demand, now time.Time) bool {
-	return e.open && e.want.CPU > 0 && now.Sub(e.heard) <= entryPatience && e.want.Least.Fits(room)
+	return x.wanting(e, now) && e.want.Least.Fits(room)
+}
+
+// wanting reports whether an entry that is in touch has tasks that wait.
+func (x *Executor) wanting(e *entry, now time.Time) bool {
+	return e.open && e.want.Tasks > 0 && now.Sub(e.heard) <= entryPatience
 }
 
 // offer returns the room that an entry is told of.
--- a/executor/turn_test.go
+++ b/executor/turn_test.go
@@ -59,7 +59,7 @@
 
 // want tells the agent what waits at an entry.
 func (c *crowd) want(name string, tasks int) {
-	c.x.Beat(name, messenger.Beat{Stamp: 1, Want: messenger.Want{CPU: tasks * taskCPU, Least: messenger.Demand{CPU: taskCPU}}})
+	c.x.Beat(name, messenger.Beat{Stamp: 1, Want: waits(tasks)})
 	c.take()
 }
 
@@ -70,11 +70,16 @@
 	c.x.Place(name, messenger.Place{
 		Number: uint64(c.runs), Job: "j", Service: "quotes", Patience: 12 * time.Millisecond, Echo: c.stamp,
 		Tasks: []messenger.Task{{Run: r, Demand: messenger.Demand{CPU: taskCPU}, Estimate: time.Second}},
-		Want:  messenger.Want{CPU: waiting * taskCPU, Least: messenger.Demand{CPU: taskCPU}},
+		Want:  waits(waiting),
 	})
 	c.take()
 }
 
+// waits returns what tells of tasks that wait.
+func waits(tasks int) messenger.Want {
+	return messenger.Want{Tasks: tasks, Sum: messenger.Demand{CPU: tasks * taskCPU}, Least: messenger.Demand{CPU: taskCPU}}
+}
+
 func taskRun(i int) messenger.Run {
 	return messenger.Run{Task: fmt.Sprintf("j%d.0.0.0", i), Number: 1}
 }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -75,10 +75,28 @@
 
 // Want is what waits at an entry for room. Agents share scarce room out by it.
 type Want struct {
-	// CPU is the sum over the tasks that wait, in thousandths of a core.
-	CPU int `cbor:"1,keyasint,omitempty"`
+	// Tasks is how many tasks wait, and Sum what they take together.
+	Tasks int    `cbor:"1,keyasint,omitempty"`
+	Sum   Demand `cbor:"2,keyasint,omitempty"`
 	// Least is the room without which none of them can start.
-	Least Demand `cbor:"2,keyasint,omitempty"`
+	Least Demand `cbor:"3,keyasint,omitempty"`
+}
+
+// With returns w with one more task.
+func (w Want) With(d Demand) Want {
+	if w.Tasks == 0 {
+		return Want{Tasks: 1, Sum: d, Least: d}
+	}
+	return Want{Tasks: w.Tasks + 1, Sum: w.Sum.Plus(d), Least: w.Least.Least(d)}
+}
+
+// Without returns w less some of its tasks, which take sum together. Least may
+// be too low from then on.
+func (w Want) Without(tasks int, sum Demand) Want {
+	if tasks >= w.Tasks {
+		return Want{}
+	}
+	return Want{Tasks: w.Tasks - tasks, Sum: w.Sum.Minus(sum), Least: w.Least}
 }
 
 // Place asks an agent to run tasks of one step.
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -73,8 +73,8 @@
 }
 
 // before orders jobs: those begun first, since what they have done is lost if
-// they are late; those last that will be late whatever happens; then by their queues' rank; then those that must start
-// soonest.
+// they are late; those last that will be late whatever happens; then by their
+// queues' rank; then those that must start soonest.
 func before(a, b *job) int {
 	if a.begun != b.begun {
 		if a.begun {
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -60,15 +60,9 @@
 	var w messenger.Want
 	for _, j := range s.queue {
 		for _, t := range j.tasks {
-			if t.state != ready {
-				continue
+			if t.state == ready {
+				w = w.With(t.demand())
 			}
-			d := t.demand()
-			if w.CPU == 0 {
-				w.Least = d
-			}
-			w.CPU += d.CPU
-			w.Least = w.Least.Least(d)
 		}
 	}
 	return w
@@ -118,8 +112,8 @@
 	}
 }
 
-// choose returns the one of the agents for the first of the tasks, and how many of them it
-// can take. An agent that can take all comes first, the fullest of these;
+// choose returns the one of the agents for the first of the tasks, and how many
+// of them it can take. An agent that can take all comes first, the fullest of these;
 // else the one that can take most.
 func (s *Scheduler) choose(agents []*agent, j *job, step int, todo []*task, now time.Time) (*agent, int) {
 	var best *agent
@@ -205,8 +199,10 @@
 		Echo:     a.report.Stamp,
 	}
 	var sum messenger.Demand
+	fresh := 0
 	for _, t := range tasks {
 		if t.state == ready {
+			fresh++
 			t.run++
 			t.state = placed
 			t.placedAt = now
@@ -222,7 +218,7 @@
 			Estimate: j.Steps[t.step].Estimate,
 		})
 	}
-	s.want.CPU = max(s.want.CPU-sum.CPU, 0)
+	s.want = s.want.Without(fresh, sum)
 	p.Want = s.want
 	a.pending = append(a.pending, pending{number: p.Number, demand: sum})
 	a.health.sent(p.Tasks[0].Run)
--- a/scheduler/report_test.go
+++ b/scheduler/report_test.go
@@ -32,7 +32,7 @@
 	b.drain()
 	p := b.placed()
 	require.Len(t, p.Tasks, 2)
-	require.Equal(t, messenger.Want{CPU: 3100, Least: messenger.Demand{CPU: 3100}}, p.Want, "one task still waits")
+	require.Equal(t, messenger.Want{Tasks: 1, Sum: messenger.Demand{CPU: 3100}, Least: messenger.Demand{CPU: 3100}}, p.Want, "one task still waits")
 	r = full("a")
 	r.Free = messenger.Demand{CPU: 31_000, Memory: 64_000}
 	b.s.Report(r)
