acceptor, commander: Begin no job whose caller has left; catch hang-ups from the start

The guard closes the one way that fits: a process that was kept from running finds an old request in its socket.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -120,6 +120,7 @@
 		Handler:           platform.NewFront(a.deps.Clock, a),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleConnTimeout,
+		ConnContext:       announcer.WithConn,
 	}, a.listeners.front)
 	ready := &http.Server{Handler: platform.NewReadyServer(a.isReady), ReadHeaderTimeout: headerTimeout}
 	metrics := &http.Server{Handler: announcer.ServeMetrics(a.deps, a), ReadHeaderTimeout: headerTimeout}
--- a/acceptor/jobs.go
+++ b/acceptor/jobs.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/pomeloferry/pomeloferry/announcer"
 	"github.com/pomeloferry/pomeloferry/scheduler"
 )
 
@@ -37,6 +38,10 @@
 		a.Turned(j.ID, "entry is behind by "+behind.String())
 		return scheduler.Answer{Outcome: scheduler.Overloaded, RetryAfter: time.Second, Why: "entry is behind"}
 	}
+	if announcer.Gone(ctx) {
+		a.Turned(j.ID, "caller left before the job was taken on")
+		return scheduler.Answer{Outcome: scheduler.Cancelled, Why: "caller left"}
+	}
 	if a.endsTooLate(j) {
 		a.Turned(j.ID, "entry stops before the job can end")
 		return scheduler.Answer{Outcome: scheduler.Unavailable, RetryAfter: time.Second, Why: "entry stops"}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -20,6 +21,8 @@
 	ctx  context.Context
 	deps provider.Deps
 	out  io.Writer
+	// hangups carries the SIGHUPs since the start of a process that serves.
+	hangups chan os.Signal
 }
 
 // commandLine lists the commands and the flags that they share.
@@ -44,6 +47,13 @@
 
 // Main runs the command line in args and returns the exit status.
 func Main(args []string, stdout, stderr io.Writer) int {
+	// Caught before all else: a hang-up in the first moments of a process that
+	// reloads its settings on it would end the process.
+	hangups := make(chan os.Signal, 1)
+	if len(args) > 0 && args[0] == "serve" {
+		signal.Notify(hangups, syscall.SIGHUP)
+		defer signal.Stop(hangups)
+	}
 	var cl commandLine
 	status := -1
 	parser, err := kong.New(&cl,
@@ -71,7 +81,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := kctx.Run(&environment{ctx: ctx, deps: deps, out: stdout}); err != nil {
+	if err := kctx.Run(&environment{ctx: ctx, deps: deps, out: stdout, hangups: hangups}); err != nil {
 		fmt.Fprintln(stderr, "pomeloferry:", err)
 		return 1
 	}
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -2,11 +2,8 @@
 
 import (
 	"net"
-	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 
 	"github.com/go-faster/errors"
 
@@ -38,15 +35,12 @@
 // has changed. Addresses are bound at the start, so a change of them needs a
 // restart, which the log says.
 func reloadOnHangup(env *environment, deps provider.Deps, used platform.Settings) {
-	ch := make(chan os.Signal, 1)
-	signal.Notify(ch, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(ch)
 		for {
 			select {
 			case <-env.ctx.Done():
 				return
-			case <-ch:
+			case <-env.hangups:
 			}
 			s, err := platform.LoadSettings()
 			if err != nil {
