executor, scheduler, attendant, acceptor: Log what tells the causes of a second run apart

The record of the incident does not tell whether one entry placed the task twice or two entries took the job, nor by whose word the first run was held for over. Now an agent's lines name the worker of each run and each start that was taken, both sides log the lists of runs that a new link begins with, an entry logs what it withdraws, and counters by decision are served.

--- a/acceptor/core.go
+++ b/acceptor/core.go
@@ -122,6 +122,7 @@
 }
 
 func (c *core) note(n scheduler.Note) {
+	c.acceptor.meters.decided(n.What)
 	c.acceptor.deps.Log.WithFields(logrus.Fields{
 		"job":    n.Job,
 		"queue":  n.Queue,
--- a/acceptor/metrics.go
+++ b/acceptor/metrics.go
@@ -28,3 +28,8 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("pomeloferry_entry_answers_total{outcome=%q}", o)).Inc()
 	m.set.GetOrCreateHistogram(fmt.Sprintf("pomeloferry_entry_answer_seconds{outcome=%q}", o)).Update(seconds)
 }
+
+// decided counts a decision that the log tells of.
+func (m meters) decided(what string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("pomeloferry_entry_decisions_total{what=%q}", what)).Inc()
+}
--- a/attendant/core.go
+++ b/attendant/core.go
@@ -202,6 +202,7 @@
 		case executor.Wake:
 			a.deps.Clock.AfterFunc(e.After, func() { a.post(tick{}) })
 		case executor.Note:
+			c.meters.decided(e.What)
 			a.note(e)
 		}
 	}
@@ -234,6 +235,7 @@
 		"task":   n.Run.Task,
 		"run":    n.Run.Number,
 		"entry":  n.Owner,
+		"worker": n.Worker,
 		"why":    n.Why,
 		"age_ms": n.Age.Milliseconds(),
 	}).Info(n.What)
--- a/attendant/metrics.go
+++ b/attendant/metrics.go
@@ -1,9 +1,14 @@
 package attendant
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
 
 // meters are the counters of an agent.
 type meters struct {
+	set     *metrics.Set
 	starts  *metrics.Counter
 	stops   *metrics.Counter
 	looks   *metrics.Counter
@@ -12,9 +17,15 @@
 
 func newMeters(set *metrics.Set) meters {
 	return meters{
+		set:     set,
 		starts:  set.NewCounter("pomeloferry_agent_starts_total"),
 		stops:   set.NewCounter("pomeloferry_agent_stops_total"),
 		looks:   set.NewCounter("pomeloferry_agent_looks_total"),
 		reports: set.NewCounter("pomeloferry_agent_reports_total"),
 	}
 }
+
+// decided counts a decision that the log tells of.
+func (m meters) decided(what string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("pomeloferry_agent_decisions_total{what=%q}", what)).Inc()
+}
--- a/executor/effect.go
+++ b/executor/effect.go
@@ -58,9 +58,11 @@
 type Note struct {
 	Run   messenger.Run
 	Owner string
-	What  string
-	Why   string
-	Age   time.Duration
+	// Worker is the id of the worker that the run was sent to.
+	Worker string
+	What   string
+	Why    string
+	Age    time.Duration
 }
 
 func (Start) effect() {}
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -213,6 +214,9 @@
 			}
 		}
 	}
+	if r.Complete {
+		x.emit(Note{Owner: e.name, Worker: x.upstream.ID, What: "list of runs sent", Why: fmt.Sprintf("%d runs", len(r.Runs)), Age: x.clock.Since(x.look.openAt)})
+	}
 	e.ended = nil
 	e.refused = nil
 	e.changed = false
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -131,6 +131,8 @@
 	job   string
 	spec  string
 	phase phase
+	// worker is the id of the worker that the run was sent to.
+	worker string
 	// dropped runs are stopped as soon as it is known that they have started.
 	dropped bool
 	// expires is when a waiting run is refused.
@@ -291,7 +293,7 @@
 	}
 	if how != messenger.Done {
 		// The entry's line on the job covers runs that end well.
-		x.emit(Note{Run: r.Run, Owner: r.owner, What: "run ended", Why: string(how), Age: x.clock.Since(r.sentAt)})
+		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run ended", Why: string(how), Age: x.clock.Since(r.sentAt)})
 	}
 }
 
@@ -320,7 +322,7 @@
 		if r.phase == waiting {
 			continue
 		}
-		x.emit(Note{Run: r.Run, Owner: r.owner, What: "run lost", Why: why})
+		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run lost", Why: why})
 		x.settle(r, messenger.Lapsed)
 	}
 }
@@ -334,7 +336,7 @@
 		if r.phase == waiting {
 			continue
 		}
-		x.emit(Note{Run: r.Run, Owner: r.owner, What: "run in doubt", Why: why})
+		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run in doubt", Why: why})
 		r.phase = doubtful
 		r.token = x.token
 		x.look.urgent = true
--- a/executor/look.go
+++ b/executor/look.go
@@ -208,6 +208,7 @@
 	now := x.clock.Now()
 	r := &run{
 		Task:    messenger.Task{Run: p.Run},
+		worker:  x.upstream.ID,
 		phase:   running,
 		sentAt:  now,
 		begunAt: now,
@@ -215,7 +216,7 @@
 		percent: p.Percent,
 	}
 	x.add(r)
-	x.emit(Note{Run: r.Run, What: "run found at worker"})
+	x.emit(Note{Run: r.Run, Worker: r.worker, What: "run found at worker"})
 	for _, e := range x.entries {
 		e.complete = false
 	}
--- a/executor/start.go
+++ b/executor/start.go
@@ -131,6 +131,7 @@
 		x.used = x.used.Plus(r.Demand)
 	}
 	r.phase = starting
+	r.worker = x.upstream.ID
 	r.sentAt = x.clock.Now()
 	r.token = x.token
 	r.tries++
@@ -177,6 +178,7 @@
 	}
 	r.phase = running
 	r.begunAt = x.clock.Now()
+	x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run started", Age: r.begunAt.Sub(r.sentAt)})
 	if r.dropped {
 		x.stop(r)
 	}
@@ -190,7 +192,7 @@
 	r.token = x.token
 	x.look.unanswered++
 	x.look.urgent = true
-	x.emit(Note{Run: r.Run, Owner: r.owner, What: "start unanswered", Age: x.clock.Since(r.sentAt)})
+	x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "start unanswered", Age: x.clock.Since(r.sentAt)})
 	x.changed()
 }
 
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -82,6 +83,7 @@
 		there[p.Run] = true
 	}
 	restarted := a.incarnation != r.Incarnation
+	s.emit(Note{Agent: a.name, What: "list of runs taken in", Why: fmt.Sprintf("%d runs there, %d tasks placed, restarted: %t", len(r.Runs), len(a.tasks), restarted)})
 	a.incarnation = r.Incarnation
 	a.open = true
 	for _, t := range a.sorted() {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -237,6 +238,7 @@
 		byAgent[t.agent] = append(byAgent[t.agent], t.current())
 	}
 	for _, a := range order {
+		s.emit(Note{Job: jobOf(byAgent[a][0].Task), Run: byAgent[a][0], Agent: a.name, What: "runs withdrawn", Why: fmt.Sprintf("%d runs, agent in touch: %t", len(byAgent[a]), a.open)})
 		if a.open {
 			s.emit(Send{Agent: a.name, Message: messenger.Withdraw{Runs: byAgent[a]}})
 		}
