scheduler: Reproduce two runs at once on simulated links and workers, failing

Callers saw one task run at two workers at once.

The stand-in of the worker now also tells callers apart by its id, as the protocol has it (421); it went by the time of its start only, which let a call for another worker through. And a stop takes up to 50 ms, as it may; before, it was over at once, and the fourth way did not show.

--- /dev/null
+++ b/scheduler/hearsay_test.go
@@ -0,0 +1,120 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// heartbeatAfter is the longest time between two heartbeats of a worker.
+const heartbeatAfter = 1500 * time.Millisecond
+
+// heartbeat has the worker announce itself within the time of a heartbeat.
+func (a *simAgent) heartbeat() {
+	a.w.after(time.Duration(a.w.rng.Int64N(int64(heartbeatAfter))), func() {
+		a.do(func() { a.core.SetUpstream(a.worker.up) })
+	})
+}
+
+// words are what an agent or an entry may hear that proves nothing.
+var words = []struct {
+	name string
+	say  func(w *world)
+}{
+	{"a worker is said to have left", func(w *world) {
+		a := w.anyAgent()
+		a.do(func() { a.core.ClearUpstream(a.worker.up.ID) })
+		a.heartbeat()
+	}},
+	{"a worker that is not there announces itself", func(w *world) {
+		a := w.anyAgent()
+		u := a.worker.up
+		u.ID = "stranger"
+		u.Born++
+		a.do(func() { a.core.SetUpstream(u) })
+		a.heartbeat()
+	}},
+	{"a worker restarts under another id", func(w *world) {
+		a := w.anyAgent()
+		a.worker.restart()
+		a.worker.up.ID = fmt.Sprintf("worker-%d", w.rng.IntN(1<<30))
+		a.heartbeat()
+	}},
+	{"links break", func(w *world) {
+		for _, a := range w.agents {
+			for _, e := range w.entries {
+				if l := a.links[e.name]; l != nil && w.rng.IntN(2) == 0 {
+					l.close()
+				}
+			}
+		}
+	}},
+	{"callers leave and send their jobs again at once", func(w *world) {
+		e := w.entries[w.rng.IntN(len(w.entries))]
+		var tickets []uint64
+		for ticket := range e.tickets {
+			tickets = append(tickets, ticket)
+		}
+		slices.Sort(tickets)
+		for _, ticket := range tickets {
+			job := w.results[e.tickets[ticket]].job
+			e.do(func() {
+				delete(e.tickets, ticket)
+				e.core.Leave(ticket)
+				e.ticket++
+				e.tickets[e.ticket] = job.ID
+				e.core.Submit(e.ticket, job)
+			})
+		}
+	}},
+	{"an agent restarts beside a worker that does not answer", func(w *world) {
+		a := w.anyAgent()
+		a.worker.muteUntil = w.clock.Now().Add(400 * time.Millisecond)
+		if !a.down {
+			a.kill(5 * time.Millisecond)
+		}
+	}},
+}
+
+func (w *world) anyAgent() *simAgent { return w.agents[w.rng.IntN(len(w.agents))] }
+
+func TestNoTaskRunsTwiceAtOnceWhateverIsSaid(t *testing.T) {
+	for _, word := range words {
+		t.Run(word.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(4) {
+				w := newWorld(t, 300+seed, 3, 7, cores)
+				w.load(6*time.Second, 0.6)
+				for range 30 {
+					w.after(time.Duration(w.rng.Int64N(int64(6*time.Second))), func() { word.say(w) })
+				}
+				w.run(12 * time.Second)
+				w.check()
+				s := w.summary()
+				t.Logf("%+v", s)
+				require.Greater(t, s.inAim, s.all/2)
+			}
+		})
+	}
+	t.Run("all of them, and faults", func(t *testing.T) {
+		t.Parallel()
+		for seed := range uint64(8) {
+			w := newWorld(t, 320+seed, 3, 7, cores)
+			w.load(8*time.Second, 0.6)
+			for range 30 {
+				at := time.Duration(w.rng.Int64N(int64(8 * time.Second)))
+				w.after(at, func() { words[w.rng.IntN(len(words))].say(w) })
+			}
+			for range 8 {
+				at := time.Duration(w.rng.Int64N(int64(8 * time.Second)))
+				w.after(at, fault(w, 200*time.Millisecond+time.Duration(w.rng.Int64N(int64(2*time.Second)))))
+			}
+			w.run(16 * time.Second)
+			w.check()
+			t.Logf("%+v", w.summary())
+		}
+	})
+}
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -245,7 +245,7 @@
 		case executor.Start:
 			a.start(e)
 		case executor.Stop:
-			a.w.after(localDelay, func() { a.worker.stop(e) })
+			a.w.after(localDelay+time.Duration(a.w.rng.Int64N(int64(stopMost))), func() { a.worker.stop(e) })
 		case executor.Look:
 			a.look(e)
 		case executor.Wake:
@@ -307,7 +307,7 @@
 	end := a.w.clock.Now().Add(l.Wait)
 	var poll func()
 	poll = func() {
-		if l.Upstream.Born != a.worker.up.Born {
+		if l.Upstream.Born != a.worker.up.Born || l.Upstream.ID != a.worker.up.ID {
 			fail(executor.OtherWorker)
 			return
 		}
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -48,7 +48,7 @@
 // start carries a start out and returns its outcome.
 func (v *simWorker) start(s executor.Start, deadline time.Time) executor.Outcome {
 	now := v.w.clock.Now()
-	if s.Upstream.Born != v.up.Born {
+	if s.Upstream.Born != v.up.Born || s.Upstream.ID != v.up.ID {
 		return executor.OtherWorker
 	}
 	if s.Token < v.token {
@@ -106,7 +106,7 @@
 }
 
 func (v *simWorker) stop(s executor.Stop) {
-	if s.Token < v.token || s.Upstream.Born != v.up.Born {
+	if s.Token < v.token || s.Upstream.Born != v.up.Born || s.Upstream.ID != v.up.ID {
 		return
 	}
 	v.token = s.Token
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -46,6 +46,8 @@
 	// the worker.
 	linkDelay  = time.Millisecond
 	localDelay = 300 * time.Microsecond
+	// stopMost is the longest time that a run takes to stop.
+	stopMost = 50 * time.Millisecond
 	// callTimeout bounds a call to a worker.
 	callTimeout = 40 * time.Millisecond
 	// resendAfter is the least time after which a caller sends a job again.
