scheduler: Count an agent's loss from when it may last have heard from the entry

Callers: a task can run at two workers at once. An entry gives up what it placed at an agent 1.2 s after the end of its link, but counted that from an earlier break when a link replaced one whose end it had not heard of, or when a link was opened late and its first list was still on its way. The agent may just have heard from it and keeps its runs; the next tick placed them elsewhere. Now the time counts from when a link to the agent was last opened or closed. That the incident came about so is not shown.

TestRunsAreNotLostWithALinkThatAnotherOneReplaces fails before in both cases (run 2 placed while run 1 may go on) and passes now.

--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -10,9 +10,10 @@
 const (
 	// reportAge is the greatest age of a report on which tasks are placed.
 	reportAge = 250 * time.Millisecond
-	// lossAfter is how long after its link has closed an agent's runs are over
-	// for certain: the agent drops them when it has heard nothing for the
-	// silence limit, and the worker's lease runs out if it cannot.
+	// lossAfter is how long after it may last have heard from the entry an
+	// agent's runs are over for certain: the agent drops them when it has heard
+	// nothing for the silence limit, and the worker's lease runs out if it
+	// cannot.
 	lossAfter = messenger.SilenceLimit + 800*time.Millisecond
 )
 
@@ -26,7 +27,9 @@
 	// upstream is the worker as last reported.
 	upstream   messenger.Upstream
 	reportedAt time.Time
-	closedAt   time.Time
+	// reachedAt is when the agent may last have heard from this entry, as long
+	// as it is not open: when a link to it was last opened or closed.
+	reachedAt time.Time
 	// links counts the links that have been opened.
 	links int
 	// placements counts the Place messages on the link.
--- /dev/null
+++ b/scheduler/loss_test.go
@@ -0,0 +1,45 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const jobID = "0000000000000001"
+
+func TestRunsAreNotLostWithALinkThatAnotherOneReplaces(t *testing.T) {
+	tests := []struct {
+		name   string
+		reopen func(b *bench)
+	}{
+		{"before its end is known", func(b *bench) {
+			b.clock.Advance(2 * time.Second)
+			b.s.Report(report("b", 0))
+			b.s.Opened("a")
+		}},
+		{"late, and its list has not come yet", func(b *bench) {
+			b.s.Closed("a")
+			b.clock.Advance(1195 * time.Millisecond)
+			b.s.Opened("a")
+			b.clock.Advance(10 * time.Millisecond)
+			b.s.Report(report("b", 0))
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			b.open("a")
+			b.open("b")
+			j := b.job(jobID, 1)
+			j.Deadline = b.clock.Now().Add(time.Minute)
+			b.s.Submit(1, j)
+			b.drain()
+			b.placed()
+			tt.reopen(b)
+			b.s.Tick()
+			require.Empty(t, b.drain(), "run 1 may go on at its agent")
+		})
+	}
+}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -24,9 +24,7 @@
 	a.links++
 	a.placements = 0
 	a.pending = nil
-	if a.closedAt.IsZero() {
-		a.closedAt = s.clock.Now()
-	}
+	a.reachedAt = s.clock.Now()
 }
 
 // Closed notes that the link to an agent has ended.
@@ -34,7 +32,7 @@
 	a := s.agentNamed(name)
 	a.open = false
 	a.pending = nil
-	a.closedAt = s.clock.Now()
+	a.reachedAt = s.clock.Now()
 	s.emit(Note{Agent: name, What: "agent out of touch", Why: "link closed", Age: s.clock.Since(a.reportedAt)})
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -180,7 +180,7 @@
 func (s *Scheduler) Tick() {
 	now := s.clock.Now()
 	for _, a := range s.byName {
-		if !a.open && !a.closedAt.IsZero() && now.Sub(a.closedAt) > lossAfter {
+		if !a.open && now.Sub(a.reachedAt) > lossAfter {
 			s.lose(a)
 		}
 	}
