scheduler: Run a job that is sent again only when the runs of its last try are over

Callers: a job whose caller leaves, or whose connection is reset, and that comes again to the same entry at once, ran at two workers at once: run 2 was placed while run 1 was being stopped, which takes up to 50 ms, or was not stopped at all since the link to its agent was down too. And a refusal of such a job claimed that it had not run.

An entry took a job that it had given up for one without runs. Now a job that is over keeps its withdrawn runs until their agents say that they have ended or never started, or list them no more, or are lost; the job's next try waits for that. A task that was done meanwhile counts for the next try and does not run again. A refusal of a job whose last try may have run says Failed, as does one whose run an agent turns down since it has been at the worker before.

Two entries that take one job still do not know of each other: they rely on callers who wait before they send again.

--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -37,8 +37,11 @@
 	// pending are placements that the last report does not cover.
 	pending []pending
 	// tasks are those placed here.
-	tasks  map[messenger.Run]*task
-	health health
+	tasks map[messenger.Run]*task
+	// withdrawn are runs of jobs that are over, until it is known that they
+	// have ended.
+	withdrawn map[messenger.Run]*task
+	health    health
 }
 
 // pending is what a Place holds that the agent has not reported on.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -157,18 +157,20 @@
 	latest time.Time
 }
 
-func newJob(j Job, number uint64, now time.Time, firstRun int) *job {
+// newJob returns a job of which last is the record of the last try.
+func newJob(j Job, number uint64, now time.Time, last record) *job {
 	n := &job{
 		Job:     j,
 		number:  number,
 		arrived: now,
 		left:    make([]int, len(j.Steps)),
 		latest:  now.Add(j.objective() - j.chain()),
+		begun:   last.begun,
 	}
 	for i, s := range j.Steps {
 		n.left[i] = s.Count
 		for k := range s.Count {
-			t := &task{job: n, step: i, id: fmt.Sprintf("%s.0.%d.%d", j.ID, i, k), run: firstRun}
+			t := &task{job: n, step: i, id: fmt.Sprintf("%s.0.%d.%d", j.ID, i, k), run: last.lastRun}
 			if len(s.After) == 0 {
 				t.state = ready
 			}
@@ -178,6 +180,15 @@
 	return n
 }
 
+// truthful returns an answer that does not claim that a job which may have
+// begun has not run.
+func (j *job) truthful(a Answer) Answer {
+	if j.begun && a.Outcome != Complete {
+		return Answer{Outcome: JobFailed, Why: a.Why + "; an earlier try may have run"}
+	}
+	return a
+}
+
 // unblock makes the tasks ready whose steps may begin.
 func (j *job) unblock() {
 	for _, t := range j.tasks {
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -83,8 +83,12 @@
 	})
 }
 
-// enqueue makes pass look at a job that has tasks to place.
+// enqueue makes pass look at a job that has tasks to place, once no run of its
+// last try can go on.
 func (s *Scheduler) enqueue(j *job) {
+	if s.remains[j.ID] > 0 {
+		return
+	}
 	s.requeued++
 	if !j.queuedUp {
 		j.queuedUp = true
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -96,6 +96,7 @@
 			s.send(a, t.job, []*task{t})
 		}
 	}
+	s.reconcileWithdrawn(a, r, there)
 	var strays []messenger.Run
 	for _, p := range r.Runs {
 		if a.tasks[p.Run] == nil && (!restarted || s.jobs[jobOf(p.Task)] != nil) {
@@ -114,11 +115,17 @@
 		t.job.begun = true
 		s.again(t, "agent lost")
 	}
+	for _, t := range sortTasks(a.withdrawn) {
+		s.over(a, t)
+	}
 }
 
 // sorted returns the agent's tasks in a fixed order.
-func (a *agent) sorted() []*task {
-	out := slices.Collect(maps.Values(a.tasks))
+func (a *agent) sorted() []*task { return sortTasks(a.tasks) }
+
+// sortTasks returns tasks in a fixed order.
+func sortTasks(tasks map[messenger.Run]*task) []*task {
+	out := slices.Collect(maps.Values(tasks))
 	slices.SortFunc(out, func(x, y *task) int {
 		if x.job != y.job {
 			return int(x.job.number) - int(y.job.number)
@@ -149,6 +156,10 @@
 
 // ended takes in the end of a run.
 func (s *Scheduler) ended(a *agent, e messenger.End) {
+	if t := a.withdrawn[e.Run]; t != nil {
+		s.endedLate(a, t, e)
+		return
+	}
 	t := a.tasks[e.Run]
 	if t == nil {
 		return
@@ -169,9 +180,15 @@
 	took := s.clock.Since(t.placedAt)
 	a.health.succeeded(t.current(), float64(t.job.Steps[t.step].Estimate)/float64(max(took, time.Millisecond)))
 	delete(a.tasks, t.current())
+	t.agent = nil
+	s.done(t)
+}
+
+// done notes that a task is done, which may end its job or begin its next
+// steps.
+func (s *Scheduler) done(t *task) {
 	j := t.job
 	t.state = finished
-	t.agent = nil
 	j.left[t.step]--
 	if j.done() {
 		s.end(j, Answer{Outcome: Complete})
@@ -213,10 +230,18 @@
 
 // refused takes in a run that has not started.
 func (s *Scheduler) refused(a *agent, r messenger.Refusal) {
+	if t := a.withdrawn[r.Run]; t != nil {
+		s.over(a, t)
+		return
+	}
 	t := a.tasks[r.Run]
 	if t == nil {
 		return
 	}
+	if r.Reason == messenger.Superseded {
+		// A run of the task has been at the worker before.
+		t.job.begun = true
+	}
 	if r.Reason != messenger.NoRoom {
 		t.shun(a, s.clock.Now().Add(shunRefused))
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -40,6 +40,8 @@
 	// queue lists the jobs with tasks that wait, in the order of pass.
 	queue   []*job
 	records map[string]record
+	// remains counts, for jobs that are over, the runs that may still go on.
+	remains map[string]int
 	// shares counts refusals by the name of the queue.
 	shares map[string]*share
 	// forget lists the records in the order of their making.
@@ -64,6 +66,8 @@
 	answer  Answer
 	made    time.Time
 	lastRun int
+	// begun means that a task may have started.
+	begun bool
 }
 
 // NewScheduler returns a scheduler without configuration, which takes no jobs.
@@ -75,6 +79,7 @@
 		jobs:       make(map[string]*job),
 		tickets:    make(map[uint64]*job),
 		records:    make(map[string]record),
+		remains:    make(map[string]int),
 		shares:     make(map[string]*share),
 	}
 }
@@ -112,18 +117,21 @@
 		return
 	}
 	s.number++
-	j := newJob(in, s.number, now, r.lastRun)
+	j := newJob(in, s.number, now, r)
 	h := s.shareOf(in.Queue)
 	h.aged(now)
 	h.offered++
 	if a, ok := s.admit(j, now); !ok {
 		h.refused++
-		s.emit(Reply{Ticket: ticket, Answer: a})
+		s.emit(Reply{Ticket: ticket, Answer: j.truthful(a)})
 		return
 	}
 	j.tickets = []uint64{ticket}
 	s.tickets[ticket] = j
 	s.jobs[j.ID] = j
+	if n := s.remains[j.ID]; n > 0 {
+		s.emit(Note{Job: j.ID, Queue: j.Queue.Name, What: "job waits", Why: fmt.Sprintf("%d runs of its last try may go on", n)})
+	}
 	s.enqueue(j)
 	s.pass()
 }
@@ -215,7 +223,9 @@
 	}
 	j.tickets = nil
 	delete(s.jobs, j.ID)
-	s.withdraw(j.in(placed))
+	left := j.in(placed)
+	s.withdraw(left)
+	s.leave(left)
 	for _, t := range j.tasks {
 		if t.agent != nil {
 			t.agent.health.unproven(t.current())
@@ -223,7 +233,7 @@
 		}
 		t.state = finished
 	}
-	s.records[j.ID] = record{answer: a, made: now, lastRun: j.lastRun()}
+	s.records[j.ID] = record{answer: a, made: now, lastRun: j.lastRun(), begun: j.begun || len(left) > 0}
 	s.forget = append(s.forget, j.ID)
 }
 
@@ -271,7 +281,7 @@
 func (s *Scheduler) agentNamed(name string) *agent {
 	a := s.agents[name]
 	if a == nil {
-		a = &agent{name: name, tasks: make(map[messenger.Run]*task)}
+		a = &agent{name: name, tasks: make(map[messenger.Run]*task), withdrawn: make(map[messenger.Run]*task)}
 		s.agents[name] = a
 		at, _ := slices.BinarySearchFunc(s.byName, name, func(a *agent, name string) int {
 			return strings.Compare(a.name, name)
--- /dev/null
+++ b/scheduler/withdrawn_test.go
@@ -0,0 +1,112 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/messenger"
+	"github.com/pomeloferry/pomeloferry/scheduler"
+)
+
+// leftBehind has a job of one task placed at an agent, whose caller then leaves,
+// and returns the run.
+func (b *bench) leftBehind() messenger.Run {
+	b.open("a")
+	b.open("b")
+	b.s.Submit(1, b.job(jobID, 1))
+	b.drain()
+	run := b.placed().Tasks[0].Run
+	b.s.Leave(1)
+	require.Equal(b.t, []any{messenger.Withdraw{Runs: []messenger.Run{run}}}, b.drain())
+	return run
+}
+
+func TestJobSentAgainWaitsUntilTheRunsOfItsLastTryAreOver(t *testing.T) {
+	tests := []struct {
+		name string
+		over func(b *bench, run messenger.Run)
+		run  int
+	}{
+		{"stopped", func(b *bench, run messenger.Run) {
+			r := report("a", 1)
+			r.Ended = []messenger.End{{Run: run, How: messenger.Stopped}}
+			b.s.Report(r)
+		}, 2},
+		{"refused", func(b *bench, run messenger.Run) {
+			r := report("a", 1)
+			r.Refused = []messenger.Refusal{{Run: run, Reason: messenger.Overtaken}}
+			b.s.Report(r)
+		}, 2},
+		{"not at its agent on the next link", func(b *bench, run messenger.Run) {
+			b.s.Closed("a")
+			b.s.Opened("a")
+			r := report("a", 0)
+			r.Complete = true
+			r.Runs = []messenger.Progress{{Run: run, Percent: 50}}
+			b.s.Report(r)
+			require.Equal(b.t, []any{messenger.Withdraw{Runs: []messenger.Run{run}}}, b.drain())
+			r.Runs = nil
+			b.s.Report(r)
+		}, 2},
+		{"agent lost", func(b *bench, _ messenger.Run) {
+			b.s.Closed("a")
+			b.clock.Advance(1300 * time.Millisecond)
+			b.s.Report(report("b", 0))
+			b.s.Tick()
+		}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			run := b.leftBehind()
+			j := b.job(jobID, 1)
+			j.Deadline = b.clock.Now().Add(time.Minute)
+			b.s.Submit(2, j)
+			require.Empty(t, b.drain(), "run 1 may go on")
+			b.clock.Advance(100 * time.Millisecond)
+			b.s.Report(report("b", 0))
+			b.s.Tick()
+			require.Empty(t, b.drain(), "run 1 may still go on")
+			tt.over(b, run)
+			b.drain()
+			require.Equal(t, tt.run, b.placed().Tasks[0].Number)
+		})
+	}
+}
+
+func TestTaskThatWasDoneInTheLastTryIsNotRunAgain(t *testing.T) {
+	b := newBench(t)
+	run := b.leftBehind()
+	b.s.Submit(2, b.job(jobID, 1))
+	r := report("a", 1)
+	r.Ended = []messenger.End{{Run: run, How: messenger.Done}}
+	b.s.Report(r)
+	require.Empty(t, b.drain())
+	require.Equal(t, scheduler.Complete, b.replies[2].Outcome)
+}
+
+func TestRefusalOfAJobWhoseLastTryMayHaveRunDoesNotSayThatItHasNotRun(t *testing.T) {
+	b := newBench(t)
+	b.leftBehind()
+	j := b.job(jobID, 1)
+	j.Deadline = b.clock.Now().Add(20 * time.Millisecond)
+	b.s.Submit(2, j)
+	b.drain()
+	require.Equal(t, scheduler.JobFailed, b.replies[2].Outcome)
+}
+
+func TestRefusalOfARunThatWasThereBeforeDoesNotTellThatTheJobHasNotRun(t *testing.T) {
+	b := newBench(t)
+	b.open("a")
+	b.s.Submit(1, b.job(jobID, 1))
+	b.drain()
+	r := report("a", 1)
+	r.Refused = []messenger.Refusal{{Run: b.placed().Tasks[0].Run, Reason: messenger.Superseded}}
+	b.s.Report(r)
+	b.clock.Advance(1500 * time.Millisecond)
+	b.s.Tick()
+	b.drain()
+	require.Equal(t, scheduler.JobFailed, b.replies[1].Outcome)
+}
