executor: List what runs only once the worker has answered after a restart

Callers: all tasks at one worker were placed a second time, and ran twice at once, when its agent was restarted and its worker did not answer the agent's first look, for instance since its connections were being reset. The agent took a first look that had failed for one that had been answered, or had no worker yet, and sent its list of runs, empty, as complete; entries took their runs for over and placed them elsewhere at once.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -202,7 +202,7 @@
 		e.upstream = true
 	}
 	// A list of runs is complete only after the worker has been seen.
-	if !e.complete && x.looked() {
+	if !e.complete && x.looked(now) {
 		r.Complete = true
 		e.complete = true
 	}
@@ -240,7 +240,8 @@
 	return messenger.Progress{Run: r.Run, Percent: r.percent, Age: r.age}
 }
 
-// looked reports whether the worker has answered a look, or there is none.
-func (x *Executor) looked() bool {
-	return x.upstream.Born == 0 || x.look.number > 1 || !x.look.open
+// looked reports whether it is known what runs: the worker has answered a look,
+// or the leases of an earlier incarnation of the agent are over.
+func (x *Executor) looked(now time.Time) bool {
+	return x.look.answered || now.After(leaseEnd(x.began))
 }
--- a/executor/look.go
+++ b/executor/look.go
@@ -22,6 +22,8 @@
 	renewedAt time.Time
 	// seen is the number of the last end that was taken in.
 	seen int64
+	// answered is whether the worker has answered a look.
+	answered bool
 	// unanswered counts the calls without an answer since the last answer.
 	unanswered int
 }
@@ -134,8 +136,9 @@
 		x.otherIncarnation(s.Born)
 		return
 	}
-	if l.unanswered > 0 {
+	if l.unanswered > 0 || !l.answered {
 		l.unanswered = 0
+		l.answered = true
 		x.changed()
 	}
 	x.takeEnds(s.Ended)
