executor, platform: Fix the end of a lease when a call is decided on

Callers: a task can run twice at once when its agent is paused between deciding on a call and sending it, which real processes are at any line. The deadline of a start or look was worked out as it was sent, so that a start decided on before a pause went out after it with a fresh lease, though the entry had given the agent up; a start that the worker turned down as late was sent once more. Besides, a start lengthens the lease of all that runs on a worker, and the agent counted the lease of each run from that run's own start and from looks only.

Now a call carries the end of the lease as decided; the agent drops the runs of silent entries, and those that have waited too long, before it starts any; all runs are over only after the last lease that any call may have asked for.

Tests, failing before: TestLeaseOfAllRunsIsOverOnlyAfterThatOfTheLastStart, TestAgentThatWasPausedStartsNothingForAnEntryThatHasGivenItUp, TestPausedAgentStartsNothingThatHasWaitedTooLong.

--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -234,7 +234,6 @@
 
 // Heartbeat implements platform.HeartbeatHandler.
 func (a *Attendant) Heartbeat(h platform.Heartbeat) {
-	a.worker.Sample(h.ID, h.Born, h.ClockMillis)
 	// The acknowledgement must not be sent before the state is in force.
 	if _, err := a.ask(heartbeat{h}); err != nil {
 		a.deps.Log.WithError(err).Warn("heartbeat not taken in")
--- a/attendant/core.go
+++ b/attendant/core.go
@@ -125,6 +125,7 @@
 		c.attendant.describe(h.Upstream)
 	}
 	c.sequence = h.Sequence
+	c.attendant.worker.Sample(h.ID, h.Born, h.ClockMillis)
 	c.executor.SetUpstream(h.Upstream)
 }
 
--- a/executor/effect.go
+++ b/executor/effect.go
@@ -16,9 +16,10 @@
 	Spec string
 	// Token fences off all earlier calls.
 	Token uint64
-	// Lease is how long the run may go on without word, and how long the start
-	// may take to arrive.
-	Lease time.Duration
+	// Until is how long the run may go on without word, and when the start has
+	// to have arrived. It is set when the start is decided on, so that one that
+	// is held up does not lengthen the lease unseen.
+	Until time.Time
 	// Upstream is the incarnation that is meant.
 	Upstream messenger.Upstream
 }
@@ -36,8 +37,8 @@
 	Token  uint64
 	// Seen is the number of the last end that was taken in.
 	Seen int64
-	// Lease is how long the runs may go on; zero renews nothing.
-	Lease time.Duration
+	// Until is how long the runs may go on; zero renews nothing.
+	Until time.Time
 	// Wait is how long the worker may wait for an end before it answers.
 	Wait     time.Duration
 	Upstream messenger.Upstream
--- a/executor/evidence_test.go
+++ b/executor/evidence_test.go
@@ -14,6 +14,14 @@
 // leaseOver is longer than any lease that an agent has asked for lasts.
 const leaseOver = 700 * time.Millisecond
 
+// running has one run accepted by the worker.
+func (b *bench) running(r messenger.Run) {
+	b.place(r, 1000)
+	require.Len(b.t, b.starts, 1)
+	b.x.Started(r, b.starts[0].Token, executor.Accepted)
+	b.drain()
+}
+
 // pass lets time go by, in which the entry stays in touch and the worker
 // answers nothing.
 func (b *bench) pass(d time.Duration) {
@@ -70,3 +78,39 @@
 	}
 	return false
 }
+
+func TestLeaseOfAllRunsIsOverOnlyAfterThatOfTheLastStart(t *testing.T) {
+	b := newBench(t)
+	b.running(run1)
+	b.pass(500 * time.Millisecond)
+	b.place(messenger.Run{Task: "j.0.0.1", Number: 1}, 1000)
+	require.Len(t, b.starts, 1)
+	b.pass(300 * time.Millisecond)
+	require.Empty(t, b.ended(), "the second start has lengthened the lease of the first run")
+	b.pass(leaseOver)
+	require.Len(t, b.ended(), 2)
+}
+
+func TestAgentThatWasPausedStartsNothingForAnEntryThatHasGivenItUp(t *testing.T) {
+	b := newBench(t)
+	b.place(run1, 1000)
+	require.Len(t, b.starts, 1)
+	start := b.starts[0]
+	b.clock.Advance(2 * time.Second)
+	require.True(t, start.Until.Before(b.clock.Now()), "the worker turns it down when it comes now")
+	b.x.Started(run1, start.Token, executor.Late)
+	b.drain()
+	require.Empty(t, b.starts)
+	require.Equal(t, []messenger.Refusal{{Run: run1, Reason: messenger.Overtaken}}, b.refused())
+}
+
+func TestPausedAgentStartsNothingThatHasWaitedTooLong(t *testing.T) {
+	b := newBench(t)
+	b.running(messenger.Run{Task: "big", Number: 1})
+	b.place(run1, 8000)
+	require.Empty(t, b.starts)
+	b.clock.Advance(200 * time.Millisecond)
+	b.lookAnswered(1, nil, executor.Ended{Number: 1, End: messenger.End{Run: messenger.Run{Task: "big", Number: 1}, How: messenger.Done}})
+	require.Empty(t, b.starts)
+	require.Equal(t, []messenger.Refusal{{Run: run1, Reason: messenger.NoRoom}}, b.refused())
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -5,7 +5,6 @@
 package executor
 
 import (
-	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -77,6 +76,9 @@
 	cfg      Config
 
 	upstream messenger.Upstream
+	// leasedAt is when a call was last sent that may have lengthened the lease
+	// of all that the worker runs.
+	leasedAt time.Time
 	// drainingSince is when the upstream first said that it leaves.
 	drainingSince time.Time
 	leaving       bool
@@ -108,48 +110,6 @@
 	effects []Effect
 }
 
-// phase is where a run stands.
-type phase int
-
-const (
-	waiting phase = iota
-	// starting runs have been sent and not answered.
-	starting
-	// doubtful runs were sent and will not be answered: they may have started.
-	doubtful
-	running
-	// stopping runs have been told to stop; their room is still held.
-	stopping
-)
-
-// run is one run of a task at this agent.
-type run struct {
-	messenger.Task
-	// owner is empty for a run that was found at the worker and that no entry
-	// has claimed.
-	owner string
-	job   string
-	spec  string
-	phase phase
-	// worker is the id of the worker that the run was sent to.
-	worker string
-	// dropped runs are stopped as soon as it is known that they have started.
-	dropped bool
-	// expires is when a waiting run is refused.
-	expires time.Time
-	// sentAt is when the start was last sent; token is what it carried.
-	sentAt time.Time
-	token  uint64
-	tries  int
-	// begunAt is when the worker is first known to have it.
-	begunAt time.Time
-	// stopAt is when the stop was last sent.
-	stopAt time.Time
-	// percent is how far the run had come at age.
-	percent int
-	age     time.Duration
-}
-
 // NewExecutor returns an executor that knows no worker yet.
 func NewExecutor(clock clockwork.Clock, identity Identity, cfg Config) *Executor {
 	return &Executor{
@@ -178,58 +138,6 @@
 // stamp returns the agent's clock as it is written into messages.
 func (x *Executor) stamp() time.Duration { return x.clock.Since(x.began) }
 
-// SetUpstream notes what the worker says of itself. Another incarnation runs
-// nothing of what the last one ran.
-func (x *Executor) SetUpstream(u messenger.Upstream) {
-	if u.Born < x.upstream.Born {
-		return
-	}
-	switch {
-	case u.ID != x.upstream.ID:
-		// Calls name the worker by its id, so none of ours can reach this one.
-		x.lapseAll("another worker")
-		x.forgetWorker()
-	case u.Born != x.upstream.Born:
-		x.forgetWorker()
-		x.doubtAll("worker restarted")
-	}
-	if u.Draining && x.drainingSince.IsZero() {
-		x.drainingSince = x.clock.Now()
-	}
-	x.upstream = u
-	x.look.notBefore = time.Time{}
-	x.upstreamChanged()
-	x.nextLook()
-}
-
-// ClearUpstream notes that the worker has left.
-func (x *Executor) ClearUpstream(id string) {
-	if id != x.upstream.ID {
-		return
-	}
-	x.lapseAll("worker left")
-	x.withoutWorker()
-}
-
-// withoutWorker refuses what waits until another worker is known.
-func (x *Executor) withoutWorker() {
-	x.refuseWaiting(messenger.NoWorker)
-	x.upstream = messenger.Upstream{ID: x.upstream.ID}
-	x.forgetWorker()
-	x.upstreamChanged()
-}
-
-// forgetWorker drops what was learned about one incarnation of the worker.
-func (x *Executor) forgetWorker() {
-	x.look.reset()
-	x.paces = paces{}
-	x.failures = failures{}
-	x.drainingSince = time.Time{}
-}
-
-// Upstream returns what is known of the worker.
-func (x *Executor) Upstream() messenger.Upstream { return x.upstream }
-
 // SetLeaving begins a planned stop: nothing new is taken.
 func (x *Executor) SetLeaving() {
 	x.leaving = true
@@ -246,9 +154,7 @@
 	x.dropSilent(now)
 	x.expireWaiting(now)
 	x.stopAgain(now)
-	if len(x.runs) > 0 && x.look.lapsed(now) {
-		x.lapseSure(now)
-	}
+	x.lapseSure(now)
 	x.nextLook()
 	x.beat(now)
 }
@@ -264,100 +170,3 @@
 	}
 	return d
 }
-
-func (x *Executor) add(r *run) {
-	x.runs[r.Run] = r
-	x.byTask[r.Task.Task] = r
-}
-
-// remove forgets a run and frees its room.
-func (x *Executor) remove(r *run) {
-	if r.phase == waiting {
-		x.waiting = slices.DeleteFunc(x.waiting, func(w *run) bool { return w == r })
-	} else {
-		x.used = x.used.Minus(r.Demand)
-	}
-	delete(x.runs, r.Run)
-	if x.byTask[r.Task.Task] == r {
-		delete(x.byTask, r.Task.Task)
-	}
-	x.changed()
-}
-
-// settle notes the end of a run.
-func (x *Executor) settle(r *run, how messenger.How) {
-	x.remove(r)
-	x.judge(r, how)
-	if e := x.entries[r.owner]; e != nil {
-		e.ended = append(e.ended, messenger.End{Run: r.Run, How: how})
-	}
-	if how != messenger.Done {
-		// The entry's line on the job covers runs that end well.
-		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run ended", Why: string(how), Age: x.clock.Since(r.sentAt)})
-	}
-}
-
-// refuse notes that a run has not started and will not start.
-func (x *Executor) refuse(r *run, why messenger.Reason) {
-	x.remove(r)
-	x.refused(r.owner, r.Run, why)
-}
-
-func (x *Executor) refused(owner string, r messenger.Run, why messenger.Reason) {
-	if e := x.entries[owner]; e != nil {
-		e.refused = append(e.refused, messenger.Refusal{Run: r, Reason: why})
-	}
-	x.emit(Note{Run: r, Owner: owner, What: "run refused", Why: string(why)})
-}
-
-func (x *Executor) refuseWaiting(why messenger.Reason) {
-	for _, r := range slices.Clone(x.waiting) {
-		x.refuse(r, why)
-	}
-}
-
-// lapseAll ends every run that may be at the worker.
-func (x *Executor) lapseAll(why string) {
-	for _, r := range x.sorted() {
-		if r.phase == waiting {
-			continue
-		}
-		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run lost", Why: why})
-		x.settle(r, messenger.Lapsed)
-	}
-}
-
-// doubtAll holds every run for one that may be at the worker or not, until a
-// look under a higher token tells. A start that was on its way when the worker
-// restarted under the same id may have reached its new incarnation.
-func (x *Executor) doubtAll(why string) {
-	x.token++
-	for _, r := range x.sorted() {
-		if r.phase == waiting {
-			continue
-		}
-		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run in doubt", Why: why})
-		r.phase = doubtful
-		r.token = x.token
-		x.look.urgent = true
-	}
-}
-
-// lapseSure ends the runs whose leases have run out for certain.
-func (x *Executor) lapseSure(now time.Time) {
-	for _, r := range x.sorted() {
-		if r.phase != waiting && now.After(leaseEnd(r.sentAt)) {
-			x.settle(r, messenger.Lapsed)
-		}
-	}
-}
-
-// sorted returns the runs in a fixed order.
-func (x *Executor) sorted() []*run {
-	out := make([]*run, 0, len(x.runs))
-	for _, r := range x.runs {
-		out = append(out, r)
-	}
-	slices.SortFunc(out, func(a, b *run) int { return compareRuns(a.Run, b.Run) })
-	return out
-}
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -143,7 +143,7 @@
 		b.drain()
 		for _, l := range b.looks {
 			look = l.Number
-			if l.Lease > 0 {
+			if !l.Until.IsZero() {
 				renewed = b.clock.Now()
 			}
 		}
--- a/executor/look.go
+++ b/executor/look.go
@@ -18,12 +18,10 @@
 	urgent bool
 	// notBefore is the earliest time of the next look.
 	notBefore time.Time
-	// renewedAt is when a look was last sent that may have renewed the lease.
-	renewedAt time.Time
-	// seen is the number of the last end that was taken in.
-	seen int64
 	// answered is whether the worker has answered a look.
 	answered bool
+	// seen is the number of the last end that was taken in.
+	seen int64
 	// unanswered counts the calls without an answer since the last answer.
 	unanswered int
 }
@@ -38,9 +36,6 @@
 	return min(retryPause<<min(max(l.unanswered-1, 0), doublings), retryMost)
 }
 
-// lapsed reports whether no look can have kept a lease alive until now.
-func (l *look) lapsed(now time.Time) bool { return now.After(leaseEnd(l.renewedAt)) }
-
 // leaseEnd is when a lease has ended for certain that was asked for at t.
 func leaseEnd(t time.Time) time.Time {
 	most := time.Duration(float64(Lease) * (1 + leaseDrift))
@@ -66,14 +61,19 @@
 	l.openAt = now
 	l.token = x.token
 	l.urgent = false
-	lease := Lease
-	if x.silent() {
-		// What is not answered must not keep runs alive for ever.
-		lease = 0
-	} else {
-		l.renewedAt = now
+	look := Look{Number: l.number, Token: x.token, Seen: l.seen, Wait: wait, Upstream: x.upstream}
+	// What is not answered must not keep runs alive for ever.
+	if !x.silent() {
+		look.Until = x.lease(now)
 	}
-	x.emit(Look{Number: l.number, Token: x.token, Seen: l.seen, Lease: lease, Wait: wait, Upstream: x.upstream})
+	x.emit(look)
+}
+
+// lease notes that a call may lengthen the lease of all runs, and returns until
+// when.
+func (x *Executor) lease(now time.Time) time.Time {
+	x.leasedAt = now
+	return now.Add(Lease)
 }
 
 // silent reports whether the worker has left several calls unanswered.
--- /dev/null
+++ b/executor/run.go
@@ -0,0 +1,147 @@
+package executor
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pomeloferry/pomeloferry/messenger"
+)
+
+// phase is where a run stands.
+type phase int
+
+const (
+	waiting phase = iota
+	// starting runs have been sent and not answered.
+	starting
+	// doubtful runs were sent and will not be answered: they may have started.
+	doubtful
+	running
+	// stopping runs have been told to stop; their room is still held.
+	stopping
+)
+
+// run is one run of a task at this agent.
+type run struct {
+	messenger.Task
+	// owner is empty for a run that was found at the worker and that no entry
+	// has claimed.
+	owner string
+	job   string
+	spec  string
+	phase phase
+	// worker is the id of the worker that the run was sent to.
+	worker string
+	// dropped runs are stopped as soon as it is known that they have started.
+	dropped bool
+	// expires is when a waiting run is refused.
+	expires time.Time
+	// sentAt is when the start was last sent; token is what it carried.
+	sentAt time.Time
+	token  uint64
+	tries  int
+	// begunAt is when the worker is first known to have it.
+	begunAt time.Time
+	// stopAt is when the stop was last sent.
+	stopAt time.Time
+	// percent is how far the run had come at age.
+	percent int
+	age     time.Duration
+}
+
+func (x *Executor) add(r *run) {
+	x.runs[r.Run] = r
+	x.byTask[r.Task.Task] = r
+}
+
+// remove forgets a run and frees its room.
+func (x *Executor) remove(r *run) {
+	if r.phase == waiting {
+		x.waiting = slices.DeleteFunc(x.waiting, func(w *run) bool { return w == r })
+	} else {
+		x.used = x.used.Minus(r.Demand)
+	}
+	delete(x.runs, r.Run)
+	if x.byTask[r.Task.Task] == r {
+		delete(x.byTask, r.Task.Task)
+	}
+	x.changed()
+}
+
+// settle notes the end of a run.
+func (x *Executor) settle(r *run, how messenger.How) {
+	x.remove(r)
+	x.judge(r, how)
+	if e := x.entries[r.owner]; e != nil {
+		e.ended = append(e.ended, messenger.End{Run: r.Run, How: how})
+	}
+	if how != messenger.Done {
+		// The entry's line on the job covers runs that end well.
+		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run ended", Why: string(how), Age: x.clock.Since(r.sentAt)})
+	}
+}
+
+// refuse notes that a run has not started and will not start.
+func (x *Executor) refuse(r *run, why messenger.Reason) {
+	x.remove(r)
+	x.refused(r.owner, r.Run, why)
+}
+
+func (x *Executor) refused(owner string, r messenger.Run, why messenger.Reason) {
+	if e := x.entries[owner]; e != nil {
+		e.refused = append(e.refused, messenger.Refusal{Run: r, Reason: why})
+	}
+	x.emit(Note{Run: r, Owner: owner, What: "run refused", Why: string(why)})
+}
+
+func (x *Executor) refuseWaiting(why messenger.Reason) {
+	for _, r := range slices.Clone(x.waiting) {
+		x.refuse(r, why)
+	}
+}
+
+// lapseAll ends every run that may be at the worker.
+func (x *Executor) lapseAll(why string) {
+	for _, r := range x.sorted() {
+		if r.phase == waiting {
+			continue
+		}
+		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run lost", Why: why})
+		x.settle(r, messenger.Lapsed)
+	}
+}
+
+// doubtAll holds every run for one that may be at the worker or not, until a
+// look under a higher token tells. A start that was on its way when the worker
+// restarted under the same id may have reached its new incarnation.
+func (x *Executor) doubtAll(why string) {
+	x.token++
+	for _, r := range x.sorted() {
+		if r.phase == waiting {
+			continue
+		}
+		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run in doubt", Why: why})
+		r.phase = doubtful
+		r.token = x.token
+		x.look.urgent = true
+	}
+}
+
+// lapseSure ends the runs whose leases have run out for certain.
+func (x *Executor) lapseSure(now time.Time) {
+	for _, r := range x.sorted() {
+		if r.phase != waiting && now.After(leaseEnd(x.leasedAt)) {
+			x.settle(r, messenger.Lapsed)
+		}
+	}
+}
+
+// sorted returns the runs in a fixed order.
+func (x *Executor) sorted() []*run {
+	out := make([]*run, 0, len(x.runs))
+	for _, r := range x.runs {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *run) int { return compareRuns(a.Run, b.Run) })
+	return out
+}
--- a/executor/start.go
+++ b/executor/start.go
@@ -116,6 +116,9 @@
 	if x.upstream.Born == 0 {
 		return
 	}
+	now := x.clock.Now()
+	x.dropSilent(now)
+	x.expireWaiting(now)
 	room := x.free()
 	for _, r := range slices.Clone(x.waiting) {
 		if r.Demand.Fits(room) {
@@ -135,7 +138,7 @@
 	r.sentAt = x.clock.Now()
 	r.token = x.token
 	r.tries++
-	x.emit(Start{Run: r.Run, Spec: r.spec, Token: x.token, Lease: Lease, Upstream: x.upstream})
+	x.emit(Start{Run: r.Run, Spec: r.spec, Token: x.token, Until: x.lease(r.sentAt), Upstream: x.upstream})
 }
 
 // Started notes how the worker took a start that carried token.
@@ -144,6 +147,7 @@
 	if r == nil || r.phase != starting || r.token != token {
 		return
 	}
+	x.dropSilent(x.clock.Now())
 	switch out {
 	case Accepted:
 		x.look.unanswered = 0
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -269,7 +269,7 @@
 // without an answer.
 func (a *simAgent) start(s executor.Start) {
 	core := a.core
-	deadline := a.w.clock.Now().Add(s.Lease)
+	deadline := s.Until
 	done := func(out executor.Outcome) {
 		a.do(func() {
 			if a.core == core {
@@ -292,7 +292,7 @@
 // look calls the worker, which answers when a run ends or the wait is over.
 func (a *simAgent) look(l executor.Look) {
 	core := a.core
-	deadline := a.w.clock.Now().Add(l.Lease)
+	deadline := l.Until
 	fail := func(out executor.Outcome) {
 		a.do(func() {
 			if a.core == core {
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -148,7 +148,7 @@
 		return executor.Seen{}, false
 	}
 	v.token = l.Token
-	if l.Lease > 0 {
+	if !l.Until.IsZero() {
 		v.extend(deadline)
 	}
 	v.ends = slices.DeleteFunc(v.ends, func(e executor.Ended) bool { return e.Number <= l.Seen })
