--- a/executor/dump.go
+++ b/executor/dump.go
@@ -24,7 +24,7 @@
 
 // String names the phase.
 func (p phase) String() string {
-	return [...]string{"Waiting", "Starting", "Doubtful", "Running", "Stopping"}[p]
+	return [...]string{"Waiting", "Starting", "Doubtful", "Running", "Stopping", "Detached"}[p]
 }
 
 // Dump returns the state.
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -197,7 +197,7 @@
 	}
 	r.Pace, r.PacedJobs = x.paces.median(now)
 	if !e.upstream {
-		up := x.upstream
+		up := x.usable()
 		r.Upstream = &up
 		e.upstream = true
 	}
@@ -240,6 +240,14 @@
 	return messenger.Progress{Run: r.Run, Percent: r.percent, Age: r.age}
 }
 
+// usable returns the worker as entries may use it.
+func (x *Executor) usable() messenger.Upstream {
+	if x.departed {
+		return messenger.Upstream{ID: x.upstream.ID}
+	}
+	return x.upstream
+}
+
 // looked reports whether it is known what runs: the worker has answered a look,
 // or the leases of an earlier incarnation of the agent are over.
 func (x *Executor) looked(now time.Time) bool {
--- a/executor/evidence_test.go
+++ b/executor/evidence_test.go
@@ -41,6 +41,77 @@
 	b.tells = append(ends, b.tells...)
 }
 
+// anotherWorker is one that announces itself in the place of the usual one.
+func anotherWorker() messenger.Upstream {
+	u := upstream(2)
+	u.ID = "w2"
+	return u
+}
+
+func TestRunsAreNotOverBecauseSomeoneSaysTheirWorkerIsGone(t *testing.T) {
+	tests := []struct {
+		name string
+		say  func(b *bench)
+	}{
+		{"it has left", func(b *bench) { b.x.ClearUpstream("w") }},
+		{"another worker announces itself", func(b *bench) { b.x.SetUpstream(anotherWorker()) }},
+		{"another one that is not there", func(b *bench) {
+			b.x.SetUpstream(anotherWorker())
+			b.drain()
+			b.x.LookFailed(b.looks[len(b.looks)-1].Number, executor.OtherWorker)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			b.running(run1)
+			tt.say(b)
+			b.drain()
+			require.Empty(t, b.ended(), "run 1 may go on")
+			b.pass(100 * time.Millisecond)
+			require.Empty(t, b.ended(), "its lease is not over")
+			b.pass(leaseOver)
+			require.Equal(t, []messenger.End{{Run: run1, How: messenger.Lapsed}}, b.ended())
+		})
+	}
+}
+
+func TestRunsOfAWorkerThatSaysItLeavesAreFollowedToTheirEnds(t *testing.T) {
+	b := newBench(t)
+	b.running(run1)
+	b.clock.Advance(time.Millisecond)
+	b.x.ClearUpstream("w")
+	b.place(messenger.Run{Task: "j.0.0.1", Number: 1}, 1000)
+	require.Empty(t, b.starts)
+	require.Equal(t, messenger.NoWorker, b.refused()[0].Reason)
+	b.lookAnswered(1, nil, executor.Ended{Number: 1, End: messenger.End{Run: run1, How: messenger.Done}})
+	require.Equal(t, []messenger.End{{Run: run1, How: messenger.Done}}, b.ended())
+	b.pass(leaseOver)
+	require.Empty(t, b.looks, "nothing is left to look for")
+	b.x.SetUpstream(upstream(1))
+	b.drain()
+	b.place(messenger.Run{Task: "j.0.0.2", Number: 1}, 1000)
+	require.Len(t, b.starts, 1, "it is back")
+}
+
+func TestWorkerIsKeptWhenTheOneThatAnnouncedItselfInItsPlaceIsNotThere(t *testing.T) {
+	b := newBench(t)
+	b.running(run1)
+	b.clock.Advance(time.Millisecond)
+	b.x.SetUpstream(anotherWorker())
+	b.drain()
+	look := b.looks[len(b.looks)-1]
+	require.Equal(t, "w2", look.Upstream.ID)
+	b.x.LookFailed(look.Number, executor.OtherWorker)
+	b.drain()
+	look = b.looks[len(b.looks)-1]
+	require.Equal(t, "w", look.Upstream.ID)
+	b.lookAnswered(look.Number, []messenger.Progress{{Run: run1, Percent: 50}})
+	b.pass(30 * time.Millisecond)
+	require.Empty(t, b.ended())
+	require.Equal(t, 7000, b.x.Dump().Free.CPU)
+}
+
 func TestRestartedAgentListsNothingBeforeItsWorkerHasAnswered(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -76,6 +76,12 @@
 	cfg      Config
 
 	upstream messenger.Upstream
+	// prior is the worker whose place upstream has taken, until a look has shown
+	// that upstream is there.
+	prior messenger.Upstream
+	// departed is whether the worker has said that it leaves for good. It gets
+	// nothing new; what runs there is followed to its end.
+	departed bool
 	// leasedAt is when a call was last sent that may have lengthened the lease
 	// of all that the worker runs.
 	leasedAt time.Time
--- a/executor/look.go
+++ b/executor/look.go
@@ -46,6 +46,9 @@
 func (x *Executor) nextLook() {
 	l := &x.look
 	now := x.clock.Now()
+	if x.departed && !x.busy() {
+		x.withoutWorker()
+	}
 	if x.upstream.Born == 0 || (l.open && !l.urgent) || (now.Before(l.notBefore) && !l.urgent) {
 		return
 	}
@@ -76,6 +79,16 @@
 	return now.Add(Lease)
 }
 
+// busy reports whether the worker may run anything of ours.
+func (x *Executor) busy() bool {
+	for _, r := range x.runs {
+		if r.here() {
+			return true
+		}
+	}
+	return false
+}
+
 // silent reports whether the worker has left several calls unanswered.
 func (x *Executor) silent() bool { return x.look.unanswered >= 2 }
 
@@ -106,8 +119,7 @@
 	case Fenced:
 		x.raise(l.token)
 	case OtherWorker:
-		x.lapseAll("worker restarted")
-		x.withoutWorker()
+		x.misplaced()
 		return
 	case Unanswered:
 		l.unanswered++
@@ -141,6 +153,7 @@
 		l.answered = true
 		x.changed()
 	}
+	x.prior = messenger.Upstream{}
 	x.takeEnds(s.Ended)
 	x.takeRunning(s.Running)
 	x.pump()
@@ -183,6 +196,9 @@
 			x.adopt(p)
 			continue
 		}
+		if r.phase == detached {
+			x.attach(r)
+		}
 		r.percent = p.Percent
 		r.age = x.clock.Since(r.sentAt)
 		x.begun(r)
--- a/executor/run.go
+++ b/executor/run.go
@@ -19,6 +19,9 @@
 	running
 	// stopping runs have been told to stop; their room is still held.
 	stopping
+	// detached runs are at a worker that has been said to be gone. They hold no
+	// room, and end with their leases unless the worker turns up again.
+	detached
 )
 
 // run is one run of a task at this agent.
@@ -32,6 +35,8 @@
 	phase phase
 	// worker is the id of the worker that the run was sent to.
 	worker string
+	// over is when a detached run has ended for certain.
+	over time.Time
 	// dropped runs are stopped as soon as it is known that they have started.
 	dropped bool
 	// expires is when a waiting run is refused.
@@ -56,9 +61,10 @@
 
 // remove forgets a run and frees its room.
 func (x *Executor) remove(r *run) {
-	if r.phase == waiting {
+	switch {
+	case r.phase == waiting:
 		x.waiting = slices.DeleteFunc(x.waiting, func(w *run) bool { return w == r })
-	} else {
+	case r.here():
 		x.used = x.used.Minus(r.Demand)
 	}
 	delete(x.runs, r.Run)
@@ -100,24 +106,48 @@
 	}
 }
 
-// lapseAll ends every run that may be at the worker.
-func (x *Executor) lapseAll(why string) {
+// here reports whether a run holds room at the present worker.
+func (r *run) here() bool { return r.phase != waiting && r.phase != detached }
+
+// lapseAt ends every run of a worker that is certainly gone.
+func (x *Executor) lapseAt(worker string) {
+	for _, r := range x.sorted() {
+		if r.phase != waiting && r.worker == worker {
+			x.emit(Note{Run: r.Run, Owner: r.owner, Worker: worker, What: "run lost", Why: "another worker answers at its address"})
+			x.settle(r, messenger.Lapsed)
+		}
+	}
+}
+
+// detachAll holds every run for one that goes on at the last worker until its
+// lease is over for certain.
+func (x *Executor) detachAll(why string) {
 	for _, r := range x.sorted() {
-		if r.phase == waiting {
+		if !r.here() {
 			continue
 		}
-		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run lost", Why: why})
-		x.settle(r, messenger.Lapsed)
+		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run detached", Why: why, Age: x.clock.Since(x.leasedAt)})
+		x.used = x.used.Minus(r.Demand)
+		r.phase = detached
+		r.over = leaseEnd(x.leasedAt)
 	}
 }
 
+// attach notes that a detached run goes on at the present worker.
+func (x *Executor) attach(r *run) {
+	x.emit(Note{Run: r.Run, Owner: r.owner, Worker: x.upstream.ID, What: "run found again"})
+	x.used = x.used.Plus(r.Demand)
+	r.worker = x.upstream.ID
+	r.phase = doubtful
+}
+
 // doubtAll holds every run for one that may be at the worker or not, until a
 // look under a higher token tells. A start that was on its way when the worker
 // restarted under the same id may have reached its new incarnation.
 func (x *Executor) doubtAll(why string) {
 	x.token++
 	for _, r := range x.sorted() {
-		if r.phase == waiting {
+		if !r.here() {
 			continue
 		}
 		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run in doubt", Why: why})
@@ -130,7 +160,7 @@
 // lapseSure ends the runs whose leases have run out for certain.
 func (x *Executor) lapseSure(now time.Time) {
 	for _, r := range x.sorted() {
-		if r.phase != waiting && now.After(leaseEnd(x.leasedAt)) {
+		if (r.phase == detached && now.After(r.over)) || (r.here() && now.After(leaseEnd(x.leasedAt))) {
 			x.settle(r, messenger.Lapsed)
 		}
 	}
--- a/executor/start.go
+++ b/executor/start.go
@@ -72,7 +72,9 @@
 	r.spec = p.Spec
 	r.Demand = t.Demand
 	r.Estimate = t.Estimate
-	x.used = x.used.Plus(t.Demand)
+	if r.here() {
+		x.used = x.used.Plus(t.Demand)
+	}
 }
 
 // takes reports whether a new run may wait here, and if not, why.
@@ -84,7 +86,7 @@
 		return messenger.Leaving, false
 	case x.evacuated:
 		return messenger.Evacuated, false
-	case x.upstream.Born == 0 || x.upstream.Service != p.Service:
+	case x.departed || x.upstream.Born == 0 || x.upstream.Service != p.Service:
 		return messenger.NoWorker, false
 	case x.upstream.Draining && !x.endsBeforeLeave(t):
 		return messenger.Leaving, false
@@ -113,7 +115,7 @@
 
 // pump starts the waiting runs that have room.
 func (x *Executor) pump() {
-	if x.upstream.Born == 0 {
+	if x.departed || x.upstream.Born == 0 {
 		return
 	}
 	now := x.clock.Now()
@@ -235,7 +237,7 @@
 	switch r.phase {
 	case waiting:
 		x.refuse(r, messenger.Overtaken)
-	case starting, doubtful:
+	case starting, doubtful, detached:
 		r.dropped = true
 	case running:
 		r.dropped = true
--- a/executor/upstream.go
+++ b/executor/upstream.go
@@ -6,16 +6,19 @@
 	"github.com/pomeloferry/pomeloferry/messenger"
 )
 
-// SetUpstream notes what the worker says of itself. Another incarnation runs
-// nothing of what the last one ran.
+// SetUpstream notes what the worker says of itself. The word of a worker under
+// another id does not tell that the last one has ended what it runs.
 func (x *Executor) SetUpstream(u messenger.Upstream) {
 	if u.Born < x.upstream.Born {
 		return
 	}
+	x.departed = false
 	switch {
 	case u.ID != x.upstream.ID:
-		// Calls name the worker by its id, so none of ours can reach this one.
-		x.lapseAll("another worker")
+		x.detachAll("another worker announced itself")
+		if x.look.answered || x.prior.Born == 0 {
+			x.prior = x.upstream
+		}
 		x.forgetWorker()
 	case u.Born != x.upstream.Born:
 		x.forgetWorker()
@@ -30,21 +33,41 @@
 	x.nextLook()
 }
 
-// ClearUpstream notes that the worker has left.
+// ClearUpstream notes that the worker has said that it leaves. That does not
+// tell when its runs end, nor that the word is of its present life.
 func (x *Executor) ClearUpstream(id string) {
-	if id != x.upstream.ID {
+	if id != x.upstream.ID || x.upstream.Born == 0 {
 		return
 	}
-	x.lapseAll("worker left")
-	x.withoutWorker()
+	x.departed = true
+	x.refuseWaiting(messenger.NoWorker)
+	x.upstreamChanged()
+	x.nextLook()
 }
 
 // withoutWorker refuses what waits until another worker is known.
 func (x *Executor) withoutWorker() {
 	x.refuseWaiting(messenger.NoWorker)
 	x.upstream = messenger.Upstream{ID: x.upstream.ID}
+	x.departed = false
+	x.forgetWorker()
+	x.upstreamChanged()
+}
+
+// misplaced notes that the worker that was meant is not at its address: what
+// ran there has ended. If it had only announced itself, the last one is looked
+// at again.
+func (x *Executor) misplaced() {
+	x.lapseAt(x.upstream.ID)
+	if x.prior.Born == 0 {
+		x.withoutWorker()
+		return
+	}
+	x.upstream = x.prior
+	x.prior = messenger.Upstream{}
 	x.forgetWorker()
 	x.upstreamChanged()
+	x.nextLook()
 }
 
 // forgetWorker drops what was learned about one incarnation of the worker.
