executor, scheduler, messenger: Tell ends and refusals until the entry has them

Callers: a task that was done ran again when the link between its agent and its entry broke as the end was told. The agent told each end once; the next list of runs did not hold the run any more, so the entry placed the task again.

Now ends and refusals are numbered and told again on the next link until a heartbeat of the entry acknowledges them. The end of a run that a restarted agent had found, and no entry had claimed yet, is kept for 10 s and told with the list and to the entry that claims it.

--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -40,6 +40,7 @@
 			Revision:  directives.Revision,
 			Evacuated: evacuated,
 			Want:      want,
+			Heard:     c.scheduler.Heard(c.names[l.Link]),
 		})
 	}
 }
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -36,9 +36,8 @@
 	want  messenger.Want
 	share float64
 	// beatAt is when the progress of runs was last told.
-	beatAt  time.Time
-	ended   []messenger.End
-	refused []messenger.Refusal
+	beatAt   time.Time
+	outcomes outcomes
 }
 
 // Hello opens a link of an entry. Runs of an earlier incarnation are dropped,
@@ -55,13 +54,13 @@
 	if e.incarnation != h.Incarnation {
 		x.dropOwned(h.Entry)
 		e.incarnation = h.Incarnation
-		e.ended = nil
-		e.refused = nil
+		e.outcomes = outcomes{}
 	}
 	e.heard = now
 	e.seen = 0
 	e.echo = 0
 	e.open = true
+	e.outcomes.told = 0
 	e.complete = false
 	e.upstream = false
 	e.changed = true
@@ -85,6 +84,7 @@
 		return
 	}
 	e.echo = b.Stamp
+	e.outcomes.heard(b.Heard)
 	x.direct(name, b)
 	x.wants(e, b.Want)
 	if x.stamp()-b.Echo <= entryPatience || b.Echo == 0 {
@@ -161,7 +161,7 @@
 		if !e.open {
 			continue
 		}
-		urgent := len(e.ended) > 0 || len(e.refused) > 0 || (x.turns.contended && x.offer(e) != e.told)
+		urgent := e.outcomes.waiting() || (x.turns.contended && x.offer(e) != e.told)
 		if urgent || (e.changed && now.Sub(e.toldAt) >= interval) {
 			x.tell(e, now, false)
 		}
@@ -192,9 +192,8 @@
 		FailedJobs:  x.failures.jobs,
 		Entries:     x.inTouch(),
 		Leaving:     x.leaving,
-		Ended:       e.ended,
-		Refused:     e.refused,
 	}
+	r.Ended, r.Refused, r.Outcomes = e.outcomes.tell()
 	r.Pace, r.PacedJobs = x.paces.median(now)
 	if !e.upstream {
 		up := x.usable()
@@ -205,6 +204,7 @@
 	if !e.complete && x.looked(now) {
 		r.Complete = true
 		e.complete = true
+		r.Ended = append(r.Ended, x.unclaimedEnds()...)
 	}
 	if beat || r.Complete {
 		e.beatAt = now
@@ -217,8 +217,6 @@
 	if r.Complete {
 		x.emit(Note{Owner: e.name, Worker: x.upstream.ID, What: "list of runs sent", Why: fmt.Sprintf("%d runs", len(r.Runs)), Age: x.clock.Since(x.look.openAt)})
 	}
-	e.ended = nil
-	e.refused = nil
 	e.changed = false
 	e.told = r.Free
 	e.toldAt = now
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -104,6 +104,9 @@
 	waiting []*run
 	used    messenger.Demand
 
+	// unclaimed keeps the ends of runs that no entry had claimed.
+	unclaimed map[messenger.Run]unclaimedEnd
+
 	entries map[string]*entry
 	// order lists the entries by name.
 	order []*entry
@@ -128,6 +131,7 @@
 		runs:      make(map[messenger.Run]*run),
 		byTask:    make(map[string]*run),
 		entries:   make(map[string]*entry),
+		unclaimed: make(map[messenger.Run]unclaimedEnd),
 	}
 }
 
@@ -161,6 +165,7 @@
 	x.expireWaiting(now)
 	x.stopAgain(now)
 	x.lapseSure(now)
+	x.forgetEnds(now)
 	x.nextLook()
 	x.beat(now)
 }
--- /dev/null
+++ b/executor/outcome_test.go
@@ -0,0 +1,42 @@
+package executor_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/executor"
+	"github.com/pomeloferry/pomeloferry/messenger"
+)
+
+func TestEndsAreToldAgainUntilTheEntryHasTakenThemIn(t *testing.T) {
+	b := newBench(t)
+	b.running(run1)
+	b.clock.Advance(time.Millisecond)
+	b.lookAnswered(1, nil, executor.Ended{Number: 1, End: messenger.End{Run: run1, How: messenger.Done}})
+	end := []messenger.End{{Run: run1, How: messenger.Done}}
+	require.Equal(t, end, b.ended())
+	told := b.tells[len(b.tells)-1]
+	for range 2 {
+		b.x.Closed("e")
+		b.x.Hello(messenger.Hello{Entry: "e", Incarnation: 1})
+		b.drain()
+		require.Equal(t, end, b.ended(), "the link may have lost it")
+	}
+	b.x.Beat("e", messenger.Beat{Stamp: 1, Echo: b.stamp, Heard: told.Outcomes})
+	b.x.Closed("e")
+	b.x.Hello(messenger.Hello{Entry: "e", Incarnation: 1})
+	b.drain()
+	require.Empty(t, b.ended())
+}
+
+func TestRunThatHasEndedIsNotStartedAgain(t *testing.T) {
+	b := newBench(t)
+	b.lookAnswered(1, []messenger.Progress{{Run: run1, Percent: 90}})
+	b.lookAnswered(2, nil, executor.Ended{Number: 1, End: messenger.End{Run: run1, How: messenger.Done}})
+	b.place(run1, 1000)
+	require.Empty(t, b.starts)
+	require.Empty(t, b.refused())
+	require.Contains(t, b.ended(), messenger.End{Run: run1, How: messenger.Done})
+}
--- a/executor/run.go
+++ b/executor/run.go
@@ -78,8 +78,12 @@
 func (x *Executor) settle(r *run, how messenger.How) {
 	x.remove(r)
 	x.judge(r, how)
+	end := messenger.End{Run: r.Run, How: how}
+	if r.owner == "" {
+		x.unclaimed[r.Run] = unclaimedEnd{End: end, at: x.clock.Now()}
+	}
 	if e := x.entries[r.owner]; e != nil {
-		e.ended = append(e.ended, messenger.End{Run: r.Run, How: how})
+		e.note(outcome{end: end})
 	}
 	if how != messenger.Done {
 		// The entry's line on the job covers runs that end well.
@@ -95,7 +99,7 @@
 
 func (x *Executor) refused(owner string, r messenger.Run, why messenger.Reason) {
 	if e := x.entries[owner]; e != nil {
-		e.refused = append(e.refused, messenger.Refusal{Run: r, Reason: why})
+		e.note(outcome{refused: messenger.Refusal{Run: r, Reason: why}})
 	}
 	x.emit(Note{Run: r, Owner: owner, What: "run refused", Why: string(why)})
 }
--- a/executor/start.go
+++ b/executor/start.go
@@ -48,6 +48,10 @@
 			x.claim(known, owner, t, p)
 			continue
 		}
+		if end, ok := x.unclaimed[t.Run]; ok {
+			e.note(outcome{end: end.End})
+			continue
+		}
 		if why, ok := x.takes(t, p, stale); !ok {
 			x.refused(owner, t.Run, why)
 			continue
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -71,6 +71,9 @@
 	Revision  int64    `cbor:"3,keyasint,omitempty"`
 	Evacuated []string `cbor:"4,keyasint,omitempty"`
 	Want      Want     `cbor:"5,keyasint,omitempty"`
+	// Heard is the Outcomes of the last Report on the link. The agent drops
+	// those outcomes.
+	Heard uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Want is what waits at an entry for room. Agents share scarce room out by it.
@@ -199,7 +202,8 @@
 }
 
 // Report is an agent's word on its worker. It is sent as a heartbeat and when
-// something has changed. Ended and Refused are reported once.
+// something has changed. Ended and Refused are reported once on a link, and
+// again on the next one until they have been acknowledged.
 type Report struct {
 	Agent      string `cbor:"1,keyasint,omitempty"`
 	DataCentre string `cbor:"2,keyasint,omitempty"`
@@ -231,4 +235,7 @@
 	Runs     []Progress `cbor:"16,keyasint,omitempty"`
 	Ended    []End      `cbor:"17,keyasint,omitempty"`
 	Refused  []Refusal  `cbor:"18,keyasint,omitempty"`
+	// Outcomes is the number of the last of all ends and refusals that the
+	// agent has told the entry of, on this link or an earlier one.
+	Outcomes uint64 `cbor:"19,keyasint,omitempty"`
 }
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -30,6 +30,8 @@
 	// reachedAt is when the agent may last have heard from this entry, as long
 	// as it is not open: when a link to it was last opened or closed.
 	reachedAt time.Time
+	// heard is the number of the last outcome told on the link.
+	heard uint64
 	// links counts the links that have been opened.
 	links int
 	// placements counts the Place messages on the link.
--- a/scheduler/hearsay_test.go
+++ b/scheduler/hearsay_test.go
@@ -81,6 +81,23 @@
 
 func (w *world) anyAgent() *simAgent { return w.agents[w.rng.IntN(len(w.agents))] }
 
+func TestNoTaskThatIsDoneRunsAgainWhenLinksBreak(t *testing.T) {
+	for seed := range uint64(4) {
+		w := newWorld(t, 340+seed, 3, 7, cores)
+		w.load(6*time.Second, 0.6)
+		w.every(50*time.Millisecond, func() {
+			a := w.anyAgent()
+			if l := a.links[w.entries[w.rng.IntN(len(w.entries))].name]; l != nil {
+				l.close()
+			}
+		})
+		w.run(12 * time.Second)
+		w.check()
+		require.Empty(t, w.repeated, "tasks that were done and began again")
+		t.Logf("%+v", w.summary())
+	}
+}
+
 func TestNoTaskRunsTwiceAtOnceWhateverIsSaid(t *testing.T) {
 	for _, word := range words {
 		t.Run(word.name, func(t *testing.T) {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -24,6 +24,7 @@
 	a.links++
 	a.placements = 0
 	a.pending = nil
+	a.heard = 0
 	a.reachedAt = s.clock.Now()
 }
 
@@ -36,6 +37,10 @@
 	s.emit(Note{Agent: name, What: "agent out of touch", Why: "link closed", Age: s.clock.Since(a.reportedAt)})
 }
 
+// Heard returns the number of the last outcome that an agent has told on its
+// link. The agent need not tell it again.
+func (s *Scheduler) Heard(name string) uint64 { return s.agentNamed(name).heard }
+
 // Upstream returns what was last heard of the worker at an agent.
 func (s *Scheduler) Upstream(name string) messenger.Upstream {
 	return s.agentNamed(name).upstream
@@ -44,6 +49,7 @@
 // Report takes in an agent's word.
 func (s *Scheduler) Report(r messenger.Report) {
 	a := s.agentNamed(r.Agent)
+	a.heard = r.Outcomes
 	if r.Upstream != nil {
 		if r.Upstream.ID != a.upstream.ID || r.Upstream.Born != a.upstream.Born {
 			a.health = health{}
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -122,7 +122,7 @@
 		}
 		if now.Sub(l.beatAt) >= messenger.BeatInterval {
 			l.beatAt = now
-			l.toAgent(messenger.Beat{Stamp: now.Sub(l.opened), Echo: l.echo, Want: e.core.Want()})
+			l.toAgent(messenger.Beat{Stamp: now.Sub(l.opened), Echo: l.echo, Want: e.core.Want(), Heard: e.core.Heard(a.name)})
 		}
 	}
 }
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -92,6 +92,8 @@
 	how := messenger.Done
 	if r.fails {
 		how = messenger.Failed
+	} else {
+		v.w.done[r.run.Task] = true
 	}
 	v.end(r, how)
 }
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -86,7 +86,11 @@
 	runningAt map[string]int
 	// twice lists tasks that ran in two places at once.
 	twice []string
-	jobs  int
+	// done holds the tasks that are done, and repeated those that began again
+	// after that.
+	done     map[string]bool
+	repeated []string
+	jobs     int
 }
 
 // simEntry is an entry process.
@@ -136,6 +140,7 @@
 		tasks:     make(map[string]simTask),
 		results:   make(map[string]*result),
 		runningAt: make(map[string]int),
+		done:      make(map[string]bool),
 	}
 	for i := range agents {
 		a := &simAgent{w: w, name: fmt.Sprintf("agent-%02d", i), links: make(map[string]*simLink), dataCentre: fmt.Sprintf("dc-%d", i%3)}
@@ -196,6 +201,9 @@
 // began and ended count where a task runs.
 func (w *world) began(v *simWorker, r messenger.Run) {
 	w.runningAt[r.Task]++
+	if w.done[r.Task] {
+		w.repeated = append(w.repeated, fmt.Sprintf("%s run %d at %s", r.Task, r.Number, v.name))
+	}
 	if w.runningAt[r.Task] > 1 {
 		w.twice = append(w.twice, fmt.Sprintf("%s run %d at %s", r.Task, r.Number, v.name))
 	}
