--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -55,6 +55,9 @@
 	Metrics string
 	// Grace bounds a planned stop.
 	Grace time.Duration
+	// Resend is the least time after which a caller that got no answer sends
+	// its job again.
+	Resend time.Duration
 }
 
 // Acceptor is one entry process.
@@ -133,6 +136,10 @@
 	g.Add(func() error { return newDirectives(a).follow(inner) }, func(error) { cancel() })
 	g.Add(func() error { return peers.follow(inner) }, func(error) { cancel() })
 	a.deps.Log.WithField("front", a.cfg.Front).Info("entry started")
+	if a.cfg.Resend < scheduler.LossAfter {
+		a.deps.Log.WithField("resend", a.cfg.Resend.String()).WithField("needed", scheduler.LossAfter.String()).
+			Warn("callers may send jobs again while runs of a lost entry go on")
+	}
 	err := g.Run()
 	a.deps.Log.Info("entry stopped")
 	return err
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -72,6 +72,7 @@
 		Ready:      s.Ready,
 		Metrics:    portAt(s.IP, s.LastPort),
 		Grace:      s.Grace,
+		Resend:     s.Resend,
 	}, platform.NewStore(s.Store))
 	if err != nil {
 		return errors.Wrapf(err, "entry %s", s.Node)
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -10,11 +10,11 @@
 const (
 	// reportAge is the greatest age of a report on which tasks are placed.
 	reportAge = 250 * time.Millisecond
-	// lossAfter is how long after it may last have heard from the entry an
+	// LossAfter is how long after it may last have heard from the entry an
 	// agent's runs are over for certain: the agent drops them when it has heard
 	// nothing for the silence limit, and the worker's lease runs out if it
 	// cannot.
-	lossAfter = messenger.SilenceLimit + 800*time.Millisecond
+	LossAfter = messenger.SilenceLimit + 800*time.Millisecond
 )
 
 // agent is what the entry knows of one agent and its worker.
