--- a/executor/entry.go
+++ b/executor/entry.go
@@ -36,9 +36,8 @@
 	want  messenger.Want
 	share float64
 	// beatAt is when the progress of runs was last told.
-	beatAt  time.Time
-	ended   []messenger.End
-	refused []messenger.Refusal
+	beatAt   time.Time
+	outcomes outcomes
 }
 
 // Hello opens a link of an entry. Runs of an earlier incarnation are dropped,
@@ -55,13 +54,13 @@
 	if e.incarnation != h.Incarnation {
 		x.dropOwned(h.Entry)
 		e.incarnation = h.Incarnation
-		e.ended = nil
-		e.refused = nil
+		e.outcomes = outcomes{}
 	}
 	e.heard = now
 	e.seen = 0
 	e.echo = 0
 	e.open = true
+	e.outcomes.told = 0
 	e.complete = false
 	e.upstream = false
 	e.changed = true
@@ -85,6 +84,7 @@
 		return
 	}
 	e.echo = b.Stamp
+	e.outcomes.heard(b.Heard)
 	x.direct(name, b)
 	x.wants(e, b.Want)
 	if x.stamp()-b.Echo <= entryPatience || b.Echo == 0 {
@@ -161,7 +161,7 @@
 		if !e.open {
 			continue
 		}
-		urgent := len(e.ended) > 0 || len(e.refused) > 0 || (x.turns.contended && x.offer(e) != e.told)
+		urgent := e.outcomes.waiting() || (x.turns.contended && x.offer(e) != e.told)
 		if urgent || (e.changed && now.Sub(e.toldAt) >= interval) {
 			x.tell(e, now, false)
 		}
@@ -192,19 +192,19 @@
 		FailedJobs:  x.failures.jobs,
 		Entries:     x.inTouch(),
 		Leaving:     x.leaving,
-		Ended:       e.ended,
-		Refused:     e.refused,
 	}
+	r.Ended, r.Refused, r.Outcomes = e.outcomes.tell()
 	r.Pace, r.PacedJobs = x.paces.median(now)
 	if !e.upstream {
-		up := x.upstream
+		up := x.usable()
 		r.Upstream = &up
 		e.upstream = true
 	}
 	// A list of runs is complete only after the worker has been seen.
-	if !e.complete && x.looked() {
+	if !e.complete && x.looked(now) {
 		r.Complete = true
 		e.complete = true
+		r.Ended = append(r.Ended, x.unclaimedEnds()...)
 	}
 	if beat || r.Complete {
 		e.beatAt = now
@@ -217,8 +217,6 @@
 	if r.Complete {
 		x.emit(Note{Owner: e.name, Worker: x.upstream.ID, What: "list of runs sent", Why: fmt.Sprintf("%d runs", len(r.Runs)), Age: x.clock.Since(x.look.openAt)})
 	}
-	e.ended = nil
-	e.refused = nil
 	e.changed = false
 	e.told = r.Free
 	e.toldAt = now
@@ -240,7 +238,16 @@
 	return messenger.Progress{Run: r.Run, Percent: r.percent, Age: r.age}
 }
 
-// looked reports whether the worker has answered a look, or there is none.
-func (x *Executor) looked() bool {
-	return x.upstream.Born == 0 || x.look.number > 1 || !x.look.open
+// usable returns the worker as entries may use it.
+func (x *Executor) usable() messenger.Upstream {
+	if x.departed {
+		return messenger.Upstream{ID: x.upstream.ID}
+	}
+	return x.upstream
+}
+
+// looked reports whether it is known what runs: the worker has answered a look,
+// or the leases of an earlier incarnation of the agent are over.
+func (x *Executor) looked(now time.Time) bool {
+	return x.look.answered || now.After(leaseEnd(x.began))
 }
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -122,7 +122,7 @@
 		}
 		if now.Sub(l.beatAt) >= messenger.BeatInterval {
 			l.beatAt = now
-			l.toAgent(messenger.Beat{Stamp: now.Sub(l.opened), Echo: l.echo, Want: e.core.Want()})
+			l.toAgent(messenger.Beat{Stamp: now.Sub(l.opened), Echo: l.echo, Want: e.core.Want(), Heard: e.core.Heard(a.name)})
 		}
 	}
 }
@@ -245,7 +245,7 @@
 		case executor.Start:
 			a.start(e)
 		case executor.Stop:
-			a.w.after(localDelay, func() { a.worker.stop(e) })
+			a.w.after(localDelay+time.Duration(a.w.rng.Int64N(int64(stopMost))), func() { a.worker.stop(e) })
 		case executor.Look:
 			a.look(e)
 		case executor.Wake:
@@ -269,7 +269,7 @@
 // without an answer.
 func (a *simAgent) start(s executor.Start) {
 	core := a.core
-	deadline := a.w.clock.Now().Add(s.Lease)
+	deadline := s.Until
 	done := func(out executor.Outcome) {
 		a.do(func() {
 			if a.core == core {
@@ -292,7 +292,7 @@
 // look calls the worker, which answers when a run ends or the wait is over.
 func (a *simAgent) look(l executor.Look) {
 	core := a.core
-	deadline := a.w.clock.Now().Add(l.Lease)
+	deadline := l.Until
 	fail := func(out executor.Outcome) {
 		a.do(func() {
 			if a.core == core {
@@ -307,7 +307,7 @@
 	end := a.w.clock.Now().Add(l.Wait)
 	var poll func()
 	poll = func() {
-		if l.Upstream.Born != a.worker.up.Born {
+		if l.Upstream.Born != a.worker.up.Born || l.Upstream.ID != a.worker.up.ID {
 			fail(executor.OtherWorker)
 			return
 		}
