attendant: Compare the sequence of heartbeats of one life only

After a heartbeat under an id that nobody has, with a high sequence number, the real worker's heartbeats were acknowledged and passed over as late, its word that it drains too.

--- a/attendant/core.go
+++ b/attendant/core.go
@@ -51,9 +51,9 @@
 	// links maps the name of an entry to its newest link.
 	links map[string]*messenger.Link
 	names map[*messenger.Link]string
-	// sequence is that of the last heartbeat of the present worker.
-	sequence int64
-	meters   meters
+	// last is the last heartbeat that was taken in.
+	last   platform.Heartbeat
+	meters meters
 }
 
 func newCore(a *Attendant) *core {
@@ -111,7 +111,8 @@
 func (c *core) heartbeat(h platform.Heartbeat) {
 	up := c.executor.Upstream()
 	same := h.ID == up.ID && h.Born == up.Born
-	if h.Born < up.Born || (same && h.Sequence < c.sequence) {
+	late := h.ID == c.last.ID && h.Born == c.last.Born && h.Sequence < c.last.Sequence
+	if h.Born < up.Born || late {
 		c.attendant.deps.Log.WithField("worker", h.ID).WithField("sequence", h.Sequence).Info("late heartbeat passed over")
 		return
 	}
@@ -124,7 +125,7 @@
 		}).Info("worker changed")
 		c.attendant.describe(h.Upstream)
 	}
-	c.sequence = h.Sequence
+	c.last = h
 	c.attendant.worker.Sample(h.ID, h.Born, h.ClockMillis)
 	c.executor.SetUpstream(h.Upstream)
 }
