acceptor: Take an agent for out of touch when its new link has ended already

A link that ended before the entry took it in left the one that it replaced in the entry's list for good: its end was never reported, the agent stayed open for the scheduler, and nothing placed there was ever lost, or was lost by an old clock reading with the next link.

--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -48,7 +48,7 @@
 func (c *core) opened(m linkOpened) {
 	now := c.acceptor.deps.Clock.Now()
 	if old := c.links[m.agent]; old != nil {
-		delete(c.names, old.Link)
+		c.closed(old.Link)
 		old.Close()
 	}
 	if m.link.Ended() {
