--- /dev/null
+++ b/attendant/core_test.go
@@ -0,0 +1,57 @@
+package attendant
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/executor"
+	"github.com/pomeloferry/pomeloferry/messenger"
+	"github.com/pomeloferry/pomeloferry/platform"
+	"github.com/pomeloferry/pomeloferry/provider"
+)
+
+// noWorker is a worker that takes nothing.
+type noWorker struct{}
+
+func (noWorker) Start(context.Context, executor.Start) (executor.Outcome, error) {
+	return executor.NotSent, nil
+}
+
+func (noWorker) Stop(context.Context, executor.Stop) (executor.Outcome, error) {
+	return executor.NotSent, nil
+}
+
+func (noWorker) Look(context.Context, executor.Look) (executor.Seen, executor.Outcome, error) {
+	return executor.Seen{}, executor.NotSent, nil
+}
+
+func (noWorker) Sample(string, int64, float64) {}
+
+func TestNoticeOfAWorkerIsHeardAfterTheHeartbeatOfAnother(t *testing.T) {
+	c := newCore(&Attendant{
+		deps:      provider.NewDeps(io.Discard),
+		cfg:       Config{DrainWithin: 2 * time.Second},
+		worker:    noWorker{},
+		described: make(chan messenger.Upstream, 1),
+	})
+	beat := func(id string, born, sequence int64, draining bool) {
+		c.heartbeat(platform.Heartbeat{
+			Upstream: messenger.Upstream{ID: id, Born: born, Service: "quotes", Draining: draining},
+			Sequence: sequence,
+		})
+	}
+	beat("w", 1, 5, false)
+	beat("stranger", 2, 1000, false)
+	for _, e := range c.executor.Drain() {
+		if l, ok := e.(executor.Look); ok {
+			c.executor.LookFailed(l.Number, executor.OtherWorker)
+		}
+	}
+	require.Equal(t, "w", c.executor.Upstream().ID)
+	beat("w", 1, 6, true)
+	require.True(t, c.executor.Upstream().Draining)
+}
