scheduler: Leave no run behind with a job whose task failed too often

The task that failed last counted as placed when its job ended, so its run was kept as one that may go on, for good: a leak, and the job never ran when it was sent again after its record had gone. Test: TestJobWhoseTaskFailedTooOftenLeavesNoRunBehind, failing before.

--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -211,6 +211,9 @@
 	if a.health.probed(t.current()) {
 		s.eject(a, "failed the probe")
 	}
+		delete(a.tasks, t.current())
+		t.agent = nil
+		t.state = finished
 	t.failures++
 	if t.failures >= t.job.Queue.MaxAttempts {
 		s.end(t.job, Answer{Outcome: JobFailed, Why: "task " + t.id + " failed too often"})
--- a/scheduler/withdrawn_test.go
+++ b/scheduler/withdrawn_test.go
@@ -110,3 +110,36 @@
 	b.drain()
 	require.Equal(t, scheduler.JobFailed, b.replies[1].Outcome)
 }
+
+func TestJobWhoseTaskFailedTooOftenLeavesNoRunBehind(t *testing.T) {
+	b := newBench(t)
+	b.open("a")
+	j := b.job(jobID, 1)
+	j.Deadline = b.clock.Now().Add(time.Minute)
+	b.s.Submit(1, j)
+	b.drain()
+	seen := uint64(0)
+	for len(b.replies) == 0 {
+		run := b.placed().Tasks[0].Run
+		seen++
+		r := report("a", seen)
+		r.Ended = []messenger.End{{Run: run, How: messenger.Failed}}
+		b.s.Report(r)
+		b.drain()
+		for len(b.replies) == 0 && len(b.sent) == 0 {
+			b.clock.Advance(100 * time.Millisecond)
+			b.s.Report(report("a", seen))
+			b.s.Tick()
+			b.drain()
+		}
+	}
+	// Its record has gone; the caller sends the job again.
+	b.clock.Advance(16 * time.Second)
+	b.s.Tick()
+	b.s.Report(report("a", seen))
+	b.drain()
+	j.Deadline = b.clock.Now().Add(time.Minute)
+	b.s.Submit(2, j)
+	b.drain()
+	require.NotEmpty(t, b.sent, "all runs of the last try have ended")
+}
