executor, scheduler: Bound what a lease, a late word and a stop that does nothing keep alive

Leases of runs that nobody has claimed are not renewed, and the list waits for the last lease. - The same for a detached run at a worker that is looked at again (TestDetachedRunIsHeldWhileLooksAtItsWorkerLengthenItsLease). - A heartbeat or Hello that was read late counted as said now. An entry counts as there by the stamp that it echoes, 120 ms more at most, and its agents' runs are over 1,290 ms after their last report (120 + 400 + 20 + 100 + 612 + slack); the link no longer matters, so an agent that takes links and says nothing is lost in the end (TestHeartbeatThatWasReadLateKeepsNoRunLonger, TestAgentThatTakesLinksAndSaysNothingIsLostInTheEnd). - A worker reborn with an earlier time by its clock was not taken for a new one (TestWorkerThatWasBornEarlierByItsClockIsTakenOnWhenItAnswers). - A task that runs at an agent for another entry, or under another number, was refused and placed elsewhere at once, or got no word; now the entry joins the run and gets its outcome (TestTaskThatRunsHereForAnotherEntryIsNotStartedButItsEndIsToldToBoth). - Outcomes of an earlier life of an entry went to the next one (TestOutcomesOfAnEarlierLifeOfAnEntryAreNotToldToTheNext); the end of a withdrawn run that nobody had claimed went to nobody (TestEndOfAWithdrawnRunThatNobodyClaimedIsTold).

go test ./executor ./scheduler: passed; the tests named above failed before.

--- a/acceptor/core.go
+++ b/acceptor/core.go
@@ -143,6 +143,6 @@
 	if !ok || r.Agent != name {
 		return
 	}
-	c.links[name].echo = r.Stamp
+	c.links[name].heard(r.Stamp)
 	c.scheduler.Report(*r)
 }
--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -17,6 +17,15 @@
 	echo time.Duration
 }
 
+// heard notes the agent's stamp. The first one is echoed at once, since the
+// agent counts the entry as there by that.
+func (l *link) heard(stamp time.Duration) {
+	if l.echo == 0 {
+		l.beatAt = time.Time{}
+	}
+	l.echo = stamp
+}
+
 // beat sends heartbeats that are due.
 func (c *core) beat() {
 	now := c.acceptor.deps.Clock.Now()
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -44,6 +44,7 @@
 // since their callers are gone.
 func (x *Executor) Hello(h messenger.Hello) {
 	now := x.clock.Now()
+	x.dropSilent(now)
 	e := x.entries[h.Entry]
 	if e == nil {
 		e = &entry{name: h.Entry}
@@ -52,11 +53,14 @@
 		slices.SortFunc(x.order, func(a, b *entry) int { return strings.Compare(a.name, b.name) })
 	}
 	if e.incarnation != h.Incarnation {
-		x.dropOwned(h.Entry)
+		x.disown(h.Entry)
 		e.incarnation = h.Incarnation
 		e.outcomes = outcomes{}
 	}
-	e.heard = now
+	if !x.owes(h.Entry) {
+		// A Hello that was read late must not keep runs alive.
+		e.heard = now
+	}
 	e.seen = 0
 	e.echo = 0
 	e.open = true
@@ -87,8 +91,42 @@
 	e.outcomes.heard(b.Heard)
 	x.direct(name, b)
 	x.wants(e, b.Want)
-	if x.stamp()-b.Echo <= entryPatience || b.Echo == 0 {
-		e.heard = x.clock.Now()
+	x.contact(e, b.Echo)
+}
+
+// contact notes that an entry was there when it had seen one of our stamps. The
+// message may have been read late.
+func (x *Executor) contact(e *entry, echo time.Duration) {
+	if echo == 0 {
+		return
+	}
+	said := x.began.Add(echo + echoCredit)
+	if now := x.clock.Now(); said.After(now) {
+		said = now
+	}
+	if said.After(e.heard) {
+		e.heard = said
+	}
+}
+
+// owes reports whether an entry has runs here.
+func (x *Executor) owes(name string) bool {
+	for _, r := range x.runs {
+		if r.owner == name {
+			return true
+		}
+	}
+	return false
+}
+
+// disown drops the runs of an earlier incarnation of an entry. The next one may
+// claim them.
+func (x *Executor) disown(name string) {
+	x.dropOwned(name)
+	for _, r := range x.runs {
+		if r.owner == name {
+			r.owner = ""
+		}
 	}
 }
 
@@ -122,8 +160,9 @@
 		}
 	}
 	for _, r := range x.sorted() {
-		if r.owner == "" && now.After(r.expires) {
+		if r.owner == "" && !r.dropped && now.After(r.expires) {
 			x.drop(r)
+			r.mustEnd = now.Add(stopPatience)
 		}
 	}
 }
@@ -133,6 +172,7 @@
 		if r.owner == owner && !r.dropped {
 			x.emit(Note{Run: r.Run, Owner: owner, What: "run dropped", Why: "entry silent or restarted"})
 			x.drop(r)
+			r.mustEnd = x.clock.Now().Add(stopPatience)
 		}
 	}
 }
@@ -212,6 +252,7 @@
 			if o.owner == e.name || (r.Complete && o.owner == "") {
 				r.Runs = append(r.Runs, x.progress(o))
 			}
+			r.Runs = append(r.Runs, o.joinedBy(e.name)...)
 		}
 	}
 	if r.Complete {
@@ -234,6 +275,17 @@
 	return n
 }
 
+// joinedBy lists the placements of an entry that get the outcome of a run.
+func (r *run) joinedBy(name string) []messenger.Progress {
+	var out []messenger.Progress
+	for _, c := range r.joined {
+		if c.entry == name {
+			out = append(out, messenger.Progress{Run: c.run})
+		}
+	}
+	return out
+}
+
 func (x *Executor) progress(r *run) messenger.Progress {
 	return messenger.Progress{Run: r.Run, Percent: r.percent, Age: r.age}
 }
@@ -246,8 +298,10 @@
 	return x.upstream
 }
 
-// looked reports whether it is known what runs: the worker has answered a look,
-// or the leases of an earlier incarnation of the agent are over.
+// looked reports whether it is known what runs.
 func (x *Executor) looked(now time.Time) bool {
-	return x.look.answered || now.After(leaseEnd(x.began))
+	if !x.settled && now.After(leaseEnd(x.began)) && now.After(leaseEnd(x.leasedAt)) {
+		x.settled = true
+	}
+	return x.settled
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -32,11 +32,17 @@
 	// entryPatience is how long an entry may be silent before its runs are
 	// stopped.
 	entryPatience = messenger.SilenceLimit
+	// echoCredit is how long after the stamp that it echoes an entry's word
+	// counts as said at most, however late it is read.
+	echoCredit = messenger.BeatInterval
+	// stopPatience is how long runs that must end may take to be stopped. Then
+	// no lease is renewed until they are over.
+	stopPatience = 100 * time.Millisecond
 	// entryMemory is how long the ends of a lost entry's runs are kept for it.
 	entryMemory = 10 * time.Second
 	// orphanPatience is how long a run without an owner is kept for an entry
-	// that may claim it.
-	orphanPatience = 400 * time.Millisecond
+	// that may claim it. No lease is renewed meanwhile.
+	orphanPatience = 150 * time.Millisecond
 	// placeAge is the greatest age of a Place that is still carried out.
 	placeAge = messenger.SilenceLimit
 	// stopAgain is the time after which a stop is sent again.
@@ -85,6 +91,9 @@
 	// leasedAt is when a call was last sent that may have lengthened the lease
 	// of all that the worker runs.
 	leasedAt time.Time
+	// settled is whether it is known what runs: the worker has answered a look,
+	// or the leases of an earlier incarnation of the agent are over.
+	settled bool
 	// drainingSince is when the upstream first said that it leaves.
 	drainingSince time.Time
 	leaving       bool
--- /dev/null
+++ b/executor/lease_test.go
@@ -0,0 +1,174 @@
+package executor_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/executor"
+	"github.com/pomeloferry/pomeloferry/messenger"
+)
+
+// entryLoss is when an entry places elsewhere what it had at an agent that it
+// cannot reach; see lossAfter in package scheduler.
+const entryLoss = 1200 * time.Millisecond
+
+// leaseMost is how long after it was asked for a lease may last at a worker.
+const leaseMost = 612 * time.Millisecond
+
+func TestRunWhoseStopsDoNothingIsOverBeforeItsSilentEntryGivesItUp(t *testing.T) {
+	b := newBench(t)
+	b.running(run1)
+	heard := b.clock.Now()
+	there := []messenger.Progress{{Run: run1, Percent: 1}}
+	// Looks are answered; stops are held up, as orders may be for seconds.
+	b.lookAnswered(1, there)
+	b.x.Tick()
+	last := heard
+	for b.clock.Since(heard) < 3*time.Second && b.clock.Since(last) <= leaseMost {
+		for _, l := range b.looks {
+			if !l.Until.IsZero() {
+				last = b.clock.Now()
+			}
+			b.x.Looked(executor.Seen{Number: l.Number, Born: 1, Running: there})
+		}
+		b.clock.Advance(10 * time.Millisecond)
+		b.x.Tick()
+		b.drain()
+	}
+	require.LessOrEqual(t, last.Add(leaseMost).Sub(heard), entryLoss, "run 1 goes on after the entry has placed the task elsewhere")
+}
+
+func TestRestartedAgentListsNothingBeforeItsOwnLooksLeaseIsOver(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := &bench{t: t, clock: clock}
+	b.x = executor.NewExecutor(clock, executor.Identity{Agent: "a", DataCentre: "dc", Incarnation: 2, Token: 100}, executor.Config{})
+	b.x.Hello(messenger.Hello{Entry: "e", Incarnation: 1})
+	b.drain()
+	b.pass(550 * time.Millisecond)
+	// The worker announces itself and carries the look out; the answer is lost.
+	b.x.SetUpstream(upstream(1))
+	b.drain()
+	require.NotEmpty(t, b.looks)
+	require.False(t, b.looks[0].Until.IsZero())
+	renewed := b.looks[0].Until
+	b.x.LookFailed(b.looks[0].Number, executor.Unanswered)
+	for clock.Now().Before(renewed) {
+		b.pass(10 * time.Millisecond)
+		require.False(t, complete(b.tells), "the look has lengthened the lease of what runs there")
+	}
+}
+
+func TestDetachedRunIsHeldWhileLooksAtItsWorkerLengthenItsLease(t *testing.T) {
+	b := newBench(t)
+	b.running(run1)
+	b.clock.Advance(time.Millisecond)
+	b.x.SetUpstream(anotherWorker())
+	b.drain()
+	stranger := b.looks[len(b.looks)-1]
+	b.clock.Advance(300 * time.Millisecond)
+	b.x.Beat("e", messenger.Beat{Stamp: 1, Echo: b.stamp})
+	b.x.LookFailed(stranger.Number, executor.OtherWorker)
+	b.drain()
+	look := b.looks[len(b.looks)-1]
+	require.Equal(t, "w", look.Upstream.ID)
+	require.False(t, look.Until.IsZero())
+	// The worker carries it out; its answer is lost.
+	for b.clock.Now().Before(look.Until) {
+		b.pass(10 * time.Millisecond)
+		require.Empty(t, b.ended(), "the look has lengthened the lease of run 1")
+	}
+}
+
+func TestWorkerThatWasBornEarlierByItsClockIsTakenOnWhenItAnswers(t *testing.T) {
+	b := newBench(t)
+	b.x.SetUpstream(upstream(5000))
+	b.drain()
+	look := b.looks[0]
+	b.running(run1)
+	b.looks = []executor.Look{look}
+	// The worker crashes, its clock is set back, and it starts again under its id.
+	for range 300 {
+		for _, l := range b.looks {
+			b.x.Looked(executor.Seen{Number: l.Number, Born: 3000})
+		}
+		b.clock.Advance(10 * time.Millisecond)
+		b.x.Beat("e", messenger.Beat{Stamp: 1, Echo: b.stamp})
+		b.x.Tick()
+		b.drain()
+		if len(b.ended()) > 0 {
+			return
+		}
+	}
+	t.Fatal("run 1 ended with its worker; the agent has not noticed in 3 s")
+}
+
+func TestHeartbeatThatWasReadLateKeepsNoRunLonger(t *testing.T) {
+	b := newBench(t)
+	b.running(run1)
+	stamp := b.stamp
+	// The agent is paused with the heartbeat unread; the entry's link has ended
+	// right after it.
+	b.clock.Advance(390 * time.Millisecond)
+	b.x.Beat("e", messenger.Beat{Stamp: 1, Echo: stamp})
+	b.x.Closed("e")
+	b.clock.Advance(20 * time.Millisecond)
+	b.x.Tick()
+	b.drain()
+	require.Len(t, b.stops, 1, "the entry is known to have been there 410 ms ago, not later")
+}
+
+func TestEndOfAWithdrawnRunThatNobodyClaimedIsTold(t *testing.T) {
+	b := newBench(t)
+	b.lookAnswered(1, []messenger.Progress{{Run: run1, Percent: 10}})
+	b.clock.Advance(10 * time.Millisecond)
+	b.x.Tick()
+	b.drain()
+	require.True(t, complete(b.tells))
+	b.x.Withdraw("e", messenger.Withdraw{Runs: []messenger.Run{run1}})
+	b.drain()
+	require.Len(t, b.stops, 1)
+	b.clock.Advance(50 * time.Millisecond)
+	b.lookAnswered(2, nil, executor.Ended{Number: 1, End: messenger.End{Run: run1, How: messenger.Stopped}})
+	require.Equal(t, []messenger.End{{Run: run1, How: messenger.Stopped}}, b.ended(), "the entry's next try waits for it")
+}
+
+func TestOutcomesOfAnEarlierLifeOfAnEntryAreNotToldToTheNext(t *testing.T) {
+	b := newBench(t)
+	b.place(run1, 1000)
+	b.x.Started(run1, b.starts[0].Token, executor.Unanswered)
+	b.drain()
+	look := b.looks[0]
+	b.x.Hello(messenger.Hello{Entry: "e", Incarnation: 2})
+	b.drain()
+	// The new life places a run of the same name; the refusal crosses it.
+	b.lookAnswered(look.Number, nil)
+	require.Empty(t, b.refused(), "the new life takes it for its own run 1 and places run 2")
+	b.place(run1, 1000)
+	require.Len(t, b.starts, 1, "it has never started")
+}
+
+func TestTaskThatRunsHereForAnotherEntryIsNotStartedButItsEndIsToldToBoth(t *testing.T) {
+	for _, number := range []int{1, 2} {
+		t.Run(fmt.Sprintf("placed as run %d", number), func(t *testing.T) {
+			b := newBench(t)
+			b.running(run1)
+			b.x.Hello(messenger.Hello{Entry: "f", Incarnation: 1})
+			b.drain()
+			b.clock.Advance(10 * time.Millisecond)
+			other := messenger.Run{Task: run1.Task, Number: number}
+			b.x.Place("f", messenger.Place{
+				Number: 1, Job: "j", Spec: "spec", Service: "quotes", Patience: 12 * time.Millisecond, Echo: 10 * time.Millisecond,
+				Tasks: []messenger.Task{{Run: other, Demand: messenger.Demand{CPU: 1000}}},
+			})
+			b.drain()
+			require.Empty(t, b.starts)
+			require.Empty(t, b.refused(), "it may not run elsewhere either")
+			b.lookAnswered(1, nil, executor.Ended{Number: 1, End: messenger.End{Run: run1, How: messenger.Done}})
+			require.ElementsMatch(t, []messenger.End{{Run: run1, How: messenger.Done}, {Run: other, How: messenger.Done}}, b.ended())
+		})
+	}
+}
--- a/executor/look.go
+++ b/executor/look.go
@@ -65,8 +65,9 @@
 	l.token = x.token
 	l.urgent = false
 	look := Look{Number: l.number, Token: x.token, Seen: l.seen, Wait: wait, Upstream: x.upstream}
-	// What is not answered must not keep runs alive for ever.
-	if !x.silent() {
+	// What is not answered must not keep runs alive for ever, nor what does not
+	// end when it is stopped.
+	if !x.silent() && !x.overdue(now) {
 		look.Until = x.lease(now)
 	}
 	x.emit(look)
@@ -76,9 +77,27 @@
 // when.
 func (x *Executor) lease(now time.Time) time.Time {
 	x.leasedAt = now
+	for _, r := range x.runs {
+		if r.phase == detached && r.worker == x.upstream.ID {
+			r.over = leaseEnd(now)
+		}
+	}
 	return now.Add(Lease)
 }
 
+// overdue reports whether a run goes on that has to end, or that an earlier
+// incarnation of the agent started and no entry has claimed: its entry may have
+// given it up, and counts on its lease.
+func (x *Executor) overdue(now time.Time) bool {
+	for _, r := range x.runs {
+		unclaimed := r.owner == "" && !r.dropped
+		if r.here() && (unclaimed || (!r.mustEnd.IsZero() && now.After(r.mustEnd))) {
+			return true
+		}
+	}
+	return false
+}
+
 // busy reports whether the worker may run anything of ours.
 func (x *Executor) busy() bool {
 	for _, r := range x.runs {
@@ -154,6 +173,7 @@
 		x.changed()
 	}
 	x.prior = messenger.Upstream{}
+	x.settled = true
 	x.takeEnds(s.Ended)
 	x.takeRunning(s.Running)
 	x.pump()
@@ -161,11 +181,9 @@
 }
 
 // otherIncarnation notes that the worker has restarted. It counts as without
-// room before it has announced itself, since it may be of another size.
+// room before it has announced itself, since it may be of another size. Its
+// start may be the earlier one by its clock, which may have been set back.
 func (x *Executor) otherIncarnation(born int64) {
-	if born < x.upstream.Born {
-		return
-	}
 	x.forgetWorker()
 	x.upstream = messenger.Upstream{ID: x.upstream.ID, Born: born, Service: x.upstream.Service}
 	x.doubtAll("worker restarted")
--- a/executor/outcome.go
+++ b/executor/outcome.go
@@ -32,6 +32,11 @@
 	o.list = append(o.list, c)
 }
 
+// holds reports whether the outcome of a run has not been acknowledged yet.
+func (o *outcomes) holds(r messenger.Run) bool {
+	return slices.ContainsFunc(o.list, func(c outcome) bool { return c.end.Run == r || c.refused.Run == r })
+}
+
 // waiting reports whether there is something to tell.
 func (o *outcomes) waiting() bool { return len(o.list) > 0 && o.told < o.last }
 
--- a/executor/run.go
+++ b/executor/run.go
@@ -24,6 +24,12 @@
 	detached
 )
 
+// claimant is an entry's placement of a task that has a run here already.
+type claimant struct {
+	entry string
+	run   messenger.Run
+}
+
 // run is one run of a task at this agent.
 type run struct {
 	messenger.Task
@@ -37,6 +43,11 @@
 	worker string
 	// over is when a detached run has ended for certain.
 	over time.Time
+	// joined are the other placements of the task that get the outcome.
+	joined []claimant
+	// mustEnd is when a run that has to end keeps leases from being renewed;
+	// zero for others.
+	mustEnd time.Time
 	// dropped runs are stopped as soon as it is known that they have started.
 	dropped bool
 	// expires is when a waiting run is refused.
@@ -85,6 +96,11 @@
 	if e := x.entries[r.owner]; e != nil {
 		e.note(outcome{end: end})
 	}
+	for _, c := range r.joined {
+		if e := x.entries[c.entry]; e != nil {
+			e.note(outcome{end: messenger.End{Run: c.run, How: how}})
+		}
+	}
 	if how != messenger.Done {
 		// The entry's line on the job covers runs that end well.
 		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run ended", Why: string(how), Age: x.clock.Since(r.sentAt)})
@@ -95,6 +111,20 @@
 func (x *Executor) refuse(r *run, why messenger.Reason) {
 	x.remove(r)
 	x.refused(r.owner, r.Run, why)
+	for _, c := range r.joined {
+		x.refused(c.entry, c.run, why)
+	}
+}
+
+// leave takes the placement of an entry off the run that it had joined. One that
+// is not known here has not started and will not start.
+func (x *Executor) leave(owner string, id messenger.Run) {
+	if r := x.byTask[id.Task]; r != nil {
+		r.joined = slices.DeleteFunc(r.joined, func(c claimant) bool { return c.entry == owner && c.run == id })
+	}
+	if e := x.entries[owner]; e != nil && x.settled && !e.outcomes.holds(id) {
+		x.refused(owner, id, messenger.Overtaken)
+	}
 }
 
 func (x *Executor) refused(owner string, r messenger.Run, why messenger.Reason) {
--- a/executor/start.go
+++ b/executor/start.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -39,13 +40,14 @@
 		return
 	}
 	e.seen = p.Number
+	x.contact(e, p.Echo)
 	now := x.clock.Now()
 	stale := x.stamp()-p.Echo > placeAge
 	x.wants(e, p.Want)
 	taken := 0
 	for _, t := range p.Tasks {
-		if known := x.runs[t.Run]; known != nil {
-			x.claim(known, owner, t, p)
+		if known := x.byTask[t.Task]; known != nil {
+			x.meet(e, known, t, p)
 			continue
 		}
 		if end, ok := x.unclaimed[t.Run]; ok {
@@ -66,11 +68,20 @@
 	x.pump()
 }
 
+// meet takes in the placement of a task that has a run here: the entry gets
+// this run, or its outcome if it is another one's.
+func (x *Executor) meet(e *entry, known *run, t messenger.Task, p messenger.Place) {
+	switch {
+	case known.Run == t.Run && known.owner == "":
+		x.claim(known, e.name, t, p)
+	case known.Run != t.Run || known.owner != e.name:
+		known.joined = append(known.joined, claimant{entry: e.name, run: t.Run})
+		x.emit(Note{Run: t.Run, Owner: e.name, Worker: known.worker, What: "run joined", Why: fmt.Sprintf("run %d of %q goes on", known.Number, known.owner)})
+	}
+}
+
 // claim gives a run that was found at the worker to the entry that names it.
 func (x *Executor) claim(r *run, owner string, t messenger.Task, p messenger.Place) {
-	if r.owner != "" {
-		return
-	}
 	r.owner = owner
 	r.job = p.Job
 	r.spec = p.Spec
@@ -94,9 +105,6 @@
 		return messenger.NoWorker, false
 	case x.upstream.Draining && !x.endsBeforeLeave(t):
 		return messenger.Leaving, false
-	case x.byTask[t.Task] != nil:
-		// Another run of the task may still be going here.
-		return messenger.Superseded, false
 	case !t.Demand.Fits(x.upstream.Capacity):
 		return messenger.NoRoom, false
 	}
@@ -125,6 +133,9 @@
 	now := x.clock.Now()
 	x.dropSilent(now)
 	x.expireWaiting(now)
+	if x.overdue(now) {
+		return
+	}
 	room := x.free()
 	for _, r := range slices.Clone(x.waiting) {
 		if r.Demand.Fits(room) {
@@ -230,13 +241,25 @@
 // Withdraw drops or stops runs of an entry.
 func (x *Executor) Withdraw(owner string, w messenger.Withdraw) {
 	for _, id := range w.Runs {
-		if r := x.runs[id]; r != nil && (r.owner == owner || r.owner == "") {
-			x.drop(r)
-		}
+		x.withdraw(owner, id)
 	}
 	x.pump()
 }
 
+// withdraw drops one run of an entry, which hears of its outcome.
+func (x *Executor) withdraw(owner string, id messenger.Run) {
+	r := x.runs[id]
+	switch {
+	case r != nil && r.owner == "":
+		r.owner = owner
+		x.drop(r)
+	case r != nil && r.owner == owner:
+		x.drop(r)
+	default:
+		x.leave(owner, id)
+	}
+}
+
 func (x *Executor) drop(r *run) {
 	switch r.phase {
 	case waiting:
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -10,11 +10,10 @@
 const (
 	// reportAge is the greatest age of a report on which tasks are placed.
 	reportAge = 250 * time.Millisecond
-	// LossAfter is how long after it may last have heard from the entry an
-	// agent's runs are over for certain: the agent drops them when it has heard
-	// nothing for the silence limit, and the worker's lease runs out if it
-	// cannot.
-	LossAfter = messenger.SilenceLimit + 800*time.Millisecond
+	// LossAfter is how long after its last report an agent's runs are over for
+	// certain: the agent drops them when the entry has echoed nothing newer for
+	// a while, and the worker's lease runs out if it cannot.
+	LossAfter = 1290 * time.Millisecond
 )
 
 // agent is what the entry knows of one agent and its worker.
@@ -27,9 +26,6 @@
 	// upstream is the worker as last reported.
 	upstream   messenger.Upstream
 	reportedAt time.Time
-	// reachedAt is when the agent may last have heard from this entry, as long
-	// as it is not open: when a link to it was last opened or closed.
-	reachedAt time.Time
 	// heard is the number of the last outcome told on the link.
 	heard uint64
 	// links counts the links that have been opened.
--- a/scheduler/loss_test.go
+++ b/scheduler/loss_test.go
@@ -16,6 +16,7 @@
 	}{
 		{"before its end is known", func(b *bench) {
 			b.clock.Advance(2 * time.Second)
+			b.s.Report(report("a", 1))
 			b.s.Report(report("b", 0))
 			b.s.Opened("a")
 		}},
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -25,7 +25,6 @@
 	a.placements = 0
 	a.pending = nil
 	a.heard = 0
-	a.reachedAt = s.clock.Now()
 }
 
 // Closed notes that the link to an agent has ended.
@@ -33,7 +32,6 @@
 	a := s.agentNamed(name)
 	a.open = false
 	a.pending = nil
-	a.reachedAt = s.clock.Now()
 	s.emit(Note{Agent: name, What: "agent out of touch", Why: "link closed", Age: s.clock.Since(a.reportedAt)})
 }
 
@@ -211,11 +209,11 @@
 	if a.health.probed(t.current()) {
 		s.eject(a, "failed the probe")
 	}
+	t.failures++
+	if t.failures >= t.job.Queue.MaxAttempts {
 		delete(a.tasks, t.current())
 		t.agent = nil
 		t.state = finished
-	t.failures++
-	if t.failures >= t.job.Queue.MaxAttempts {
 		s.end(t.job, Answer{Outcome: JobFailed, Why: "task " + t.id + " failed too often"})
 		return
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -188,7 +188,7 @@
 func (s *Scheduler) Tick() {
 	now := s.clock.Now()
 	for _, a := range s.byName {
-		if !a.open && now.Sub(a.reachedAt) > LossAfter {
+		if !a.open && now.Sub(a.reportedAt) > LossAfter {
 			s.lose(a)
 		}
 	}
--- /dev/null
+++ b/scheduler/silence_test.go
@@ -0,0 +1,68 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+)
+
+func TestAgentThatTakesLinksAndSaysNothingIsLostInTheEnd(t *testing.T) {
+	b := newBench(t)
+	b.open("a")
+	b.open("b")
+	j := b.job(jobID, 1)
+	j.Deadline = b.clock.Now().Add(time.Minute)
+	b.s.Submit(1, j)
+	b.drain()
+	// The process is stopped; its machine goes on taking connections.
+	for range 12 {
+		b.s.Closed("a")
+		b.clock.Advance(20 * time.Millisecond)
+		b.s.Opened("a")
+		b.clock.Advance(400 * time.Millisecond)
+		b.s.Report(report("b", 0))
+		b.s.Tick()
+		if len(b.drain()) > 0 {
+			return
+		}
+	}
+	t.Fatal("placed nowhere in 5 s")
+}
+
+// TestNoLongTaskRunsTwiceAtOnce has tasks that take longer than an entry waits
+// for an agent that it has lost.
+func TestNoLongTaskRunsTwiceAtOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		harm func(w *world, a *simAgent)
+	}{
+		{"link cut, stops late", func(w *world, a *simAgent) {
+			a.worker.lateStopsUntil = w.clock.Now().Add(2 * time.Second)
+			l := a.links[w.entries[0].name]
+			if l == nil {
+				return
+			}
+			l.cut = true
+			w.after(2*time.Second, func() { l.cut = false })
+		}},
+		{"agent restarts, looks carried out without an answer", func(w *world, a *simAgent) {
+			a.worker.lostAnswersUntil = w.clock.Now().Add(time.Second)
+			if !a.down {
+				a.kill(50 * time.Millisecond)
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, 400, 2, 5, cores)
+			for at := time.Duration(0); at < 8*time.Second; at += 100 * time.Millisecond {
+				w.after(at, func() { w.submit(w.entries[w.rng.IntN(2)], kind{tasks: 2, work: 3 * time.Second, cpu: 3100}) })
+			}
+			for at := time.Second; at < 8*time.Second; at += time.Second {
+				w.after(at, func() { tt.harm(w, w.anyAgent()) })
+			}
+			w.run(16 * time.Second)
+			t.Logf("%d twice, %+v", len(w.twice), w.summary())
+			w.check()
+		})
+	}
+}
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -245,7 +245,11 @@
 		case executor.Start:
 			a.start(e)
 		case executor.Stop:
-			a.w.after(localDelay+time.Duration(a.w.rng.Int64N(int64(stopMost))), func() { a.worker.stop(e) })
+			delay := localDelay + time.Duration(a.w.rng.Int64N(int64(stopMost)))
+			if a.w.clock.Now().Before(a.worker.lateStopsUntil) {
+				delay += 2 * time.Second
+			}
+			a.w.after(delay, func() { a.worker.stop(e) })
 		case executor.Look:
 			a.look(e)
 		case executor.Wake:
@@ -304,6 +308,15 @@
 		a.w.after(l.Wait+callTimeout, func() { fail(executor.Unanswered) })
 		return
 	}
+	if a.w.clock.Now().Before(a.worker.lostAnswersUntil) {
+		a.w.after(localDelay, func() {
+			if l.Upstream.Born == a.worker.up.Born && l.Upstream.ID == a.worker.up.ID {
+				a.worker.look(l, deadline)
+			}
+		})
+		a.w.after(l.Wait+callTimeout, func() { fail(executor.Unanswered) })
+		return
+	}
 	end := a.w.clock.Now().Add(l.Wait)
 	var poll func()
 	poll = func() {
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -29,12 +29,15 @@
 	hangs, failsAll bool
 	// muteUntil is until when calls get no answer and starts take effect late.
 	muteUntil time.Time
-	running   map[string]*simRun
-	highest   map[string]int
-	ends      []executor.Ended
-	endNumber int64
-	token     uint64
-	leaseEnd  time.Time
+	// lateStopsUntil is until when stops are carried out seconds late;
+	// lostAnswersUntil until when looks are carried out and not answered.
+	lateStopsUntil, lostAnswersUntil time.Time
+	running                          map[string]*simRun
+	highest                          map[string]int
+	ends                             []executor.Ended
+	endNumber                        int64
+	token                            uint64
+	leaseEnd                         time.Time
 }
 
 func (v *simWorker) free() messenger.Demand {
