executor, scheduler: Keep what a restarted agent learns of the runs of its last life

And a run that the list holds has begun, so that its job is never answered as not run.

Tests, failing before: TestEndThatCameWhileNoAgentWasThereIsToldWithTheList, TestRunThatARestartedAgentFoundHasBegunItsJob.

--- a/executor/look.go
+++ b/executor/look.go
@@ -199,7 +199,10 @@
 		x.look.seen = e.Number
 		if r := x.runs[e.Run]; r != nil {
 			x.settle(r, e.How)
+			continue
 		}
+		// An earlier incarnation of the agent started it.
+		x.unclaimed[e.Run] = unclaimedEnd{End: e.End, at: x.clock.Now()}
 	}
 }
 
--- a/executor/outcome_test.go
+++ b/executor/outcome_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/pomeloferry/pomeloferry/executor"
@@ -31,6 +32,18 @@
 	require.Empty(t, b.ended())
 }
 
+func TestEndThatCameWhileNoAgentWasThereIsToldWithTheList(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := &bench{t: t, clock: clock}
+	b.x = executor.NewExecutor(clock, executor.Identity{Agent: "a", DataCentre: "dc", Incarnation: 2, Token: 100}, executor.Config{})
+	b.x.Hello(messenger.Hello{Entry: "e", Incarnation: 1, Upstream: upstream(1)})
+	b.drain()
+	clock.Advance(10 * time.Millisecond)
+	b.lookAnswered(1, nil, executor.Ended{Number: 7, End: messenger.End{Run: run1, How: messenger.Done}})
+	require.True(t, complete(b.tells))
+	require.Equal(t, []messenger.End{{Run: run1, How: messenger.Done}}, b.ended())
+}
+
 func TestRunThatHasEndedIsNotStartedAgain(t *testing.T) {
 	b := newBench(t)
 	b.lookAnswered(1, []messenger.Progress{{Run: run1, Percent: 90}})
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -97,6 +97,7 @@
 		case !there[t.current()]:
 		case restarted:
 			// A restarted agent does not know whose run it is.
+			t.job.begun = true
 			s.send(a, t.job, []*task{t})
 		}
 	}
--- a/scheduler/withdrawn_test.go
+++ b/scheduler/withdrawn_test.go
@@ -143,3 +143,25 @@
 	b.drain()
 	require.NotEmpty(t, b.sent, "all runs of the last try have ended")
 }
+
+func TestRunThatARestartedAgentFoundHasBegunItsJob(t *testing.T) {
+	b := newBench(t)
+	b.open("a")
+	b.s.Submit(1, b.job(jobID, 1))
+	b.drain()
+	run := b.placed().Tasks[0].Run
+	b.s.Closed("a")
+	b.s.Opened("a")
+	r := report("a", 0)
+	r.Incarnation = 2
+	r.Complete = true
+	r.Runs = []messenger.Progress{{Run: run}}
+	b.s.Report(r)
+	r.Refused = []messenger.Refusal{{Run: run, Reason: messenger.NoRoom}}
+	r.Free = messenger.Demand{}
+	b.s.Report(r)
+	b.clock.Advance(400 * time.Millisecond)
+	b.s.Tick()
+	b.drain()
+	require.NotEqual(t, scheduler.Overloaded, b.replies[1].Outcome)
+}
