registrar: Date heartbeats only by stamps of this process

What callers saw: none reported. An entry that was started again under its name could take its bundle for confirmed for as long as the process before it had run: cut off at once, it would start tasks under an old bundle, and in a data centre taken out meanwhile.

Cause: a peer that had not heard the new process yet still echoed the last stamp of the earlier one, and the new process read it by its own clock, as a time to come.

Evidence: TestRestartedEntryIsNotConfirmedByEchoesOfItsEarlierProcess failed before: 3 s after the heartbeats, the age of the confirmation was 0s. The heartbeat now names the incarnation whose stamp it echoes, and an echo of another one dates nothing.

Ruled out: agents, whose stamps are echoed on the link that they came by.

--- a/courier/peer.go
+++ b/courier/peer.go
@@ -33,9 +33,19 @@
 	Witness bool
 	// Stamp is the sender's own clock, as the time since its start; Echo is
 	// the last Stamp of the receiver's that has arrived. Echo dates what the
-	// sender says by the receiver's clock.
-	Stamp time.Duration
-	Echo  time.Duration
+	// sender says by the receiver's clock, if the stamp is of the incarnation
+	// EchoOf.
+	Stamp  time.Duration
+	Echo   time.Duration
+	EchoOf string `json:",omitempty"`
+}
+
+// EchoTo returns the echoed stamp, or zero when it is not of incarnation.
+func (h PeerHello) EchoTo(incarnation string) time.Duration {
+	if h.EchoOf != incarnation {
+		return 0
+	}
+	return h.Echo
 }
 
 // AgentRef names one incarnation of an agent.
--- a/receiver/core.go
+++ b/receiver/core.go
@@ -230,7 +230,7 @@
 	c.registrar.Heard(h)
 	c.registrar.Learn(h.Entries)
 	c.refreshView()
-	asOf := c.registrar.TimeOf(h.Echo)
+	asOf := c.registrar.TimeOf(h.EchoTo(c.incarnation))
 	c.owner.SetRoster(h.Roster, h.RosterCertain, asOf)
 	old := c.confirmer.Bundle().Version
 	c.adoptFromPeer(h)
@@ -248,7 +248,7 @@
 // then on an agent is used only when the receiver knows it.
 func (c *core) hello(to string) courier.PeerHello {
 	roster, certain := c.owner.Roster()
-	echo, bundleVersion, votersVersion := c.registrar.Echo(to)
+	echo := c.registrar.Echo(to)
 	h := courier.PeerHello{
 		Entry:         c.info,
 		Incarnation:   c.incarnation,
@@ -261,12 +261,13 @@
 		VotersVersion: c.confirmer.Voters().Version,
 		Witness:       c.confirmer.Witness(),
 		Stamp:         c.registrar.Stamp(),
-		Echo:          echo,
+		Echo:          echo.Stamp,
+		EchoOf:        echo.Incarnation,
 	}
-	if bundleVersion < h.BundleVersion {
+	if echo.BundleVersion < h.BundleVersion {
 		h.Bundle, _ = json.Marshal(c.confirmer.Signed())
 	}
-	if votersVersion < h.VotersVersion {
+	if echo.VotersVersion < h.VotersVersion {
 		h.Voters, _ = json.Marshal(c.confirmer.Voters())
 	}
 	return h
--- /dev/null
+++ b/receiver/echo_test.go
@@ -0,0 +1,43 @@
+package receiver
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/confirmer"
+	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/provider"
+	"github.com/pomeloferry/pomeloferry/starter"
+)
+
+// TestRestartedEntryIsNotConfirmedByEchoesOfItsEarlierProcess hears peers that still echo the stamps of the process before.
+func TestRestartedEntryIsNotConfirmedByEchoesOfItsEarlierProcess(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	deps := provider.NewDeps(io.Discard).WithClock(clock)
+	start := func(id string) *core {
+		return newCore(deps, Config{ID: id}, courier.EntryInfo{ID: id, Link: id}, func([]courier.EntryInfo) {})
+	}
+	read := func(c *core) {
+		c.handle(bundleRead{
+			bundle: simBundle(), at: clock.Now(),
+			voters: confirmer.Voters{Version: 1, Entries: []string{"entry-1", "entry-2", "entry-3"}},
+		})
+	}
+	earlier, peers := start("entry-1"), []*core{start("entry-2"), start("entry-3")}
+	clock.Advance(time.Hour)
+	for _, p := range peers {
+		read(p)
+		p.handle(peerHeard{hello: earlier.hello(p.cfg.ID)})
+	}
+	restarted := start("entry-1")
+	read(restarted)
+	for _, p := range peers {
+		restarted.handle(peerHeard{hello: p.hello("entry-1")})
+	}
+	clock.Advance(starter.FreshFor)
+	require.GreaterOrEqual(t, restarted.announceReply(courier.Announce{}).Age, starter.FreshFor)
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -32,8 +32,10 @@
 	info    courier.EntryInfo
 	ready   bool
 	leaving bool
-	// stamp is the last stamp received; the next heartbeat echoes it.
+	// stamp is the last stamp received, from incarnation; the next heartbeat
+	// echoes it.
 	stamp         time.Duration
+	incarnation   string
 	bundleVersion uint64
 	votersVersion uint64
 	// heard is when the last heartbeat came; named is when the address was
@@ -96,6 +98,7 @@
 	g.Learn([]courier.EntryInfo{h.Entry})
 	m := g.members[h.Entry.ID]
 	m.stamp = h.Stamp
+	m.incarnation = h.Incarnation
 	m.bundleVersion = h.BundleVersion
 	m.votersVersion = h.VotersVersion
 	m.ready = h.Ready
@@ -109,14 +112,22 @@
 // TimeOf returns the time of this entry's clock that a stamp stands for.
 func (g *Registrar) TimeOf(stamp time.Duration) time.Time { return g.started.Add(stamp) }
 
-// Echo returns the last stamp received from another entry, and the versions
-// that it had.
-func (g *Registrar) Echo(entry string) (stamp time.Duration, bundle, voters uint64) {
+// Echo is what the last heartbeat received from another entry said: its stamp,
+// the incarnation that sent it, and the versions in force there.
+type Echo struct {
+	Stamp         time.Duration
+	Incarnation   string
+	BundleVersion uint64
+	VotersVersion uint64
+}
+
+// Echo returns the Echo of an entry, which is zero before its first heartbeat.
+func (g *Registrar) Echo(entry string) Echo {
 	m := g.members[entry]
 	if m == nil {
-		return 0, 0, 0
+		return Echo{}
 	}
-	return m.stamp, m.bundleVersion, m.votersVersion
+	return Echo{m.stamp, m.incarnation, m.bundleVersion, m.votersVersion}
 }
 
 // Tick forgets entries that nobody has heard of for long.
