dispatcher: Count an agent as lost from the last word of any peer that uses it

A job could run twice at once: an entry that an agent could not reach forgot that agent 10 minutes after it had lost it itself, though another entry went on using it. When that entry died, the first one took the job over and concluded from the silence of the agents it still knew that the tasks had not started.

Cause: a roster named agents without saying whether they were in use or since when they were lost. Hearing of one again renewed nothing, and hearing of one after it was forgotten began 10 minutes anew, so that two entries reminded each other of a dead agent for ever, and answered OutcomeUnknown because of it.

Evidence: before, TestAgentLostHereButUsedByAnotherOwnerStaysInTheRoster failed with four tasks started twice, and TestLostAgentIsForgottenByAllEntriesInTheEnd found the dead agent still in the roster after 30 minutes. A roster now carries how much of the time has passed, and the receiver keeps the longer remainder. Entries of before send no such field, which reads as an agent in use.

--- a/courier/peer.go
+++ b/courier/peer.go
@@ -18,7 +18,7 @@
 	// records of tasks that are not past their deadline.
 	RosterCertain bool
 	// Roster lists agent incarnations that may hold such records.
-	Roster []AgentRef
+	Roster []RosterAgent
 	// Entries lists the entries that the sender knows.
 	Entries []EntryInfo
 	// BundleVersion is the version in force at the sender.
@@ -54,6 +54,14 @@
 	Incarnation string
 }
 
+// RosterAgent is an agent in a roster.
+type RosterAgent struct {
+	AgentRef
+	// Lapsed is how much has passed of the time for which an agent matters
+	// that was lost; it is zero for one in use.
+	Lapsed time.Duration `json:",omitempty"`
+}
+
 // Relay passes a caller's submission to the entry that owns it.
 type Relay struct {
 	// ID pairs the RelayReply with the Relay on this link.
--- a/dispatcher/roster.go
+++ b/dispatcher/roster.go
@@ -10,21 +10,25 @@
 )
 
 // SetRoster takes over the agents that a peer uses. Those without a link here
-// may hold records, and stay missing until they have been fenced. A certain
-// roster makes this one certain, if the peer gave it at or after the time asOf
-// of this clock and this process was not paused since.
-func (o *Owner) SetRoster(roster []courier.AgentRef, certain bool, asOf time.Time) {
+// may hold records, and stay missing until they have been fenced; they matter
+// for as long as they do to any peer. A certain roster makes this one certain,
+// if the peer gave it at or after the time asOf of this clock and this process
+// was not paused since.
+func (o *Owner) SetRoster(roster []courier.RosterAgent, certain bool, asOf time.Time) {
 	o.wake()
 	now := o.clock.Now()
-	for _, ref := range roster {
+	for _, r := range roster {
+		ref := r.AgentRef
 		if a := o.fleet.agents[ref.Agent]; a != nil && a.ref == ref {
 			continue
 		}
-		if _, ok := o.fleet.gone[ref]; ok {
-			continue
+		old, ok := o.fleet.gone[ref]
+		if until := now.Add(SilentHorizon - r.Lapsed); until.After(old) {
+			o.fleet.gone[ref] = until
+		}
+		if !ok {
+			o.addMissing(ref)
 		}
-		o.fleet.gone[ref] = now.Add(SilentHorizon)
-		o.addMissing(ref)
 	}
 	if certain && !asOf.Before(o.wokeAt) {
 		o.SetRosterCertain()
@@ -53,24 +57,24 @@
 
 // Roster lists the agents that may hold records of tasks started from here,
 // and whether the list is complete.
-func (o *Owner) Roster() ([]courier.AgentRef, bool) {
-	var out []courier.AgentRef
+func (o *Owner) Roster() ([]courier.RosterAgent, bool) {
+	var out []courier.RosterAgent
 	for _, a := range o.fleet.sorted() {
 		if a.admitted {
-			out = append(out, a.ref)
+			out = append(out, courier.RosterAgent{AgentRef: a.ref})
 		}
 	}
 	now := o.clock.Now()
 	for ref, until := range o.fleet.gone {
 		if until.After(now) {
-			out = append(out, ref)
+			out = append(out, courier.RosterAgent{AgentRef: ref, Lapsed: SilentHorizon - until.Sub(now)})
 		}
 	}
 	slices.SortFunc(out, compareRefs)
 	return out, !o.rosterCertainAt.After(now)
 }
 
-func compareRefs(a, b courier.AgentRef) int {
+func compareRefs(a, b courier.RosterAgent) int {
 	return cmp.Or(cmp.Compare(a.Agent, b.Agent), cmp.Compare(a.Incarnation, b.Incarnation))
 }
 
--- a/receiver/roster_test.go
+++ b/receiver/roster_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/dispatcher"
 	"github.com/pomeloferry/pomeloferry/router"
 )
 
@@ -116,3 +117,31 @@
 	}
 	return out
 }
+
+// TestAgentLostHereButUsedByAnotherOwnerStaysInTheRoster cuts one entry off from an agent for longer than a silent agent matters.
+func TestAgentLostHereButUsedByAnotherOwnerStaysInTheRoster(t *testing.T) {
+	w := newWorld(t, 22, 2, 2, 4)
+	owner, far := w.entries[1], w.agents[0]
+	w.cut(w.entries[0].proc, far.proc, 2*time.Hour)
+	w.run(dispatcher.SilentHorizon + dispatcher.AgentLapse)
+	c := w.submit("job", 1, 8, 6000, 50*time.Second)
+	w.run(time.Second)
+	require.NotEmpty(t, w.startsOn(far))
+	w.kill(owner.proc)
+	w.run(55 * time.Second)
+	w.check()
+	require.Equal(t, courier.Failed, c.last().State, "%+v", c.last())
+}
+
+// TestLostAgentIsForgottenByAllEntriesInTheEnd loses an agent at one entry a little later than at the other.
+func TestLostAgentIsForgottenByAllEntriesInTheEnd(t *testing.T) {
+	w := newWorld(t, 23, 2, 2, 4)
+	w.cut(w.entries[0].proc, w.agents[0].proc, 2*time.Hour)
+	w.run(300 * time.Millisecond)
+	w.kill(w.agents[0].proc)
+	w.run(3 * dispatcher.SilentHorizon)
+	for _, e := range w.entries {
+		roster, _ := e.core.owner.Roster()
+		require.Len(t, roster, 1, "%s", e.proc.name)
+	}
+}
