registrar: Count a silent entry as running while it is still named

What callers saw: none reported. A job ran twice at once when two entries were cut off from each other and an agent reached only one of them: that entry took the other for dead after 2 s and used the agent, which the other one knew nothing of as it took the same jobs over.

Cause: silence was taken for an end. The rule that an agent is used only when every other entry knows it asked the entries heard within 2 s, though a silent one may be cut off and serve on. The store shows that it runs.

An entry that has been heard and has not said that it leaves counts for this rule until neither the store (20 s after its last registration) nor another entry has named it for 6 s.

Not covered: an entry that has never been heard here.

--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -42,7 +42,7 @@
 }
 
 // SetView takes over which entries own partitions, and which other entries
-// are alive. Partitions that fall to this entry are claimed. Partitions that
+// are alive or may be. Partitions that fall to this entry are claimed. Partitions that
 // fall to others are served on until the others claim them.
 func (o *Owner) SetView(view, peers []string) {
 	o.wake()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -120,8 +120,8 @@
 	// rosterCertainAt is when the roster counts as complete without a peer's
 	// word: until then, earlier owners may have used agents unknown here.
 	rosterCertainAt time.Time
-	// peers lists the other live entries; view lists the live entries that
-	// own partitions, this one among them when it does.
+	// peers lists the other entries that are alive or may be; view lists the
+	// live entries that own partitions, this one among them when it does.
 	peers      []string
 	view       []string
 	partitions [router.Partitions]partition
--- a/receiver/store.go
+++ b/receiver/store.go
@@ -143,7 +143,7 @@
 		if now.Sub(reg.SeenAt) < dispatcher.RecordHorizon {
 			msg.first = false
 		}
-		if reg.Recent(now, dispatcher.RecordHorizon) {
+		if reg.Recent(now, removeAfter) {
 			msg.entries = append(msg.entries, reg.Entry)
 		}
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -21,6 +21,9 @@
 	HeartbeatInterval = 500 * time.Millisecond
 	// Lapse is how long an entry counts as alive after its last heartbeat.
 	Lapse = 2 * time.Second
+	// MayRunFor is how long an entry that is silent here counts as one that may
+	// still be running, after the store or another entry last named it.
+	MayRunFor = 6 * time.Second
 	// JoinDelay is how long a new entry listens before it owns partitions.
 	JoinDelay = time.Second
 	// ForgetAfter drops the address of an entry that nobody has heard of.
@@ -159,12 +162,18 @@
 	return out
 }
 
-// Peers returns the other entries that are alive, in order. A leaving one is
-// among them only while it still runs.
+// mayRun reports whether m may be running out of reach of this entry: it has
+// been heard here, has not said that it leaves, and is still being named.
+func (g *Registrar) mayRun(m *member) bool {
+	return !m.heard.IsZero() && !m.leaving && g.clock.Since(m.named) < MayRunFor
+}
+
+// Peers returns the other entries that are alive or may be, in order. A
+// leaving one is among them only while it still runs.
 func (g *Registrar) Peers() []string {
 	var out []string
 	for id, m := range g.members {
-		if g.alive(m) {
+		if g.alive(m) || g.mayRun(m) {
 			out = append(out, id)
 		}
 	}
