receiver: Take old registrations for entries that may still run

What callers saw: none reported. Tasks could run twice at once after an outage of the store of more than 65 s: an entry that started as it ended, before the others had written again, took its empty roster for complete, and started again what ran on agents that it did not know.

Cause: registrations older than 65 s were read as "no entry ran here". In an outage entries run on by each other's word for up to 31 minutes and cannot write. The test world asked for an empty list instead, and so did not meet it; it uses the same function now.

Evidence: TestEntryThatStartsAfterALongOutageAsksTheOthersForTheRoster failed, with four tasks started twice, once the world used the function as it was. An entry that has not left counts for the record horizon after its word has lapsed. The price: after all entries were lost, resubmissions of unknown jobs wait for 65 s after the start as they do within a minute.

--- a/receiver/roster_test.go
+++ b/receiver/roster_test.go
@@ -83,6 +83,28 @@
 	require.NotEmpty(t, w.startsOn(late))
 }
 
+// TestEntryThatStartsAfterALongOutageAsksTheOthersForTheRoster starts where the others could not write to the store.
+func TestEntryThatStartsAfterALongOutageAsksTheOthersForTheRoster(t *testing.T) {
+	w := newWorld(t, 25, 3, 2, 4)
+	w.store.down = true
+	w.run(2 * dispatcher.RecordHorizon)
+	c := w.submit("job", 0, 8, 20_000, 50*time.Second)
+	w.run(time.Second)
+	require.Len(t, w.starts, 8)
+	w.store.down = false
+	fresh := w.addEntry("entry-4")
+	w.cut(fresh.proc, w.agents[1].proc, time.Hour)
+	for _, e := range w.entries[:3] {
+		w.store.cut[e.proc.name] = true
+		w.cut(fresh.proc, e.proc, time.Hour)
+	}
+	w.run(5 * time.Second)
+	c.entry = 2
+	c.resubmit()
+	w.run(55 * time.Second)
+	w.check()
+}
+
 // TestPausedEntryForgetsItsRoster pauses an entry while an agent joins, and
 // kills the owner that used the agent before the paused entry wakes. What the
 // owner said before the agent joined may wait in a buffer meanwhile.
--- a/receiver/simentry_test.go
+++ b/receiver/simentry_test.go
@@ -189,7 +189,7 @@
 		return
 	}
 	now := e.world.clock.Now()
-	msg := entriesRead{first: e.first && len(s.list) == 0}
+	msg := entriesRead{first: e.first && noneRan(s.registrations(), now)}
 	e.first = false
 	for _, other := range e.world.entries {
 		if reg, ok := s.list[other.proc.name]; ok && reg.Recent(now, removeAfter) {
--- a/receiver/store.go
+++ b/receiver/store.go
@@ -138,11 +138,8 @@
 		return nil, err
 	}
 	now := r.deps.Clock.Now()
-	msg := entriesRead{first: !f.started.Load()}
+	msg := entriesRead{first: !f.started.Load() && noneRan(list, now)}
 	for _, reg := range list {
-		if now.Sub(reg.SeenAt) < dispatcher.RecordHorizon {
-			msg.first = false
-		}
 		if reg.Recent(now, removeAfter) {
 			msg.entries = append(msg.entries, reg.Entry)
 		}
@@ -152,6 +149,18 @@
 	return list, nil
 }
 
+// noneRan reports whether no entry of list can have run within the record
+// horizon. One that has not left may run on without the store until its word
+// lapses.
+func noneRan(list []Registration, now time.Time) bool {
+	return !slices.ContainsFunc(list, func(reg Registration) bool {
+		if reg.Left {
+			return now.Sub(reg.SeenAt) < dispatcher.RecordHorizon
+		}
+		return now.Sub(reg.SeenAt) < confirmer.LapseLimit+dispatcher.RecordHorizon
+	})
+}
+
 // ReadRegistrations returns what the entries have written about themselves.
 func ReadRegistrations(ctx context.Context, store Store) ([]Registration, error) {
 	pairs, err := store.List(ctx, EntriesPrefix)
