agent: Take a redirect by an upstream for a start that was sent

What callers saw: none reported. A task could run twice: where an upstream that had taken a start answered it by a redirect, and the place named could not be reached, the agent reported that the task had not started.

Cause: the HTTP client followed the redirect, and an error of the second dial reads as if nothing had been sent. The client follows none now, so the outcome is Lost, like that of every other status but 200.

Ruled out: a resend by the library on a reused connection, since the body cannot be rewound; a dial error after a write, since only the first dial of a call can fail once redirects are off.

--- a/agent/runner.go
+++ b/agent/runner.go
@@ -51,11 +51,19 @@
 	if old.address == address && old.connections == n {
 		return
 	}
-	transport := &http.Transport{MaxConnsPerHost: n, MaxIdleConnsPerHost: n}
-	r.target.Store(&target{address: address, connections: n, client: &http.Client{Transport: transport}})
+	r.target.Store(&target{address: address, connections: n, client: newClient(n)})
 	old.client.CloseIdleConnections()
 }
 
+// newClient returns a client of at most n connections. It follows no redirect:
+// the upstream that answers by one may have started the task.
+func newClient(n int) *http.Client {
+	return &http.Client{
+		Transport:     &http.Transport{MaxConnsPerHost: n, MaxIdleConnsPerHost: n},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // start runs t and posts its end.
 func (r *runner) start(t courier.StartTask) {
 	go func() { r.post(r.run(t)) }()
