agent: Let a start lapse that has waited for the upstream

What callers saw: none reported. A task could start seconds after its agent had decided to start it, in a data centre taken out, on an upstream that had left, or past its deadline: the agent paused between the decision and the call, or the call waited for a connection.

Cause: the decision to start carried no time, and the call was made whenever it could be, until 5 s after the deadline of the task.

A start now lapses with the confirmation of the bundle that allowed it, or with its deadline, which is looked at when the client reads the body of the call to send it. Without its body the upstream can start nothing, so such a task is reported as not started. A second start was not possible this way, since the task is on record from the decision on.

Not covered: a pause between that look and the write, and an upstream that is paused with the call in its buffer.

--- a/agent/actor.go
+++ b/agent/actor.go
@@ -242,7 +242,7 @@
 				l.link.Send(e.Msg)
 			}
 		case starter.Run:
-			s.agent.runner.start(e.Task)
+			s.agent.runner.start(e)
 		case starter.Halt:
 			s.agent.runner.halt(e.Task)
 		}
--- a/agent/runner.go
+++ b/agent/runner.go
@@ -13,6 +13,7 @@
 
 	"github.com/pomeloferry/pomeloferry/courier"
 	"github.com/pomeloferry/pomeloferry/provider"
+	"github.com/pomeloferry/pomeloferry/starter"
 	"github.com/pomeloferry/pomeloferry/worker"
 )
 
@@ -64,24 +65,26 @@
 	}
 }
 
-// start runs t and posts its end.
-func (r *runner) start(t courier.StartTask) {
-	go func() { r.post(r.run(t)) }()
+// start carries out s and posts the end of its task.
+func (r *runner) start(s starter.Run) {
+	go func() { r.post(r.run(s)) }()
 }
 
-func (r *runner) run(t courier.StartTask) taskDone {
+func (r *runner) run(s starter.Run) taskDone {
+	t := s.Task
 	done := taskDone{record: courier.Record{Task: t.Task, Digest: t.Digest}}
 	ctx, cancel := context.WithDeadline(context.Background(), t.Deadline.Add(runGrace))
 	defer cancel()
 	var result worker.RunResult
+	lapsed := func() bool { return !r.deps.Clock.Now().Before(s.Until) }
 	err := r.call(ctx, "/run", worker.RunRequest{
 		Job:     t.Task.Job,
 		Index:   t.Task.Index,
 		Service: t.Service,
 		Payload: t.Payload,
-	}, &result)
+	}, lapsed, &result)
 	switch {
-	case notDialed(err):
+	case notDialed(err), errors.Is(err, errLapsed):
 		done.notStarted = true
 	case err != nil:
 		r.deps.Log.WithError(err).WithField("job", t.Task.Job).Warn("task lost")
@@ -109,22 +112,42 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 		defer cancel()
-		err := r.call(ctx, "/stop", worker.RunRequest{Job: id.Job, Index: id.Index}, nil)
+		never := func() bool { return false }
+		err := r.call(ctx, "/stop", worker.RunRequest{Job: id.Job, Index: id.Index}, never, nil)
 		if err != nil {
 			r.deps.Log.WithError(err).WithField("job", id.Job).Warn("task not stopped")
 		}
 	}()
 }
 
-func (r *runner) call(ctx context.Context, path string, req worker.RunRequest, reply any) error {
+// errLapsed means that a call lapsed before its body was sent, without which
+// the upstream can do nothing.
+var errLapsed = errors.New("lapsed before it was sent")
+
+// callBody is the body of a call. It is no type that the client knows, so that
+// the client cannot send it again by itself, and it gives out nothing if the
+// call has lapsed by the time it is sent.
+type callBody struct {
+	rest   *bytes.Reader
+	lapsed func() bool
+}
+
+// Read implements io.Reader.
+func (b *callBody) Read(p []byte) (int, error) {
+	if int64(b.rest.Len()) == b.rest.Size() && b.lapsed() {
+		return 0, errLapsed
+	}
+	return b.rest.Read(p)
+}
+
+func (r *runner) call(ctx context.Context, path string, req worker.RunRequest, lapsed func() bool, reply any) error {
 	t := r.target.Load()
 	body, err := json.Marshal(req)
 	if err != nil {
 		return errors.Wrap(err, "encode")
 	}
-	// The body is wrapped so that the client cannot send it again by itself.
-	once := struct{ *bytes.Reader }{bytes.NewReader(body)}
-	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.address+path, once)
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.address+path,
+		&callBody{rest: bytes.NewReader(body), lapsed: lapsed})
 	if err != nil {
 		return errors.Wrap(err, "request")
 	}
--- a/agent/runner_test.go
+++ b/agent/runner_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/pomeloferry/pomeloferry/courier"
 	"github.com/pomeloferry/pomeloferry/provider"
+	"github.com/pomeloferry/pomeloferry/starter"
 )
 
 // newTestRunner returns a runner that reaches h over one connection.
@@ -25,11 +27,14 @@
 	return r
 }
 
-func testTask(index int) courier.StartTask {
-	return courier.StartTask{
-		Task:     courier.TaskID{Job: "team/job", Index: index},
-		Deadline: time.Now().Add(time.Minute),
-		Payload:  []byte(`{}`),
+func testRun(now time.Time, index int) starter.Run {
+	return starter.Run{
+		Task: courier.StartTask{
+			Task:     courier.TaskID{Job: "team/job", Index: index},
+			Deadline: now.Add(time.Minute),
+			Payload:  []byte(`{}`),
+		},
+		Until: now.Add(starter.FreshFor),
 	}
 }
 
@@ -47,7 +52,33 @@
 	r := newTestRunner(t, clockwork.NewRealClock(), func(w http.ResponseWriter, req *http.Request) {
 		http.Redirect(w, req, elsewhere, http.StatusFound)
 	})
-	done := r.run(testTask(0))
+	done := r.run(testRun(time.Now(), 0))
 	require.False(t, done.notStarted)
 	require.Equal(t, courier.Lost, done.record.Outcome)
 }
+
+func TestStartThatWaitedForAConnectionLapses(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Now())
+	var started atomic.Int64
+	entered, leave := make(chan struct{}), make(chan struct{})
+	r := newTestRunner(t, clock, func(w http.ResponseWriter, req *http.Request) {
+		if _, err := io.ReadAll(req.Body); err != nil {
+			return
+		}
+		if started.Add(1) == 1 {
+			close(entered)
+			<-leave
+		}
+		_, _ = io.WriteString(w, `{"Result":1}`)
+	})
+	first, second := make(chan taskDone, 1), make(chan taskDone, 1)
+	go func() { first <- r.run(testRun(clock.Now(), 0)) }()
+	<-entered
+	late := testRun(clock.Now(), 1)
+	go func() { second <- r.run(late) }()
+	clock.Advance(starter.FreshFor)
+	close(leave)
+	require.Equal(t, courier.Succeeded, (<-first).record.Outcome)
+	require.True(t, (<-second).notStarted)
+	require.EqualValues(t, 1, started.Load())
+}
--- a/starter/start.go
+++ b/starter/start.go
@@ -91,7 +91,11 @@
 		slot:      slot,
 	}
 	l.running++
-	l.effects = append(l.effects, Run{Task: t})
+	until := l.confirmed.Add(FreshFor)
+	if t.Deadline.Before(until) {
+		until = t.Deadline
+	}
+	l.effects = append(l.effects, Run{Task: t, Until: until})
 }
 
 // Refused takes back a start that the upstream positively did not run. The
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -62,6 +62,9 @@
 // Run is the effect of running a task on the upstream.
 type Run struct {
 	Task courier.StartTask
+	// Until is when the decision lapses: the task must not be handed to the
+	// upstream at that time or later.
+	Until time.Time
 }
 
 // Halt is the effect of stopping a running task on the upstream.
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -121,6 +121,27 @@
 	require.Equal(t, courier.Succeeded, f.Records[0].Outcome)
 }
 
+func TestStartLapsesWithItsConfirmationOrItsDeadline(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		deadline time.Duration
+		want     time.Duration
+	}{
+		{"confirmation", time.Minute, FreshFor - time.Second},
+		{"deadline", 500 * time.Millisecond, 500 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			l := newReadyLedger(clock, 1)
+			clock.Advance(time.Second)
+			s := start(clock, 1)
+			s.Tasks[0].Deadline = clock.Now().Add(tt.deadline)
+			l.Start(entry, s)
+			require.Equal(t, clock.Now().Add(tt.want), l.Drain()[0].(Run).Until)
+		})
+	}
+}
+
 func TestPolicyNeverReverts(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	l := newReadyLedger(clock, 1)
