dispatcher: Hear a refusal by the upstream after the link was replaced

What callers saw: none reported. A job stood still until its deadline and failed, though its task had not run: its agent's link was replaced while the task waited for the upstream, which refused it afterwards.

Cause: the outcome is told once, by the number that the task had on the old link. The claim on the new link had reported the task as running, and the owner knew it by no number from then on.

A refusal by the upstream is about the record of its agent, so it holds for a task known from that record; other refusals are about a message and still need the number.

Ruled out: a refusal that is lost with the link, since the next claim does not list the task; one of an earlier start of the same task, since messages keep their order on a link.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -195,6 +195,31 @@
 	require.Contains(t, b.replies, w, "the job is given up at once")
 }
 
+// TestRefusalByTheUpstreamIsHeardAfterTheLinkWasReplaced has a task on record as the link breaks that the upstream refuses later.
+func TestRefusalByTheUpstreamIsHeardAfterTheLinkWasReplaced(t *testing.T) {
+	b := newBench(1, 1)
+	w := b.submit("job", 1, 10*time.Second)
+	sent := b.running["agent-0"][0]
+	b.owner.AgentDown("agent-0", 1)
+	an := b.announce("agent-0")
+	an.LinkNumber = 2
+	b.owner.AgentUp(an)
+	for _, e := range b.owner.Drain() {
+		if m, ok := e.(Send).Msg.(courier.Claim); ok {
+			b.owner.Claimed("agent-0", 2, courier.ClaimReply{
+				Number: m.Number, Term: m.Term, Partitions: m.Partitions, Load: b.load("agent-0"),
+				Records: []courier.Record{{Task: sent.Task, Digest: 1, Outcome: courier.Running}},
+			})
+		}
+	}
+	b.running["agent-0"] = nil
+	b.owner.Refused("agent-0", 2, courier.Refuse{
+		Number: sent.Number, Task: sent.Task, Reason: courier.RefusedUpstream, Load: b.load("agent-0"),
+	})
+	b.pump()
+	require.Equal(t, courier.NotRun, b.replies[w].State, "the retry budget is spent")
+}
+
 // TestWokenOwnerHonoursARefusal wakes an owner with a queued job that its
 // successor has answered NotRun meanwhile.
 func TestWokenOwnerHonoursARefusal(t *testing.T) {
--- a/dispatcher/settle.go
+++ b/dispatcher/settle.go
@@ -87,7 +87,13 @@
 		return nil
 	}
 	t := &j.tasks[i]
-	if t.state != sent || t.agent != a.ref || t.link != a.link || t.number != r.Number {
+	if t.state != sent || t.agent != a.ref || t.link != a.link {
+		return nil
+	}
+	// A task known from a report has no number on this link; only the upstream
+	// can still refuse it.
+	reported := t.number == 0 && r.Reason == courier.RefusedUpstream
+	if t.number != r.Number && !reported {
 		return nil
 	}
 	return j
