registrar: Leave a pause of this process out of the silence of others

What callers saw: none reported. A job ran twice at once after an entry had been paused for 8 s and was cut off from the other entry as it woke: it used an agent at once that the other one did not know, and which the other one could not ask as it took the jobs over.

Cause: after a pause the last heartbeats are old by this entry's clock, whatever the others did meanwhile. They counted as dead at once, so every agent counted as known to all of them, and all partitions as its own.

The time of a pause now counts towards nobody's silence.

--- a/receiver/roster_test.go
+++ b/receiver/roster_test.go
@@ -71,6 +71,25 @@
 	require.Empty(t, w.startsOn(lonely))
 }
 
+// TestEntryThatWokeUpTakesNoOtherForEnded cuts a paused entry off from the other while an agent is in reach of it alone.
+func TestEntryThatWokeUpTakesNoOtherForEnded(t *testing.T) {
+	w := newWorld(t, 26, 2, 1, 2)
+	lonely := w.addAgent("agent-2", 0, "graz", 8)
+	w.cut(lonely.proc, w.entries[1].proc, time.Hour)
+	w.run(3 * time.Second)
+	w.pause(w.entries[0].proc, 8*time.Second)
+	w.cut(w.entries[0].proc, w.entries[1].proc, time.Hour)
+	w.run(30 * time.Second)
+	for i := range 8 {
+		c := w.submit(fmt.Sprintf("job-%d", i), 0, 8, 3000, 50*time.Second)
+		w.run(500 * time.Millisecond)
+		c.resubmit()
+	}
+	w.run(55 * time.Second)
+	w.check()
+	require.Empty(t, w.startsOn(lonely))
+}
+
 // TestAgentThatJoinsAfterAnEntryDiedIsUsed waits until the dead entry is taken for silent in the store too.
 func TestAgentThatJoinsAfterAnEntryDiedIsUsed(t *testing.T) {
 	w := newWorld(t, 24, 2, 1, 2)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -24,6 +24,9 @@
 	// MayRunFor is how long an entry that is silent here counts as one that may
 	// still be running, after the store or another entry last named it.
 	MayRunFor = 6 * time.Second
+	// PauseLimit is the longest gap between two calls that is no pause of this
+	// process.
+	PauseLimit = Lapse / 2
 	// JoinDelay is how long a new entry listens before it owns partitions.
 	JoinDelay = time.Second
 	// ForgetAfter drops the address of an entry that nobody has heard of.
@@ -52,20 +55,42 @@
 	clock   clockwork.Clock
 	self    courier.EntryInfo
 	started time.Time
+	// lastRun is when the registrar last ran; a longer gap than PauseLimit
+	// means that it could hear nobody meanwhile.
+	lastRun time.Time
 	leaving bool
 	members map[string]*member
 }
 
 // NewRegistrar returns a registrar that knows only its own entry.
 func NewRegistrar(clock clockwork.Clock, self courier.EntryInfo) *Registrar {
+	now := clock.Now()
 	return &Registrar{
 		clock:   clock,
 		self:    self,
-		started: clock.Now(),
+		started: now,
+		lastRun: now,
 		members: make(map[string]*member),
 	}
 }
 
+// wake leaves the time that this process was paused out of the silence of the
+// others.
+func (g *Registrar) wake() {
+	now := g.clock.Now()
+	gap := now.Sub(g.lastRun)
+	g.lastRun = now
+	if gap <= PauseLimit {
+		return
+	}
+	for _, m := range g.members {
+		m.named = m.named.Add(gap)
+		if !m.heard.IsZero() {
+			m.heard = m.heard.Add(gap)
+		}
+	}
+}
+
 // SetLeaving takes this entry out of the view for good.
 func (g *Registrar) SetLeaving() { g.leaving = true }
 
@@ -79,6 +104,7 @@
 
 // Learn notes that other entries exist.
 func (g *Registrar) Learn(entries []courier.EntryInfo) {
+	g.wake()
 	for _, e := range entries {
 		if e.ID == g.self.ID || e.ID == "" {
 			continue
@@ -135,6 +161,7 @@
 
 // Tick forgets entries that nobody has heard of for long.
 func (g *Registrar) Tick() {
+	g.wake()
 	now := g.clock.Now()
 	for id, m := range g.members {
 		if now.Sub(m.heard) > ForgetAfter && now.Sub(m.named) > ForgetAfter {
@@ -149,6 +176,7 @@
 
 // View returns the entries that own partitions, in order.
 func (g *Registrar) View() []string {
+	g.wake()
 	var out []string
 	if g.Ready() {
 		out = append(out, g.self.ID)
@@ -171,6 +199,7 @@
 // Peers returns the other entries that are alive or may be, in order. A
 // leaving one is among them only while it still runs.
 func (g *Registrar) Peers() []string {
+	g.wake()
 	var out []string
 	for id, m := range g.members {
 		if g.alive(m) || g.mayRun(m) {
