dispatcher: Do not answer NotRun to a late copy of a forgotten job

What callers saw: none reported. A resubmission that reached its owner more than 5 s after its deadline, through a paused entry or one whose clock is behind, was answered NotRun (DeadlinePassed) although an earlier attempt had run and completed.

Cause: "not known here any more" was read as "has never run". Answers and records are kept until 5 s after the deadline.

Evidence: TestResubmissionOfAForgottenJobIsNotAnsweredNotRun failed before. Only a first copy is refused as NotRun after its deadline now; a later one is answered Failed, with all its tasks named. The bench of these tests answers Forbid now, as agents do.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -88,6 +88,8 @@
 		b.owner.Claimed(name, 1, courier.ClaimReply{
 			Number: m.Number, Term: m.Term, Partitions: m.Partitions, Load: b.load(name), Forbidden: b.forbidden,
 		})
+	case courier.Forbid:
+		b.owner.Forbidden(name, 1, courier.Forbidden{Job: m.Job, Attempt: m.Attempt})
 	case courier.Start:
 		b.running[name] = append(b.running[name], m.Tasks...)
 		b.seen[name] = m.Tasks[len(m.Tasks)-1].Number
@@ -220,6 +222,26 @@
 	require.Equal(t, courier.NotRun, b.replies[w].State, "the retry budget is spent")
 }
 
+// TestResubmissionOfAForgottenJobIsNotAnsweredNotRun sends a job again that has completed and is past its deadline.
+func TestResubmissionOfAForgottenJobIsNotAnsweredNotRun(t *testing.T) {
+	b := newBench(1, 1)
+	s := courier.Submission{
+		Team: "team", Key: "job", Service: "quote", Attempt: 1, Deadline: b.clock.Now().Add(time.Second),
+		Tasks: []courier.Task{{Payload: json.RawMessage(`{}`)}},
+	}
+	b.owner.Submit(Request{Submission: s, Digest: 1, Waiter: 1})
+	b.pump()
+	require.True(t, b.finish("agent-0", courier.Succeeded))
+	require.Equal(t, courier.Complete, b.replies[1].State)
+	b.clock.Advance(time.Second + AnswerGrace)
+	b.owner.Tick()
+	s.Attempt = 2
+	b.owner.Submit(Request{Submission: s, Digest: 1, Waiter: 2})
+	b.pump()
+	require.Equal(t, courier.Failed, b.replies[2].State)
+	require.Equal(t, []int{0}, b.replies[2].MayHaveRun)
+}
+
 // TestWokenOwnerHonoursARefusal wakes an owner with a queued job that its
 // successor has answered NotRun meanwhile.
 func TestWokenOwnerHonoursARefusal(t *testing.T) {
--- a/dispatcher/forbid.go
+++ b/dispatcher/forbid.go
@@ -69,7 +69,7 @@
 	}
 	delete(o.refusals, id)
 	for _, w := range f.waiters {
-		o.replyUnknown(Request{Submission: f.sub, Waiter: w}, nil)
+		o.replyUnknown(Request{Submission: f.sub, Waiter: w}, detailNotAsked)
 	}
 }
 
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -50,7 +50,7 @@
 	}
 	if !r.first() && o.gap(router.PartitionOf(id)) {
 		if !o.hold(r) {
-			o.replyUnknown(r, nil)
+			o.replyUnknown(r, detailNotAsked)
 		}
 		return
 	}
@@ -85,6 +85,10 @@
 func (o *Owner) admitNew(r Request) {
 	now := o.clock.Now()
 	s := r.Submission
+	if !s.Deadline.After(now) {
+		o.refuseLate(r)
+		return
+	}
 	if !o.fresh() && now.Sub(o.wokeAt) < FreshWait {
 		o.park(r)
 		return
@@ -93,10 +97,6 @@
 		o.refuse(r, courier.ReasonNoBundle, "no configuration is confirmed at this entry", time.Second)
 		return
 	}
-	if !s.Deadline.After(now) {
-		o.refuse(r, courier.ReasonDeadline, "the deadline has passed", 0)
-		return
-	}
 	if detail := o.serviceFault(s); detail != "" {
 		o.refuse(r, courier.ReasonUnknownService, detail, 0)
 		return
@@ -113,6 +113,16 @@
 	o.queue.add(j, j.waitingTasks)
 }
 
+// refuseLate answers a submission whose deadline has passed. What earlier
+// copies started may have been forgotten by then, here and at the agents.
+func (o *Owner) refuseLate(r Request) {
+	if !r.first() {
+		o.replyUnknown(r, detailForgotten)
+		return
+	}
+	o.refuse(r, courier.ReasonDeadline, "the deadline has passed", 0)
+}
+
 // serviceFault names the field of s that the bundle in force does not allow,
 // or returns "".
 func (o *Owner) serviceFault(s courier.Submission) string {
@@ -144,7 +154,7 @@
 	n := len(r.Submission.Tasks)
 	if len(in.records) < n && o.gap(router.PartitionOf(r.Submission.Job())) {
 		if !o.hold(r) {
-			o.replyUnknown(r, in)
+			o.replyUnknown(r, detailSomeStarted)
 		}
 		return
 	}
@@ -315,22 +325,26 @@
 	})
 }
 
+// The details of answers whose outcome is unknown.
+const (
+	detailNotAsked    = "an agent that may have started tasks of this job cannot be asked"
+	detailSomeStarted = "some tasks are known to have started, and an agent that may have started others cannot be asked"
+	detailForgotten   = "the deadline has passed, and what earlier attempts started may be forgotten"
+)
+
 // replyUnknown answers a resubmission whose earlier copies may have run where
-// nobody can be asked.
-func (o *Owner) replyUnknown(r Request, in *inheritance) {
+// nobody can tell.
+func (o *Owner) replyUnknown(r Request, detail string) {
 	o.counts.Failed++
 	a := courier.Answer{
 		Job:    r.Submission.Job(),
 		State:  courier.Failed,
 		Reason: courier.ReasonOutcomeUnknown,
-		Detail: "an agent that may have started tasks of this job cannot be asked",
+		Detail: detail,
 	}
 	for i := range r.Submission.Tasks {
 		a.MayHaveRun = append(a.MayHaveRun, i)
 	}
-	if in != nil {
-		a.Detail = "some tasks are known to have started, and an agent that may have started others cannot be asked"
-	}
 	o.reply(r.Waiter, a)
 }
 
