receiver: Prove that an agent restarted near a superseded entry starts nothing

The test fails with two tasks started twice when silent entries do not count as peers, and passes since they do: the new incarnation is not in the roster of the successor, so the entry that is cut off does not use it.

--- a/receiver/roster_test.go
+++ b/receiver/roster_test.go
@@ -90,6 +90,31 @@
 	require.Empty(t, w.startsOn(lonely))
 }
 
+// TestAgentThatRestartsInReachOfASupersededEntryRunsNothingForIt lets a job wait at an entry that is cut off as the other takes it over.
+func TestAgentThatRestartsInReachOfASupersededEntryRunsNothingForIt(t *testing.T) {
+	w := newWorld(t, 27, 2, 2, 2)
+	cutOff, successor := w.entries[0], w.entries[1]
+	far, near := w.agents[0], w.agents[1]
+	key := ownedBy("entry-1")
+	w.submit("busy", 1, 4, 4000, 50*time.Second)
+	w.run(100 * time.Millisecond)
+	c := w.submit(key, 0, 2, 20_000, 50*time.Second)
+	w.run(100 * time.Millisecond)
+	require.Len(t, w.starts, 4)
+	for _, p := range []*process{successor.proc, near.proc} {
+		w.cut(cutOff.proc, p, time.Hour)
+	}
+	w.cut(cutOff.proc, far.proc, 5*time.Second)
+	w.run(3 * time.Second)
+	c.resubmit()
+	w.run(2 * time.Second)
+	w.cut(far.proc, successor.proc, time.Hour)
+	far.restart(1)
+	w.run(45 * time.Second)
+	require.NotZero(t, w.startsOf("team/"+key))
+	w.check()
+}
+
 // TestAgentThatJoinsAfterAnEntryDiedIsUsed waits until the dead entry is taken for silent in the store too.
 func TestAgentThatJoinsAfterAnEntryDiedIsUsed(t *testing.T) {
 	w := newWorld(t, 24, 2, 1, 2)
