dispatcher: Do not take a leaving upstream for an agent that has ended

What callers saw: none reported. A job could run twice at once where an entry was cut off from an agent and from another entry while the agent's upstream was leaving, and the upstream then stayed, or another one came to that agent: after 65 s the entry concluded from the agent's silence.

Cause: an agent said only that nothing may start, for its own planned stop and for a departure of its upstream alike. The second can be taken back, but both were read as "it will start nothing any more", which shortens the time for which a silent agent counts from 10 minutes to 65 s.

Evidence: TestUpstreamThatStaysAfterAllKeepsItsAgentInTheRoster failed before, with tasks of two jobs and more started twice after 2 minutes. An agent says now when its process stops, and only that counts.

The price: an agent that is killed after its upstream has left leaves its gap for as long as any agent that falls silent.

--- a/courier/message.go
+++ b/courier/message.go
@@ -101,7 +101,10 @@
 	Rack        string
 	Slots       int
 	Services    []string
-	Draining    bool
+	// Draining means that nothing may start now; Stopping, that this
+	// incarnation will start nothing any more.
+	Draining bool
+	Stopping bool `json:",omitempty"`
 	// LinkNumber identifies this link among all links of the incarnation.
 	LinkNumber uint64
 	// Acked lists the entries that have this incarnation in their roster.
--- a/dispatcher/agent.go
+++ b/dispatcher/agent.go
@@ -57,6 +57,7 @@
 	a.services = an.Services
 	a.slots = an.Slots
 	a.draining = an.Draining
+	a.stopping = an.Stopping
 	a.out = slices.Contains(o.fleet.out, a.dataCentre)
 	if !a.admitted {
 		a.admitted = containsAll(an.Acked, o.peers)
@@ -85,7 +86,7 @@
 	a.lostAt = o.clock.Now()
 	o.fleet.update(a)
 	o.retryRefusals(a)
-	if a.draining && len(a.tasks) == 0 {
+	if a.stopping && len(a.tasks) == 0 {
 		o.loseAgent(a, RecordHorizon)
 	}
 }
--- a/dispatcher/fleet.go
+++ b/dispatcher/fleet.go
@@ -27,6 +27,8 @@
 	// stays true for the life of the incarnation.
 	admitted bool
 	draining bool
+	// stopping means that the incarnation will start nothing any more.
+	stopping bool
 	out      bool
 	// sentTasks counts the tasks sent on this link.
 	sentTasks uint64
--- a/receiver/roster_test.go
+++ b/receiver/roster_test.go
@@ -115,6 +115,26 @@
 	w.check()
 }
 
+// TestUpstreamThatStaysAfterAllKeepsItsAgentInTheRoster cuts an entry off while an upstream is leaving that then stays.
+func TestUpstreamThatStaysAfterAllKeepsItsAgentInTheRoster(t *testing.T) {
+	w := newWorld(t, 28, 2, 2, 4)
+	far := w.agents[0]
+	far.leave()
+	w.run(time.Second)
+	w.cut(w.entries[1].proc, far.proc, time.Hour)
+	w.cut(w.entries[1].proc, w.entries[0].proc, time.Hour)
+	w.run(3 * time.Second)
+	far.stay()
+	w.run(2 * dispatcher.RecordHorizon)
+	for i := range 8 {
+		c := w.submit(fmt.Sprintf("job-%d", i), 0, 8, 3000, 50*time.Second)
+		w.run(500 * time.Millisecond)
+		c.resubmit()
+	}
+	w.run(55 * time.Second)
+	w.check()
+}
+
 // TestAgentThatJoinsAfterAnEntryDiedIsUsed waits until the dead entry is taken for silent in the store too.
 func TestAgentThatJoinsAfterAnEntryDiedIsUsed(t *testing.T) {
 	w := newWorld(t, 24, 2, 1, 2)
--- a/receiver/simagent_test.go
+++ b/receiver/simagent_test.go
@@ -215,3 +215,9 @@
 	a.leftAt = a.world.clock.Now()
 	a.ledger.SetUpstream(starter.Upstream{Slots: a.slots, Services: []string{"quote"}, Leaving: true})
 }
+
+// stay makes the upstream announce that it stays.
+func (a *simAgent) stay() {
+	a.leftAt = time.Time{}
+	a.ledger.SetUpstream(starter.Upstream{Slots: a.slots, Services: []string{"quote"}})
+}
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -232,6 +232,7 @@
 		Slots:         l.upstream.Slots,
 		Services:      l.upstream.Services,
 		Draining:      l.draining || l.upstream.Leaving,
+		Stopping:      l.draining,
 		BundleVersion: l.policy.BundleVersion,
 		Stamp:         l.clock.Since(l.base),
 		Load:          l.load(entry),
