--- a/receiver/roster_test.go
+++ b/receiver/roster_test.go
@@ -255,7 +255,7 @@
 	w.cut(w.entries[0].proc, w.agents[0].proc, 2*time.Hour)
 	w.run(300 * time.Millisecond)
 	w.kill(w.agents[0].proc)
-	w.run(3 * dispatcher.SilentHorizon)
+	w.run(dispatcher.SilentHorizon + time.Minute)
 	for _, e := range w.entries {
 		roster, _ := e.core.owner.Roster()
 		require.Len(t, roster, 1, "%s", e.proc.name)
