--- a/starter/starter.go
+++ b/starter/starter.go
@@ -62,6 +62,9 @@
 // Run is the effect of running a task on the upstream.
 type Run struct {
 	Task courier.StartTask
+	// Until is when the decision lapses: the task must not be handed to the
+	// upstream at that time or later.
+	Until time.Time
 }
 
 // Halt is the effect of stopping a running task on the upstream.
@@ -229,6 +232,7 @@
 		Slots:         l.upstream.Slots,
 		Services:      l.upstream.Services,
 		Draining:      l.draining || l.upstream.Leaving,
+		Stopping:      l.draining,
 		BundleVersion: l.policy.BundleVersion,
 		Stamp:         l.clock.Since(l.base),
 		Load:          l.load(entry),
