soaker: Break callers, calls and processes while runs go on

The soak broke links only, and its callers never sent a job again before 1.3 s. Now proxies stand before each entry and each worker, processes are started again within 50 ms, agents are stopped or killed as their worker begins a run, instances are replaced, and a second size has 3 entries and 11 agents in three data centres with four series of faults. Callers that send again at once when a reused connection breaks are a mode of their own, since the platform promises 1.3 s. A process that ends by itself counts as a fault.

--- a/soaker/deployment_test.go
+++ b/soaker/deployment_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -56,56 +57,6 @@
 	os.Exit(status)
 }
 
-// process is one program that the soak started.
-type process struct {
-	name     string
-	command  string
-	settings string
-	log      *os.File
-
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	exited chan struct{}
-}
-
-// start starts the program, which stays up until stop or kill.
-func (p *process) start(t testing.TB) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.cmd = exec.Command(program, "serve", p.command)
-	p.cmd.Env = append(os.Environ(), "POMELOFERRY_BOOT="+p.settings)
-	p.cmd.Stdout = p.log
-	p.cmd.Stderr = p.log
-	require.NoError(t, p.cmd.Start())
-	p.exited = make(chan struct{})
-	go func(cmd *exec.Cmd, exited chan struct{}) {
-		// The exit status of a killed process says nothing.
-		_ = cmd.Wait()
-		close(exited)
-	}(p.cmd, p.exited)
-}
-
-func (p *process) signal(s syscall.Signal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd != nil {
-		_ = p.cmd.Process.Signal(s)
-	}
-}
-
-// end sends a signal and waits until the process is gone; one that stays
-// longer than the grace period is killed.
-func (p *process) end(s syscall.Signal) {
-	p.signal(syscall.SIGCONT)
-	p.signal(s)
-	select {
-	case <-p.exited:
-	case <-time.After(grace):
-		p.signal(syscall.SIGKILL)
-		<-p.exited
-	}
-}
-
 // deployment is a whole deployment on loopback.
 type deployment struct {
 	t       testing.TB
@@ -113,13 +64,42 @@
 	store   *emulator.Store
 	address string
 	entries []*process
-	fronts  []string
-	agents  []*process
-	workers []*emulator.Worker
-	proxies []*proxy
-	watch   *watcher
+	// fronts are where the entries take callers, and balanced the same places
+	// behind proxies.
+	fronts   []string
+	balanced []string
+	callers  []*proxy
+	watch    *watcher
+	cancel   context.CancelFunc
+	ctx      context.Context
+	centres  int
+	// evacuation is held while a data centre is evacuated.
+	evacuation sync.Mutex
+
+	// hooks hear of each run that a worker begins, before the worker answers
+	// the start. They are called one at a time.
+	hookMu sync.Mutex
+	hooks  []*hook
+
+	mu      sync.Mutex
 	version int
-	cancel  context.CancelFunc
+	// strikes lists what has struck, and when.
+	strikes []string
+	// sites are the agents with their workers, in the order of their start.
+	sites []*site
+}
+
+// site is an agent and the worker beside it.
+type site struct {
+	agent  *process
+	worker *emulator.Worker
+	// links carries the entries' connections to the agent, and calls those of
+	// the agent to its worker.
+	links, calls *proxy
+	control      string
+	id           string
+	// leave ends the worker's heartbeats and its interface.
+	leave func()
 }
 
 const (
@@ -154,22 +134,32 @@
 
 // serve serves a handler on loopback until the test ends, and returns where.
 func serve(t testing.TB, h http.Handler) string {
+	address, _ := serveUntil(t, h)
+	return address
+}
+
+// serveUntil is serve with a function that ends it sooner.
+func serveUntil(t testing.TB, h http.Handler) (string, func()) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	go func() { _ = s.Serve(l) }()
-	t.Cleanup(func() { _ = s.Close() })
-	return l.Addr().String()
+	end := func() { _ = s.Close() }
+	t.Cleanup(end)
+	return l.Addr().String(), end
 }
 
 func newDeployment(t testing.TB, entries, agents int) *deployment {
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &deployment{t: t, dir: t.TempDir(), store: emulator.NewStore(), watch: newWatcher(), cancel: cancel}
+	d := &deployment{
+		t: t, dir: t.TempDir(), store: emulator.NewStore(), watch: newWatcher(),
+		ctx: ctx, cancel: cancel, centres: max(entries, 2),
+	}
 	d.address = serve(t, d.store.Handler())
 	d.store.Rewrite = d.throughProxy
 	d.configure()
-	for i := range agents {
-		d.addAgent(ctx, i)
+	for range agents {
+		d.addAgent()
 	}
 	for i := range entries {
 		d.addEntry(i)
@@ -188,9 +178,9 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return value
 	}
-	for i, p := range d.agents {
-		if p.name == name {
-			r.Link = d.proxies[i].address
+	for _, s := range d.all() {
+		if s.agent.name == name {
+			r.Link = s.links.address
 		}
 	}
 	out, err := json.Marshal(r)
@@ -200,8 +190,26 @@
 	return out
 }
 
+// all returns the agents with their workers, also those that have left.
+func (d *deployment) all() []*site {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.sites)
+}
+
+// processes returns all programs.
+func (d *deployment) processes() []*process {
+	out := slices.Clone(d.entries)
+	for _, s := range d.all() {
+		out = append(out, s.agent)
+	}
+	return out
+}
+
 // configure writes the next configuration.
 func (d *deployment) configure() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.version++
 	raw, err := json.Marshal(map[string]any{
 		"version": d.version,
@@ -215,50 +223,99 @@
 	d.store.Put("op/config", raw)
 }
 
-func (d *deployment) addAgent(ctx context.Context, i int) {
+// observer hears what the worker at one site runs.
+type observer struct {
+	*watcher
+	d    *deployment
+	site int
+}
+
+// Began implements emulator.Observer.
+func (o observer) Began(worker, task string, run int) {
+	o.watcher.Began(worker, task, run)
+	o.d.hookMu.Lock()
+	defer o.d.hookMu.Unlock()
+	for _, h := range o.d.hooks {
+		(*h)(o.site, task)
+	}
+}
+
+// hook hears of a run that the worker of a site begins. It does not block.
+type hook func(site int, task string)
+
+// onBegan adds a hook until the returned function is called.
+func (d *deployment) onBegan(h hook) func() {
+	d.hookMu.Lock()
+	defer d.hookMu.Unlock()
+	d.hooks = append(d.hooks, &h)
+	return func() {
+		d.hookMu.Lock()
+		defer d.hookMu.Unlock()
+		d.hooks = slices.DeleteFunc(d.hooks, func(o *hook) bool { return o == &h })
+	}
+}
+
+// addAgent starts an agent with a worker.
+func (d *deployment) addAgent() *site {
+	i := len(d.all())
 	ports := freePorts(d.t, 3)
 	name := fmt.Sprintf("agent-%d", i)
-	dc := fmt.Sprintf("dc-%d", i%2)
-	control := fmt.Sprintf("127.0.0.1:%d", ports[0])
-	w := emulator.NewWorker(emulator.WorkerConfig{
-		ID: "worker-" + name, Service: service, DataCentre: dc, CPU: workerCPU,
-		Agent: control, Observer: d.watch, Work: d.watch.work,
+	dc := fmt.Sprintf("dc-%d", i%d.centres)
+	s := &site{control: fmt.Sprintf("127.0.0.1:%d", ports[0]), id: "worker-" + name}
+	d.watch.mu.Lock()
+	d.watch.place(s.id, dc)
+	d.watch.mu.Unlock()
+	s.worker = emulator.NewWorker(emulator.WorkerConfig{
+		ID: s.id, Service: service, DataCentre: dc, CPU: workerCPU,
+		Agent: s.control, Observer: observer{d.watch, d, i}, Work: d.watch.work,
 	})
-	d.watch.place("worker-"+name, dc)
-	d.workers = append(d.workers, w)
-	d.proxies = append(d.proxies, newProxy(d.t, fmt.Sprintf("127.0.0.1:%d", ports[1])))
-	app := serve(d.t, w.Handler())
-	go w.Run(ctx)
-	d.agents = append(d.agents, d.process(name, "agent", fmt.Sprintf(
-		"listen.control=%s\napp=%s\nservice=%s\ninternal_ports=%d,%d\n", control, app, service, ports[1], ports[2]), dc))
+	s.links = newProxy(d.t, fmt.Sprintf("127.0.0.1:%d", ports[1]))
+	app, closeApp := serveUntil(d.t, s.worker.Handler())
+	s.calls = newProxy(d.t, app)
+	ctx, cancel := context.WithCancel(d.ctx)
+	s.leave = func() {
+		cancel()
+		closeApp()
+	}
+	go s.worker.Run(ctx)
+	s.agent = d.newProcess(name, "agent", fmt.Sprintf(
+		"listen.control=%s\napp=%s\nservice=%s\ninternal_ports=%d,%d\n", s.control, s.calls.address, service, ports[1], ports[2]), dc)
+	d.mu.Lock()
+	d.sites = append(d.sites, s)
+	d.mu.Unlock()
+	s.agent.start(d.t)
+	return s
 }
 
 func (d *deployment) addEntry(i int) {
 	ports := freePorts(d.t, 3)
 	front := fmt.Sprintf("127.0.0.1:%d", ports[0])
+	p := newProxy(d.t, front)
 	d.fronts = append(d.fronts, front)
-	d.entries = append(d.entries, d.process(fmt.Sprintf("entry-%d", i), "entry", fmt.Sprintf(
-		"listen.front=%s\nlisten.ready=127.0.0.1:%d\ninternal_ports=%d,%d\n", front, ports[1], ports[2], ports[2]), fmt.Sprintf("dc-%d", i%2)))
+	d.callers = append(d.callers, p)
+	d.balanced = append(d.balanced, p.address)
+	e := d.newProcess(fmt.Sprintf("entry-%d", i), "entry", fmt.Sprintf(
+		"listen.front=%s\nlisten.ready=127.0.0.1:%d\ninternal_ports=%d,%d\n", front, ports[1], ports[2], ports[2]), fmt.Sprintf("dc-%d", i%d.centres))
+	d.entries = append(d.entries, e)
+	e.start(d.t)
 }
 
-// process writes settings and starts a program.
-func (d *deployment) process(name, command, settings, dc string) *process {
+// newProcess writes the settings of a program.
+func (d *deployment) newProcess(name, command, settings, dc string) *process {
 	path := filepath.Join(d.dir, name+".conf")
 	text := fmt.Sprintf("node_name=%s\nip=127.0.0.1\nzone=%s\nplatform.address=%s\nbounds.grace_period_s=%d\n%s",
 		name, dc, d.address, int(grace.Seconds()), settings)
 	require.NoError(d.t, os.WriteFile(path, []byte(text), 0o600))
 	log, err := os.Create(filepath.Join(d.dir, name+".log"))
 	require.NoError(d.t, err)
-	p := &process{name: name, command: command, settings: path, log: log}
-	p.start(d.t)
-	return p
+	return &process{name: name, command: command, settings: path, log: log, ended: d.watch.endedByItself}
 }
 
 // close ends all that the deployment started, and prints the logs' ends when
 // the test has failed.
 func (d *deployment) close() {
 	d.cancel()
-	for _, p := range append(d.entries, d.agents...) {
+	for _, p := range d.processes() {
 		p.end(syscall.SIGKILL)
 		_ = p.log.Close()
 		if d.t.Failed() {
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -16,9 +18,12 @@
 )
 
 var (
-	seeds = flag.Int("seeds", 0, "how many seeds to play beside those that once failed")
-	first = flag.Uint64("first", 1, "the first of them")
-	span  = flag.Duration("span", 8*time.Second, "how long the faults of a seed last")
+	seeds  = flag.Int("seeds", 0, "how many seeds to play beside those that once failed")
+	first  = flag.Uint64("first", 1, "the first of them")
+	span   = flag.Duration("span", 8*time.Second, "how long the faults of a seed last")
+	big    = flag.Bool("big", false, "play the seeds in the big size")
+	more   = flag.Bool("more", false, "strike the seeds with faults of processes and connections, many at once")
+	atOnce = flag.Bool("atonce", false, "let callers send again at once when a reused connection breaks")
 )
 
 // regressions are the seeds that failed once.
@@ -34,17 +39,44 @@
 // settle is the time after the faults until all is well again.
 const settle = 4 * time.Second
 
-// load sends jobs until stop is closed, and waits for their answers.
-func (d *deployment) load(seed uint64, stop chan struct{}) *sync.WaitGroup {
-	const callers = 6
+// mix is what a seed is played with.
+type mix struct {
+	entries, agents int
+	// callers send jobs, and series of faults strike at the same time.
+	callers, series int
+	faults          []fault
+	atOnce          bool
+}
+
+var (
+	small = mix{entries: 2, agents: 4, callers: 6, series: 2, faults: faults}
+	large = mix{entries: 3, agents: 11, callers: 14, series: 4, faults: faults}
+)
+
+// chosen returns the mix that the flags ask for.
+func chosen() mix {
+	m := small
+	if *big {
+		m = large
+	}
+	if *more {
+		m.series++
+		m.faults = append(slices.Clone(faults), wideFaults...)
+	}
+	m.atOnce = *atOnce
+	return m
+}
+
+// load sends jobs until stop is closed. The group is done when all are
+// answered.
+func (d *deployment) load(seed uint64, stop chan struct{}, callers int, fronts []string, again bool) *sync.WaitGroup {
 	var wg sync.WaitGroup
 	for c := range callers {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			rng := rand.New(rand.NewPCG(seed, uint64(c)))
-			client := &http.Client{Timeout: callerPatience + time.Second, Transport: &http.Transport{}}
-			defer client.CloseIdleConnections()
+			client := newCaller(fronts, again)
 			for i := 0; ; i++ {
 				select {
 				case <-stop:
@@ -55,8 +87,8 @@
 				wg.Add(1)
 				go func(tasks, front int) {
 					defer wg.Done()
-					d.watch.submit(client, d.fronts, front, id, tasks)
-				}(1+rng.IntN(3), rng.IntN(len(d.fronts)))
+					d.watch.submit(client, fronts, front, id, tasks)
+				}(1+rng.IntN(3), rng.IntN(len(fronts)))
 			}
 		}()
 	}
@@ -75,84 +107,93 @@
 	}
 }
 
-// faults are what strikes a deployment. Each lasts for a while and heals.
-var faults = []struct {
+// fault strikes a deployment for a while and heals.
+type fault struct {
 	name string
 	do   func(d *deployment, rng *rand.Rand, span time.Duration)
-}{
-	{"entry killed", func(d *deployment, rng *rand.Rand, span time.Duration) {
-		p := d.entries[rng.IntN(len(d.entries))]
-		p.end(syscall.SIGKILL)
-		time.Sleep(span / 4)
+}
+
+// pick returns one of a list.
+func pick[T any](rng *rand.Rand, list []T) T { return list[rng.IntN(len(list))] }
+
+// strike lets f strike a process, unless another fault strikes it.
+func strike(p *process, f func()) {
+	if p.busy.TryLock() {
+		defer p.busy.Unlock()
+		f()
+	}
+}
+
+// downFor ends a process for a while.
+func (d *deployment) downFor(p *process, s syscall.Signal, span time.Duration) {
+	strike(p, func() {
+		p.end(s)
+		time.Sleep(span)
 		p.start(d.t)
+	})
+}
+
+// faults are what strikes a deployment.
+var faults = []fault{
+	{"entry killed", func(d *deployment, rng *rand.Rand, span time.Duration) {
+		d.downFor(pick(rng, d.entries), syscall.SIGKILL, span/4)
 	}},
 	{"agent killed", func(d *deployment, rng *rand.Rand, span time.Duration) {
-		p := d.agents[rng.IntN(len(d.agents))]
-		p.end(syscall.SIGKILL)
-		time.Sleep(span / 4)
-		p.start(d.t)
+		d.downFor(pick(rng, d.all()).agent, syscall.SIGKILL, span/4)
 	}},
 	{"entry paused", func(d *deployment, rng *rand.Rand, span time.Duration) {
-		p := d.entries[rng.IntN(len(d.entries))]
-		p.signal(syscall.SIGSTOP)
-		time.Sleep(span)
-		p.signal(syscall.SIGCONT)
+		p := pick(rng, d.entries)
+		strike(p, func() { p.pause(span) })
 	}},
 	{"agent paused", func(d *deployment, rng *rand.Rand, span time.Duration) {
-		p := d.agents[rng.IntN(len(d.agents))]
-		p.signal(syscall.SIGSTOP)
-		time.Sleep(span)
-		p.signal(syscall.SIGCONT)
+		p := pick(rng, d.all()).agent
+		strike(p, func() { p.pause(span) })
 	}},
 	{"entry stopped as planned", func(d *deployment, rng *rand.Rand, _ time.Duration) {
-		p := d.entries[rng.IntN(len(d.entries))]
-		p.end(syscall.SIGTERM)
-		p.start(d.t)
+		d.downFor(pick(rng, d.entries), syscall.SIGTERM, 0)
 	}},
 	{"agent stopped as planned", func(d *deployment, rng *rand.Rand, _ time.Duration) {
-		p := d.agents[rng.IntN(len(d.agents))]
-		p.end(syscall.SIGTERM)
-		p.start(d.t)
+		d.downFor(pick(rng, d.all()).agent, syscall.SIGTERM, 0)
 	}},
 	{"settings reloaded", func(d *deployment, _ *rand.Rand, _ time.Duration) {
-		for _, p := range append(d.entries, d.agents...) {
+		for _, p := range d.processes() {
 			p.signal(syscall.SIGHUP)
 		}
 	}},
 	{"links reset", func(d *deployment, rng *rand.Rand, _ time.Duration) {
-		d.proxies[rng.IntN(len(d.proxies))].reset()
+		pick(rng, d.all()).links.reset()
 	}},
 	{"links slow", func(d *deployment, rng *rand.Rand, span time.Duration) {
-		p := d.proxies[rng.IntN(len(d.proxies))]
+		p := pick(rng, d.all()).links
 		p.delay.Store(int64(100 * time.Millisecond))
 		time.Sleep(span)
 		p.delay.Store(0)
 	}},
 	{"link silent towards the agent", func(d *deployment, rng *rand.Rand, span time.Duration) {
-		p := d.proxies[rng.IntN(len(d.proxies))]
+		p := pick(rng, d.all()).links
 		p.muteIn.Store(true)
 		time.Sleep(span)
 		p.muteIn.Store(false)
 		p.reset()
 	}},
 	{"link silent towards the entry", func(d *deployment, rng *rand.Rand, span time.Duration) {
-		p := d.proxies[rng.IntN(len(d.proxies))]
+		p := pick(rng, d.all()).links
 		p.muteOut.Store(true)
 		time.Sleep(span)
 		p.muteOut.Store(false)
 		p.reset()
 	}},
 	{"worker restarted", func(d *deployment, rng *rand.Rand, _ time.Duration) {
-		d.workers[rng.IntN(len(d.workers))].Restart()
+		pick(rng, d.all()).worker.Restart()
 	}},
 	{"worker mute", func(d *deployment, rng *rand.Rand, span time.Duration) {
-		w := d.workers[rng.IntN(len(d.workers))]
+		w := pick(rng, d.all()).worker
 		w.SetMute(true)
 		time.Sleep(span)
 		w.SetMute(false)
 	}},
 	{"worker draining", func(d *deployment, rng *rand.Rand, span time.Duration) {
-		w := d.workers[rng.IntN(len(d.workers))]
+		w := pick(rng, d.all()).worker
 		w.SetDraining(true)
 		time.Sleep(span)
 		w.SetDraining(false)
@@ -167,6 +208,10 @@
 	{"store forgets its history", func(d *deployment, _ *rand.Rand, _ time.Duration) { d.store.Compact() }},
 	{"configuration changes", func(d *deployment, _ *rand.Rand, _ time.Duration) { d.configure() }},
 	{"data centre evacuated", func(d *deployment, _ *rand.Rand, span time.Duration) {
+		if !d.evacuation.TryLock() {
+			return
+		}
+		defer d.evacuation.Unlock()
 		d.store.Put("op/evacuate/dc-1", []byte("{}"))
 		d.watch.evacuate("dc-1", true)
 		time.Sleep(span + evacuateWithin)
@@ -175,32 +220,26 @@
 	}},
 }
 
-// play strikes faults in two series that overlap, under load.
-func play(t *testing.T, seed uint64) {
-	d := newDeployment(t, 2, 4)
+// play strikes faults in series that overlap, under load.
+func play(t *testing.T, seed uint64, m mix) {
+	d := newDeployment(t, m.entries, m.agents)
 	d.awaitReady(seed)
 	stop := make(chan struct{})
-	callers := d.load(seed, stop)
+	callers := d.load(seed, stop, m.callers, d.balanced, m.atOnce)
 	var series sync.WaitGroup
-	var process sync.Mutex
-	end := time.Now().Add(*span)
-	for s := range 2 {
+	began := time.Now()
+	for s := range m.series {
 		series.Add(1)
 		go func() {
 			defer series.Done()
 			rng := rand.New(rand.NewPCG(seed, uint64(100+s)))
-			for time.Now().Before(end) {
+			for time.Since(began) < *span {
 				time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
-				f := faults[rng.IntN(len(faults))]
+				f := pick(rng, m.faults)
 				lasts := 200*time.Millisecond + time.Duration(rng.IntN(1800))*time.Millisecond
-				// Two faults of the same process must not cross.
-				if s == 0 || process.TryLock() {
-					if s == 0 {
-						process.Lock()
-					}
-					f.do(d, rng, lasts)
-					process.Unlock()
-				}
+				d.struck("series %d: %s for %s begins", s, f.name, lasts)
+				f.do(d, rng, lasts)
+				d.struck("series %d: %s is over", s, f.name)
 			}
 		}()
 	}
@@ -209,20 +248,37 @@
 	close(stop)
 	callers.Wait()
 	d.awaitReady(seed + 1<<20)
+	d.judge("seed %d", seed)
+}
+
+// struck notes what strikes, to be printed when a promise is broken.
+func (d *deployment) struck(format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.strikes = append(d.strikes, time.Now().UTC().Format(time.RFC3339Nano)+" "+fmt.Sprintf(format, args...))
+}
+
+// judge requires that all promises were kept.
+func (d *deployment) judge(format string, args ...any) {
 	d.watch.mu.Lock()
 	defer d.watch.mu.Unlock()
-	t.Logf("seed %d: %v", seed, d.watch.counts)
-	require.Empty(t, d.watch.broken)
-	require.Positive(t, d.watch.counts["complete"])
+	d.t.Logf("%s: %v", fmt.Sprintf(format, args...), d.watch.counts)
+	if len(d.watch.broken) > 0 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.t.Logf("struck:\n%s", strings.Join(d.strikes, "\n"))
+	}
+	require.Empty(d.t, d.watch.broken)
+	require.Positive(d.t, d.watch.counts["complete"])
 }
 
 func TestSoak(t *testing.T) {
 	for _, r := range regressions {
-		t.Run(fmt.Sprintf("seed %d: %s", r.seed, r.cause), func(t *testing.T) { play(t, r.seed) })
+		t.Run(fmt.Sprintf("seed %d: %s", r.seed, r.cause), func(t *testing.T) { play(t, r.seed, small) })
 	}
 	for i := range *seeds {
 		seed := *first + uint64(i)
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { play(t, seed) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { play(t, seed, chosen()) })
 	}
 }
 
@@ -230,8 +286,9 @@
 	d := newDeployment(t, 2, 4)
 	d.awaitReady(0)
 	stop := make(chan struct{})
-	callers := d.load(0, stop)
-	for _, p := range []*process{d.entries[0], d.agents[0], d.agents[1]} {
+	callers := d.load(0, stop, small.callers, d.fronts, false)
+	sites := d.all()
+	for _, p := range []*process{d.entries[0], sites[0].agent, sites[1].agent} {
 		p.end(syscall.SIGTERM)
 		p.start(t)
 		d.awaitReady(uint64(len(p.name)) << 10)
