soaker: Stop and kill agents as their worker begins a run

TestAnAgentThatRestartsWithoutItsWorkersAnswerGivesNoRunUp fails on this code in all of its three cases: an agent that is started again while its worker does not answer sends a complete list without runs after its first look has failed, and the entry places what runs there again. A call that was held up and reaches an instance that has ended for good is not judged: there is no such worker.

--- a/soaker/deployment_test.go
+++ b/soaker/deployment_test.go
@@ -84,7 +84,8 @@
 	mu      sync.Mutex
 	version int
 	// strikes lists what has struck, and when.
-	strikes []string
+	strikes  []string
+	lastRuns map[string]lastRun
 	// sites are the agents with their workers, in the order of their start.
 	sites []*site
 }
@@ -98,6 +99,8 @@
 	links, calls *proxy
 	control      string
 	id           string
+	// gone is set when the worker has ended for good.
+	gone atomic.Bool
 	// leave ends the worker's heartbeats and its interface.
 	leave func()
 }
@@ -153,7 +156,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &deployment{
 		t: t, dir: t.TempDir(), store: emulator.NewStore(), watch: newWatcher(),
-		ctx: ctx, cancel: cancel, centres: max(entries, 2),
+		ctx: ctx, cancel: cancel, centres: max(entries, 2), lastRuns: make(map[string]lastRun),
 	}
 	d.address = serve(t, d.store.Handler())
 	d.store.Rewrite = d.throughProxy
@@ -227,12 +230,16 @@
 type observer struct {
 	*watcher
 	d    *deployment
-	site int
+	site *site
 }
 
 // Began implements emulator.Observer.
 func (o observer) Began(worker, task string, run int) {
+	if o.site.gone.Load() {
+		return // A call that was held up has reached an instance that is no more.
+	}
 	o.watcher.Began(worker, task, run)
+	o.d.noteRun(worker, task, run)
 	o.d.hookMu.Lock()
 	defer o.d.hookMu.Unlock()
 	for _, h := range o.d.hooks {
@@ -240,8 +247,27 @@
 	}
 }
 
+// noteRun keeps when and where a task last began, and tells of those that begin
+// again.
+func (d *deployment) noteRun(worker, task string, run int) {
+	now := time.Now()
+	d.mu.Lock()
+	last, ok := d.lastRuns[task]
+	d.lastRuns[task] = lastRun{at: now, worker: worker}
+	d.mu.Unlock()
+	if ok {
+		d.struck("%s run %d begins at %s, %s after it began at %s", task, run, worker, now.Sub(last.at), last.worker)
+	}
+}
+
+// lastRun is where and when a task last began.
+type lastRun struct {
+	at     time.Time
+	worker string
+}
+
 // hook hears of a run that the worker of a site begins. It does not block.
-type hook func(site int, task string)
+type hook func(s *site, task string)
 
 // onBegan adds a hook until the returned function is called.
 func (d *deployment) onBegan(h hook) func() {
@@ -267,7 +293,7 @@
 	d.watch.mu.Unlock()
 	s.worker = emulator.NewWorker(emulator.WorkerConfig{
 		ID: s.id, Service: service, DataCentre: dc, CPU: workerCPU,
-		Agent: s.control, Observer: observer{d.watch, d, i}, Work: d.watch.work,
+		Agent: s.control, Observer: observer{d.watch, d, s}, Work: d.watch.work,
 	})
 	s.links = newProxy(d.t, fmt.Sprintf("127.0.0.1:%d", ports[1]))
 	app, closeApp := serveUntil(d.t, s.worker.Handler())
--- a/soaker/process_test.go
+++ b/soaker/process_test.go
@@ -147,14 +147,14 @@
 	return least + time.Duration(rng.Int64N(int64(most-least)))
 }
 
-// orderedTo lets f strike as soon as the worker of a site has begun a run and
+// orderedTo lets f strike as soon as the worker of such a site has begun a run and
 // before its answer to the start is sent, or gives up after a while.
-func (d *deployment) orderedTo(site int, f func()) bool {
+func (d *deployment) orderedTo(of func(s *site) bool, f func()) bool {
 	const patience = time.Second
 	struck := make(chan struct{})
 	var once sync.Once
-	remove := d.onBegan(func(i int, _ string) {
-		if i == site {
+	remove := d.onBegan(func(s *site, _ string) {
+		if of(s) {
 			once.Do(func() {
 				f()
 				close(struck)
@@ -170,15 +170,18 @@
 	}
 }
 
-// index returns the place of a process's site.
-func (d *deployment) index(p *process) int {
-	return slices.IndexFunc(d.all(), func(s *site) bool { return s.agent == p })
+// by returns whether a site is that of an agent.
+func by(p *process) func(s *site) bool {
+	return func(s *site) bool { return s.agent == p }
 }
 
-// pauseAfterOrder stops an agent as its worker begins a run.
-func (d *deployment) pauseAfterOrder(p *process, span time.Duration) {
+// anywhere is true of all sites.
+func anywhere(*site) bool { return true }
+
+// pauseAfterOrder stops a process as the worker of such a site begins a run.
+func (d *deployment) pauseAfterOrder(p *process, of func(s *site) bool, span time.Duration) {
 	strike(p, func() {
-		if d.orderedTo(d.index(p), func() { p.signal(syscall.SIGSTOP) }) {
+		if d.orderedTo(of, func() { p.signal(syscall.SIGSTOP) }) {
 			time.Sleep(span)
 		}
 		p.signal(syscall.SIGCONT)
@@ -187,29 +190,7 @@
 
 // killAfterOrder kills an agent as its worker begins a run.
 func (d *deployment) killAfterOrder(p *process) {
-	strike(p, func() { d.orderedTo(d.index(p), p.kill) })
-}
-
-// pauseEntryAfterOrder stops an entry as any worker begins a run.
-func (d *deployment) pauseEntryAfterOrder(p *process, span time.Duration) {
-	strike(p, func() {
-		const patience = time.Second
-		struck := make(chan struct{})
-		var once sync.Once
-		remove := d.onBegan(func(int, string) {
-			once.Do(func() {
-				p.signal(syscall.SIGSTOP)
-				close(struck)
-			})
-		})
-		select {
-		case <-struck:
-			time.Sleep(span)
-		case <-time.After(patience):
-		}
-		remove()
-		p.signal(syscall.SIGCONT)
-	})
+	strike(p, func() { d.orderedTo(by(p), p.kill) })
 }
 
 // several returns about a third of a list, two at least.
@@ -252,7 +233,8 @@
 		return
 	}
 	// An instance that has gone stays busy, so that no fault wakes it.
-	old := d.all()[d.index(p)]
+	sites := d.all()
+	old := sites[slices.IndexFunc(sites, by(p))]
 	d.addAgent()
 	time.Sleep(instanceStart)
 	old.worker.SetDraining(true)
@@ -264,6 +246,7 @@
 	}
 	time.Sleep(leave)
 	old.leave()
+	old.gone.Store(true)
 	old.worker.Restart()
 	p.end(syscall.SIGTERM)
 }
@@ -333,10 +316,10 @@
 		together(several(rng, d.all()), func(s *site) { d.killAfterOrder(s.agent) })
 	}},
 	{"agents paused after an order", func(d *deployment, rng *rand.Rand, span time.Duration) {
-		together(several(rng, d.all()), func(s *site) { d.pauseAfterOrder(s.agent, span) })
+		together(several(rng, d.all()), func(s *site) { d.pauseAfterOrder(s.agent, by(s.agent), span) })
 	}},
 	{"entry paused after an order", func(d *deployment, rng *rand.Rand, span time.Duration) {
-		d.pauseEntryAfterOrder(pick(rng, d.entries), span)
+		d.pauseAfterOrder(pick(rng, d.entries), anywhere, span)
 	}},
 	{"links of an entry reset again and again", func(d *deployment, rng *rand.Rand, span time.Duration) {
 		i := rng.IntN(len(d.entries))
@@ -400,8 +383,12 @@
 		t.Run(c.name, func(t *testing.T) {
 			underLoad(t, 2, 4, func(d *deployment, rng *rand.Rand) {
 				s := pick(rng, d.all())
-				c.spoil(s.calls)
-				strike(s.agent, s.agent.kill)
+				strike(s.agent, func() {
+					d.orderedTo(by(s.agent), func() {
+						s.agent.kill()
+						c.spoil(s.calls)
+					})
+				})
 				time.Sleep(between(rng, 50*time.Millisecond, 400*time.Millisecond))
 				c.heal(s.calls)
 				time.Sleep(between(rng, 200*time.Millisecond, 500*time.Millisecond))
@@ -413,7 +400,7 @@
 func TestAgentsPausedRightAfterAnOrderLoseNoRun(t *testing.T) {
 	underLoad(t, 2, 4, func(d *deployment, rng *rand.Rand) {
 		span := between(rng, 300*time.Millisecond, 1500*time.Millisecond)
-		together(several(rng, d.all()), func(s *site) { d.pauseAfterOrder(s.agent, span) })
+		together(several(rng, d.all()), func(s *site) { d.pauseAfterOrder(s.agent, by(s.agent), span) })
 	})
 }
 
