--- a/executor/look.go
+++ b/executor/look.go
@@ -18,8 +18,8 @@
 	urgent bool
 	// notBefore is the earliest time of the next look.
 	notBefore time.Time
-	// renewedAt is when a look was last sent that may have renewed the lease.
-	renewedAt time.Time
+	// answered is whether the worker has answered a look.
+	answered bool
 	// seen is the number of the last end that was taken in.
 	seen int64
 	// unanswered counts the calls without an answer since the last answer.
@@ -36,9 +36,6 @@
 	return min(retryPause<<min(max(l.unanswered-1, 0), doublings), retryMost)
 }
 
-// lapsed reports whether no look can have kept a lease alive until now.
-func (l *look) lapsed(now time.Time) bool { return now.After(leaseEnd(l.renewedAt)) }
-
 // leaseEnd is when a lease has ended for certain that was asked for at t.
 func leaseEnd(t time.Time) time.Time {
 	most := time.Duration(float64(Lease) * (1 + leaseDrift))
@@ -49,6 +46,9 @@
 func (x *Executor) nextLook() {
 	l := &x.look
 	now := x.clock.Now()
+	if x.departed && !x.busy() {
+		x.withoutWorker()
+	}
 	if x.upstream.Born == 0 || (l.open && !l.urgent) || (now.Before(l.notBefore) && !l.urgent) {
 		return
 	}
@@ -64,14 +64,29 @@
 	l.openAt = now
 	l.token = x.token
 	l.urgent = false
-	lease := Lease
-	if x.silent() {
-		// What is not answered must not keep runs alive for ever.
-		lease = 0
-	} else {
-		l.renewedAt = now
-	}
-	x.emit(Look{Number: l.number, Token: x.token, Seen: l.seen, Lease: lease, Wait: wait, Upstream: x.upstream})
+	look := Look{Number: l.number, Token: x.token, Seen: l.seen, Wait: wait, Upstream: x.upstream}
+	// What is not answered must not keep runs alive for ever.
+	if !x.silent() {
+		look.Until = x.lease(now)
+	}
+	x.emit(look)
+}
+
+// lease notes that a call may lengthen the lease of all runs, and returns until
+// when.
+func (x *Executor) lease(now time.Time) time.Time {
+	x.leasedAt = now
+	return now.Add(Lease)
+}
+
+// busy reports whether the worker may run anything of ours.
+func (x *Executor) busy() bool {
+	for _, r := range x.runs {
+		if r.here() {
+			return true
+		}
+	}
+	return false
 }
 
 // silent reports whether the worker has left several calls unanswered.
@@ -104,8 +119,7 @@
 	case Fenced:
 		x.raise(l.token)
 	case OtherWorker:
-		x.lapseAll("worker restarted")
-		x.withoutWorker()
+		x.misplaced()
 		return
 	case Unanswered:
 		l.unanswered++
@@ -134,10 +148,12 @@
 		x.otherIncarnation(s.Born)
 		return
 	}
-	if l.unanswered > 0 {
+	if l.unanswered > 0 || !l.answered {
 		l.unanswered = 0
+		l.answered = true
 		x.changed()
 	}
+	x.prior = messenger.Upstream{}
 	x.takeEnds(s.Ended)
 	x.takeRunning(s.Running)
 	x.pump()
@@ -180,6 +196,9 @@
 			x.adopt(p)
 			continue
 		}
+		if r.phase == detached {
+			x.attach(r)
+		}
 		r.percent = p.Percent
 		r.age = x.clock.Since(r.sentAt)
 		x.begun(r)
