soaker: Show jobs of paused or late-told entries run beside their second sending

Callers that keep to the platform's 1.3 s and break unnoticed by the entry: an entry that was paused with a request in its socket begins the job as its caller hands it to another entry (told late: red, told of the break: green), and an entry places a job's tasks again, or lets them run on, beyond the moment when its caller may have sent it again.

--- a/soaker/callers_test.go
+++ b/soaker/callers_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -140,3 +141,76 @@
 		t.Run(c.name, func(t *testing.T) { resetWhileRunning(t, 2, c.links, c.late) })
 	}
 }
+
+// sentAgainAfterAPause stops an entry with jobs on their way to it, breaks its
+// callers' connections, and wakes it as the callers send their jobs elsewhere.
+func sentAgainAfterAPause(t *testing.T, late time.Duration) {
+	const (
+		rounds = 4
+		// wakes is how long after the second sending the entry goes on.
+		wakes = 20 * time.Millisecond
+	)
+	d := newDeployment(t, 2, 4)
+	d.awaitReady(0)
+	for round := range rounds {
+		client := newCaller(d.balanced, false)
+		var wg sync.WaitGroup
+		d.entries[0].signal(syscall.SIGSTOP)
+		for i := range callerConns {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				d.watch.submit(client, d.balanced, 0, fmt.Sprintf("%08x%08x", round, i), 2)
+			}()
+		}
+		time.Sleep(wakes)
+		d.callers[0].resetCallers(late)
+		time.Sleep(resendAfter + wakes)
+		d.entries[0].signal(syscall.SIGCONT)
+		wg.Wait()
+	}
+	d.judge("%d rounds", rounds)
+}
+
+func TestAnEntryThatWasPausedBeginsNoJobThatItsCallerHasSentAgain(t *testing.T) {
+	cases := []struct {
+		name string
+		late time.Duration
+	}{
+		{"told of the break", 0},
+		{"told late", 3 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { sentAgainAfterAPause(t, c.late) })
+	}
+}
+
+func TestAJobIsNotPlacedAgainOnceItsCallerMayHaveSentItAgain(t *testing.T) {
+	const rounds = 6
+	d := newDeployment(t, 2, 4)
+	d.awaitReady(0)
+	for round := range rounds {
+		client := newCaller(d.balanced, false)
+		var wg sync.WaitGroup
+		// Starts are carried out and not answered until the callers send again.
+		for _, s := range d.all() {
+			s.calls.muteOut.Store(true)
+		}
+		for i := range callerConns {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				d.watch.submit(client, d.balanced, 0, fmt.Sprintf("%08x%08x", round, i), 1)
+			}()
+		}
+		time.Sleep(50 * time.Millisecond)
+		d.callers[0].resetCallers(callerPatience)
+		time.Sleep(resendAfter - 150*time.Millisecond)
+		for _, s := range d.all() {
+			s.calls.muteOut.Store(false)
+			s.calls.reset()
+		}
+		wg.Wait()
+	}
+	d.judge("%d rounds", rounds)
+}
--- a/soaker/process_test.go
+++ b/soaker/process_test.go
@@ -72,7 +72,7 @@
 	_ = cmd.Wait()
 	close(exited)
 	p.mu.Lock()
-	again, killed := p.wanted, p.killed
+	again, killed := p.wanted && p.cmd == cmd, p.killed
 	p.mu.Unlock()
 	if !again {
 		return
