soaker: Show that a second entry hears nothing of a run that another one has

Two entries that have the same job place run 1 at the same agent. The agent keeps the first one's run and tells the second entry neither of a refusal nor of its end, so that the second caller waits until its deadline and is told of a failure though the task is done.

--- a/soaker/callers_test.go
+++ b/soaker/callers_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
 )
 
 // callerConns is how many connections to one entry a caller keeps.
@@ -214,3 +215,29 @@
 	}
 	d.judge("%d rounds", rounds)
 }
+
+func TestACallerWhoseJobAnotherEntryRunsIsAnsweredWithItsEnd(t *testing.T) {
+	const (
+		jobs = 12
+		// later is how long after the first sending the second one comes.
+		later = 15 * time.Millisecond
+		gap   = 100 * time.Millisecond
+	)
+	d := newDeployment(t, 2, 1)
+	d.awaitReady(0)
+	var wg sync.WaitGroup
+	for i := range jobs {
+		id := fmt.Sprintf("00000001%08x", i)
+		for f, front := range d.fronts {
+			wg.Add(1)
+			time.AfterFunc(time.Duration(f)*later, func() {
+				defer wg.Done()
+				d.watch.submit(newCaller(d.fronts, false), []string{front}, 0, id, 1)
+			})
+		}
+		time.Sleep(gap)
+	}
+	wg.Wait()
+	d.judge("%d jobs", jobs)
+	require.Zero(t, d.watch.counts["failed"], "callers who were told of a failure or of nothing in time")
+}
