--- a/soaker/deployment_test.go
+++ b/soaker/deployment_test.go
@@ -222,12 +222,12 @@
 	control := fmt.Sprintf("127.0.0.1:%d", ports[0])
 	w := emulator.NewWorker(emulator.WorkerConfig{
 		ID: "worker-" + name, Service: service, DataCentre: dc, CPU: workerCPU,
-		Agent: control, Observer: d.watch, Work: d.watch.work,
+		Agent: control, Heartbeat: heartbeatInterval, Observer: d.watch, Work: d.watch.work,
 	})
 	d.watch.place("worker-"+name, dc)
 	d.workers = append(d.workers, w)
 	d.proxies = append(d.proxies, newProxy(d.t, fmt.Sprintf("127.0.0.1:%d", ports[1])))
-	app := serve(d.t, w.Handler())
+	app := serveWorker(ctx, d.t, w)
 	go w.Run(ctx)
 	d.agents = append(d.agents, d.process(name, "agent", fmt.Sprintf(
 		"listen.control=%s\napp=%s\nservice=%s\ninternal_ports=%d,%d\n", control, app, service, ports[1], ports[2]), dc))
--- a/soaker/watcher_test.go
+++ b/soaker/watcher_test.go
@@ -8,12 +8,16 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/pomeloferry/pomeloferry/platform/emulator"
 )
 
 const (
@@ -27,11 +31,22 @@
 
 // watcher checks the promises from what workers and callers see.
 type watcher struct {
-	mu        sync.Mutex
-	dcs       map[string]string
-	runningAt map[string]string
-	started   map[string]bool
-	refused   map[string]bool
+	// fixedWork is the time of each task in nanoseconds, where it is not zero.
+	fixedWork atomic.Int64
+
+	mu  sync.Mutex
+	dcs map[string]string
+	// runs holds the runs of each task that have not ended, in the order of
+	// their starts.
+	runs map[string][]*seenRun
+	// lost holds, for each task, when a run would have ended whose life ended.
+	lost map[string]time.Time
+	// done holds the last run of each task that ended done.
+	done map[string]seenRun
+	// tries counts how often each job was handed in.
+	tries   map[string]int
+	started map[string]bool
+	refused map[string]bool
 	// evacuated is since when each data centre is.
 	evacuated map[string]time.Time
 	broken    []string
@@ -40,10 +55,28 @@
 	cuts []string
 }
 
+// seenRun is a run as its worker tells of it.
+type seenRun struct {
+	life   emulator.Life
+	number int
+	began  time.Time
+	// joined is whether another run of the task began while this one went on.
+	joined bool
+	// noted is whether the agent has acknowledged the end.
+	noted bool
+}
+
+func (r *seenRun) String() string {
+	return fmt.Sprintf("run %d at %s (%s, born %d)", r.number, r.life.Worker, r.life.ID, r.life.Born)
+}
+
 func newWatcher() *watcher {
 	return &watcher{
 		dcs:       make(map[string]string),
-		runningAt: make(map[string]string),
+		runs:      make(map[string][]*seenRun),
+		lost:      make(map[string]time.Time),
+		done:      make(map[string]seenRun),
+		tries:     make(map[string]int),
 		started:   make(map[string]bool),
 		refused:   make(map[string]bool),
 		evacuated: make(map[string]time.Time),
@@ -56,6 +89,9 @@
 // work returns a task's time, fixed by its name: 20 to 320 ms. One in 200 jobs
 // can never be done.
 func (w *watcher) work(task string) (time.Duration, bool) {
+	if fixed := time.Duration(w.fixedWork.Load()); fixed > 0 {
+		return fixed, false
+	}
 	h := fnv.New32a()
 	_, _ = io.WriteString(h, task)
 	job, _, _ := strings.Cut(task, ".")
@@ -69,29 +105,74 @@
 }
 
 // Began implements emulator.Observer.
-func (w *watcher) Began(worker, task string, run int) {
+func (w *watcher) Began(l emulator.Life, task string, run int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now := time.Now()
 	job, _, _ := strings.Cut(task, ".")
-	if at := w.runningAt[task]; at != "" {
-		w.fault("TWICE: %s run %d at %s while it runs at %s", task, run, worker, at)
+	r := &seenRun{life: l, number: run, began: now}
+	for _, other := range w.runs[task] {
+		other.joined = true
+		w.fault("TWICE: %s %s begins %s after %s, which goes on", task, r, now.Sub(other.began), other)
+	}
+	w.runs[task] = append(w.runs[task], r)
+	if d, ok := w.done[task]; ok && w.tries[job] == 1 {
+		w.again(task, r, &d)
+	}
+	if until, ok := w.lost[task]; ok && now.Before(until) {
+		w.counts["start beside a run of a dead life"]++
 	}
-	w.runningAt[task] = worker
 	w.started[job] = true
 	if w.refused[job] {
 		w.fault("REFUSED: %s run %d starts after its job was refused", task, run)
 	}
-	if since, ok := w.evacuated[w.dcs[worker]]; ok && time.Since(since) > evacuateWithin {
-		w.fault("EVACUATED: %s run %d starts in %s", task, run, w.dcs[worker])
+	if since, ok := w.evacuated[w.dcs[l.Worker]]; ok && time.Since(since) > evacuateWithin {
+		w.fault("EVACUATED: %s run %d starts in %s", task, run, w.dcs[l.Worker])
+	}
+}
+
+// again judges a run that begins after one that ended done, while the caller
+// has handed the job in once. An end that the agent has not acknowledged may be
+// unknown to everyone.
+func (w *watcher) again(task string, r, d *seenRun) {
+	if !d.noted {
+		w.counts["start after an end that nobody noted"]++
+		return
 	}
+	w.fault("AGAIN: %s %s begins although %s, which began %s before, has ended done and was noted; its caller handed it in once",
+		task, r, d, r.began.Sub(d.began))
 }
 
 // Ended implements emulator.Observer.
-func (w *watcher) Ended(worker, task string, _ int, _ string) {
+func (w *watcher) Ended(l emulator.Life, task string, run int, how string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.runningAt[task] == worker {
-		delete(w.runningAt, task)
+	at := slices.IndexFunc(w.runs[task], func(r *seenRun) bool { return r.life == l && r.number == run })
+	if at < 0 {
+		w.fault("ENDED: %s run %d ends at %s and did not run", task, run, l.Worker)
+		return
+	}
+	r := w.runs[task][at]
+	w.runs[task] = slices.Delete(w.runs[task], at, at+1)
+	if r.joined {
+		w.fault("TWICE: %s %s ended %s after %s", task, r, how, time.Since(r.began))
+	}
+	switch how {
+	case "done":
+		w.done[task] = *r
+	case emulator.Lost:
+		work, _ := w.work(task)
+		w.lost[task] = r.began.Add(work)
+	}
+}
+
+// Noted implements emulator.Observer.
+func (w *watcher) Noted(l emulator.Life, task string, run int, how string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if d, ok := w.done[task]; ok && how == "done" && d.life == l && d.number == run {
+		d.noted = true
+		w.done[task] = d
 	}
 }
 
@@ -111,6 +192,13 @@
 		time.Now().Format(time.RFC3339Nano), id, front, time.Since(began), conn.Reused, conn.IdleTime, err))
 }
 
+// handedIn notes that a caller sends a job.
+func (w *watcher) handedIn(job string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tries[job]++
+}
+
 // refusal notes that all tries to hand a job in were refused.
 func (w *watcher) refusal(job string) {
 	w.mu.Lock()
@@ -134,9 +222,13 @@
 // submit hands a job in, as a caller would: a broken connection leads to a
 // second try at the next front. It returns what became of the job.
 func (w *watcher) submit(client *http.Client, fronts []string, first int, id string, tasks int) string {
+	estimate := 170 * time.Millisecond
+	if fixed := time.Duration(w.fixedWork.Load()); fixed > 0 {
+		estimate = fixed
+	}
 	body, err := json.Marshal(map[string]any{
 		"best_effort": true, "spec": "spec",
-		"steps": []map[string]any{{"count": tasks, "cpu": 3000, "mem_mb": 64, "estimate_ms": 170}},
+		"steps": []map[string]any{{"count": tasks, "cpu": 3000, "mem_mb": 64, "estimate_ms": estimate.Milliseconds()}},
 	})
 	if err != nil {
 		panic(err) // The map above can always be written.
@@ -162,6 +254,7 @@
 	if err != nil {
 		panic(err) // The address is our own.
 	}
+	w.handedIn(id)
 	r.Host = hostName
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
