soaker: Merge the faults of processes and connections; strike workers in the soak

With -more, the soak also strikes workers: planned ends, crashes, late words of earlier lives, words of strangers, no heartbeats, refused connections, orders carried out and reset, reset without effect, and held back. The directed tests let agents call their workers without a proxy between, so that a refused connection is one. A job that a caller's transport sends again counts as handed in again.

--- a/soaker/watcher_test.go
+++ b/soaker/watcher_test.go
@@ -254,14 +254,16 @@
 	if err != nil {
 		panic(err) // The address is our own.
 	}
-	w.handedIn(id)
 	r.Host = hostName
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
 	began := time.Now()
 	var conn httptrace.GotConnInfo
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) { conn = i },
+		GotConn: func(i httptrace.GotConnInfo) {
+			conn = i
+			w.handedIn(id)
+		},
 	}))
 	resp, err := client.Do(r)
 	if errors.Is(err, syscall.ECONNREFUSED) {
--- a/soaker/worker_test.go
+++ b/soaker/worker_test.go
@@ -53,17 +53,18 @@
 }
 
 // awaitBusy returns a worker on which a run has just begun.
-func (d *deployment) awaitBusy() int {
+func (d *deployment) awaitBusy() *site {
 	const patience = 5 * time.Second
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
-		for _, i := range rand.Perm(len(d.workers)) {
-			if d.watch.busy(d.workers[i].ID()) {
-				return i
+		sites := d.all()
+		for _, i := range rand.Perm(len(sites)) {
+			if d.watch.busy(sites[i].worker.ID()) {
+				return sites[i]
 			}
 		}
 	}
-	require.Fail(d.t, "nothing runs")
-	return 0
+	require.FailNow(d.t, "nothing runs")
+	return nil
 }
 
 // awaitRun waits until a run has just begun at a worker.
@@ -96,12 +97,12 @@
 	strikePause = 700 * time.Millisecond
 )
 
-// struck plays steady load and strikes workers one after the other, each while
+// strikeWorkers plays steady load and strikes workers one after the other, each while
 // it runs a task and others have room. No task may run twice.
-func struck(t *testing.T, work time.Duration, strike func(d *deployment, i int)) {
+func strikeWorkers(t *testing.T, work time.Duration, strike func(d *deployment, s *site)) {
 	// inFlight of the 40 tasks that there is room for.
 	const inFlight = 32
-	d := newDeployment(t, 2, 4)
+	d := deploy(t, 2, 4, true)
 	d.awaitReady(0)
 	stop := make(chan struct{})
 	callers := d.steady(work, work/inFlight, stop)
@@ -112,31 +113,33 @@
 	time.Sleep(strikePause)
 	close(stop)
 	callers.Wait()
-	d.watch.mu.Lock()
-	defer d.watch.mu.Unlock()
-	t.Logf("%v", d.watch.counts)
-	for _, b := range d.watch.broken {
+	d.watch.report(t)
+	d.judge("%s", t.Name())
+}
+
+// report prints what was broken, a line each.
+func (w *watcher) report(t *testing.T) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, b := range w.broken {
 		t.Log(b)
 	}
-	require.Empty(t, d.watch.broken)
-	require.Positive(t, d.watch.counts["complete"])
 }
 
 func TestDepartureOfWorkerThatRunsOnStartsNoSecondRun(t *testing.T) {
-	struck(t, 400*time.Millisecond, func(d *deployment, i int) {
-		d.workers[i].SendDelete(t.Context(), d.workers[i].ID())
+	strikeWorkers(t, 400*time.Millisecond, func(d *deployment, s *site) {
+		s.worker.SendDelete(t.Context(), s.worker.ID())
 	})
 }
 
 func TestHeartbeatOfStrangerStartsNoSecondRun(t *testing.T) {
-	struck(t, 400*time.Millisecond, func(d *deployment, i int) {
-		d.workers[i].AnnounceStranger(t.Context(), "stranger")
+	strikeWorkers(t, 400*time.Millisecond, func(d *deployment, s *site) {
+		s.worker.AnnounceStranger(t.Context(), "stranger")
 	})
 }
 
 func TestRestartedAgentWithoutAnswersStartsNoSecondRun(t *testing.T) {
 	const unanswered = 700 * time.Millisecond
-	w := func(d *deployment, i int) *emulator.Worker { return d.workers[i] }
 	for _, c := range []struct {
 		name     string
 		cut, end func(w *emulator.Worker)
@@ -153,30 +156,44 @@
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			struck(t, time.Second, func(d *deployment, i int) {
-				c.cut(w(d, i))
-				d.agents[i].end(syscall.SIGKILL)
-				d.agents[i].start(t)
+			strikeWorkers(t, time.Second, func(d *deployment, s *site) {
+				c.cut(s.worker)
+				s.agent.end(syscall.SIGKILL)
+				s.agent.start(t)
 				time.Sleep(unanswered)
-				c.end(w(d, i))
+				c.end(s.worker)
 			})
 		})
 	}
 }
 
-func TestStartsResetAfterTheyTookEffectStartNoSecondRun(t *testing.T) {
+func TestOrdersWithoutAnswersStartNoSecondRun(t *testing.T) {
 	const lasts = 1500 * time.Millisecond
-	struck(t, 300*time.Millisecond, func(d *deployment, i int) {
-		d.workers[i].Treat(emulator.Treatments{Starts: emulator.ResetAfter, Looks: emulator.ResetBefore, Share: 0.7})
-		time.Sleep(lasts)
-		d.workers[i].Treat(emulator.Treatments{})
-	})
+	for _, c := range []struct {
+		name       string
+		treatments emulator.Treatments
+	}{
+		{"starts reset after they took effect", emulator.Treatments{Starts: emulator.ResetAfter, Share: 1}},
+		{"some starts and looks reset after they took effect", emulator.Treatments{Starts: emulator.ResetAfter, Looks: emulator.ResetAfter, Share: 0.5}},
+		{"starts reset after, looks before they took effect", emulator.Treatments{Starts: emulator.ResetAfter, Looks: emulator.ResetBefore, Share: 0.7}},
+		{"some starts and looks reset before they took effect", emulator.Treatments{Starts: emulator.ResetBefore, Looks: emulator.ResetBefore, Share: 0.5}},
+		{"orders held back", emulator.Treatments{Starts: emulator.HeldBack, Stops: emulator.HeldBack, Share: 1}},
+		{"some orders and looks held back", emulator.Treatments{Starts: emulator.HeldBack, Stops: emulator.HeldBack, Looks: emulator.HeldBack, Share: 0.5}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			strikeWorkers(t, 300*time.Millisecond, func(_ *deployment, s *site) {
+				s.worker.Treat(c.treatments)
+				time.Sleep(lasts)
+				s.worker.Treat(emulator.Treatments{})
+			})
+		})
+	}
 }
 
 func TestLateDepartureOfEarlierLifeStartsNoSecondRun(t *testing.T) {
 	const late = 800 * time.Millisecond
-	struck(t, 400*time.Millisecond, func(d *deployment, i int) {
-		w := d.workers[i]
+	strikeWorkers(t, 400*time.Millisecond, func(d *deployment, s *site) {
+		w := s.worker
 		w.Crash(t.Context(), 0, w.ID())
 		time.Sleep(late)
 		d.awaitRun(w)
@@ -187,8 +204,8 @@
 func TestLateHeartbeatOfEarlierLifeStartsNoSecondRun(t *testing.T) {
 	for _, sameID := range []bool{true, false} {
 		t.Run(fmt.Sprintf("same id %t", sameID), func(t *testing.T) {
-			struck(t, 400*time.Millisecond, func(d *deployment, i int) {
-				w := d.workers[i]
+			strikeWorkers(t, 400*time.Millisecond, func(d *deployment, s *site) {
+				w := s.worker
 				id := w.ID()
 				if !sameID {
 					id = w.FreshID()
@@ -204,8 +221,8 @@
 func TestPlannedEndOfWorkerThatRunsOnStartsNoSecondRun(t *testing.T) {
 	for _, runsOn := range []time.Duration{0, 300 * time.Millisecond, 1500 * time.Millisecond} {
 		t.Run(runsOn.String(), func(t *testing.T) {
-			struck(t, 400*time.Millisecond, func(d *deployment, i int) {
-				w := d.workers[i]
+			strikeWorkers(t, 400*time.Millisecond, func(d *deployment, s *site) {
+				w := s.worker
 				w.Leave(t.Context(), emulator.Leaving{
 					Notice: time.Duration(50+rand.IntN(300)) * time.Millisecond, RunsOn: runsOn, NextID: w.FreshID(),
 				})
@@ -216,9 +233,93 @@
 
 func TestWorkerCutOffThatRunsOnStartsNoSecondRun(t *testing.T) {
 	const lasts = 500 * time.Millisecond
-	struck(t, 500*time.Millisecond, func(d *deployment, i int) {
-		d.workers[i].Refuse()
+	strikeWorkers(t, 500*time.Millisecond, func(d *deployment, s *site) {
+		s.worker.Refuse()
 		time.Sleep(lasts)
-		d.workers[i].Accept()
+		s.worker.Accept()
 	})
 }
+
+// strikeWorker lets f strike a worker, unless another fault strikes it.
+func strikeWorker(s *site, f func(w *emulator.Worker)) {
+	if s.busy.TryLock() {
+		defer s.busy.Unlock()
+		f(s.worker)
+	}
+}
+
+// nextID returns the id of a worker's next life, the same one half of the time.
+func nextID(rng *rand.Rand, w *emulator.Worker) string {
+	if rng.IntN(2) == 0 {
+		return w.ID()
+	}
+	return w.FreshID()
+}
+
+// treatFor spoils the calls to a worker for a while.
+func (d *deployment) treatFor(rng *rand.Rand, span time.Duration, t emulator.Treatments) {
+	t.Share = 0.2 + 0.8*rng.Float64()
+	strikeWorker(pick(rng, d.all()), func(w *emulator.Worker) {
+		w.Treat(t)
+		time.Sleep(span)
+		w.Treat(emulator.Treatments{})
+	})
+}
+
+// longestRest is how long a worker lives on at most after its departure.
+const longestRest = 1500 * time.Millisecond
+
+// workerFaults are what workers do that the pages allow.
+var workerFaults = []fault{
+	{"worker leaves", func(d *deployment, rng *rand.Rand, span time.Duration) {
+		strikeWorker(pick(rng, d.all()), func(w *emulator.Worker) {
+			w.Leave(d.ctx, emulator.Leaving{
+				Notice: span, RunsOn: between(rng, 0, longestRest), Down: between(rng, 0, span), NextID: nextID(rng, w),
+			})
+		})
+	}},
+	{"worker crashes", func(d *deployment, rng *rand.Rand, span time.Duration) {
+		strikeWorker(pick(rng, d.all()), func(w *emulator.Worker) { w.Crash(d.ctx, between(rng, 0, span), nextID(rng, w)) })
+	}},
+	{"departure of an earlier life is late", func(d *deployment, rng *rand.Rand, span time.Duration) {
+		strikeWorker(pick(rng, d.all()), func(w *emulator.Worker) {
+			id := w.ID()
+			w.Crash(d.ctx, 0, id)
+			time.Sleep(span)
+			w.SendDelete(d.ctx, id)
+		})
+	}},
+	{"heartbeat of an earlier life is late", func(d *deployment, rng *rand.Rand, span time.Duration) {
+		strikeWorker(pick(rng, d.all()), func(w *emulator.Worker) {
+			w.Crash(d.ctx, 0, nextID(rng, w))
+			time.Sleep(span)
+			w.AnnounceEarlier(d.ctx)
+		})
+	}},
+	{"heartbeat of a stranger", func(d *deployment, rng *rand.Rand, _ time.Duration) {
+		pick(rng, d.all()).worker.AnnounceStranger(d.ctx, fmt.Sprintf("stranger-%d", rng.IntN(1000)))
+	}},
+	{"worker sends no heartbeats", func(d *deployment, rng *rand.Rand, span time.Duration) {
+		strikeWorker(pick(rng, d.all()), func(w *emulator.Worker) {
+			w.SetSilent(true)
+			time.Sleep(span)
+			w.SetSilent(false)
+		})
+	}},
+	{"worker cut off", func(d *deployment, rng *rand.Rand, span time.Duration) {
+		strikeWorker(pick(rng, d.all()), func(w *emulator.Worker) {
+			w.Refuse()
+			time.Sleep(span)
+			w.Accept()
+		})
+	}},
+	{"orders carried out and reset", func(d *deployment, rng *rand.Rand, span time.Duration) {
+		d.treatFor(rng, span, emulator.Treatments{Starts: emulator.ResetAfter, Stops: emulator.ResetAfter})
+	}},
+	{"starts and looks reset", func(d *deployment, rng *rand.Rand, span time.Duration) {
+		d.treatFor(rng, span, emulator.Treatments{Starts: emulator.ResetBefore, Looks: emulator.ResetBefore})
+	}},
+	{"calls held back", func(d *deployment, rng *rand.Rand, span time.Duration) {
+		d.treatFor(rng, span, emulator.Treatments{Starts: emulator.HeldBack, Stops: emulator.HeldBack, Looks: emulator.HeldBack})
+	}},
+}
