--- a/soaker/deployment_test.go
+++ b/soaker/deployment_test.go
@@ -86,7 +86,8 @@
 	mu      sync.Mutex
 	version int
 	// strikes lists what has struck, and when.
-	strikes []string
+	strikes  []string
+	lastRuns map[string]lastRun
 	// sites are the agents with their workers, in the order of their start.
 	sites []*site
 }
@@ -102,7 +103,7 @@
 	id           string
 	// busy is held by the fault that strikes the worker.
 	busy sync.Mutex
-	// leave ends the worker's heartbeats and its interface.
+	// leave ends the worker for good.
 	leave func()
 }
 
@@ -161,7 +162,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &deployment{
 		t: t, dir: t.TempDir(), store: emulator.NewStore(), watch: newWatcher(),
-		ctx: ctx, cancel: cancel, centres: max(entries, 2), direct: direct,
+		ctx: ctx, cancel: cancel, centres: max(entries, 2), direct: direct, lastRuns: make(map[string]lastRun),
 	}
 	d.address = serve(t, d.store.Handler())
 	d.store.Rewrite = d.throughProxy
@@ -235,12 +236,13 @@
 type observer struct {
 	*watcher
 	d    *deployment
-	site int
+	site *site
 }
 
 // Began implements emulator.Observer.
 func (o observer) Began(l emulator.Life, task string, run int) {
 	o.watcher.Began(l, task, run)
+	o.d.noteRun(l.ID, task, run)
 	o.d.hookMu.Lock()
 	defer o.d.hookMu.Unlock()
 	for _, h := range o.d.hooks {
@@ -248,8 +250,27 @@
 	}
 }
 
+// noteRun keeps when and where a task last began, and tells of those that begin
+// again.
+func (d *deployment) noteRun(worker, task string, run int) {
+	now := time.Now()
+	d.mu.Lock()
+	last, ok := d.lastRuns[task]
+	d.lastRuns[task] = lastRun{at: now, worker: worker}
+	d.mu.Unlock()
+	if ok {
+		d.struck("%s run %d begins at %s, %s after it began at %s", task, run, worker, now.Sub(last.at), last.worker)
+	}
+}
+
+// lastRun is where and when a task last began.
+type lastRun struct {
+	at     time.Time
+	worker string
+}
+
 // hook hears of a run that the worker of a site begins. It does not block.
-type hook func(site int, task string)
+type hook func(s *site, task string)
 
 // onBegan adds a hook until the returned function is called.
 func (d *deployment) onBegan(h hook) func() {
@@ -275,11 +296,14 @@
 	d.watch.mu.Unlock()
 	s.worker = emulator.NewWorker(emulator.WorkerConfig{
 		ID: s.id, Service: service, DataCentre: dc, CPU: workerCPU,
-		Agent: s.control, Heartbeat: heartbeatInterval, Observer: observer{d.watch, d, i}, Work: d.watch.work,
+		Agent: s.control, Heartbeat: heartbeatInterval, Observer: observer{d.watch, d, s}, Work: d.watch.work,
 	})
 	s.links = newProxy(d.t, fmt.Sprintf("127.0.0.1:%d", ports[1]))
 	ctx, cancel := context.WithCancel(d.ctx)
-	s.leave = cancel
+	s.leave = func() {
+		cancel()
+		s.worker.End()
+	}
 	app := serveWorker(ctx, d.t, s.worker)
 	s.calls = newProxy(d.t, app)
 	if !d.direct {
