--- a/executor/start.go
+++ b/executor/start.go
@@ -48,6 +48,10 @@
 			x.claim(known, owner, t, p)
 			continue
 		}
+		if end, ok := x.unclaimed[t.Run]; ok {
+			e.note(outcome{end: end.End})
+			continue
+		}
 		if why, ok := x.takes(t, p, stale); !ok {
 			x.refused(owner, t.Run, why)
 			continue
@@ -72,7 +76,9 @@
 	r.spec = p.Spec
 	r.Demand = t.Demand
 	r.Estimate = t.Estimate
-	x.used = x.used.Plus(t.Demand)
+	if r.here() {
+		x.used = x.used.Plus(t.Demand)
+	}
 }
 
 // takes reports whether a new run may wait here, and if not, why.
@@ -84,7 +90,7 @@
 		return messenger.Leaving, false
 	case x.evacuated:
 		return messenger.Evacuated, false
-	case x.upstream.Born == 0 || x.upstream.Service != p.Service:
+	case x.departed || x.upstream.Born == 0 || x.upstream.Service != p.Service:
 		return messenger.NoWorker, false
 	case x.upstream.Draining && !x.endsBeforeLeave(t):
 		return messenger.Leaving, false
@@ -113,9 +119,12 @@
 
 // pump starts the waiting runs that have room.
 func (x *Executor) pump() {
-	if x.upstream.Born == 0 {
+	if x.departed || x.upstream.Born == 0 {
 		return
 	}
+	now := x.clock.Now()
+	x.dropSilent(now)
+	x.expireWaiting(now)
 	room := x.free()
 	for _, r := range slices.Clone(x.waiting) {
 		if r.Demand.Fits(room) {
@@ -135,7 +144,7 @@
 	r.sentAt = x.clock.Now()
 	r.token = x.token
 	r.tries++
-	x.emit(Start{Run: r.Run, Spec: r.spec, Token: x.token, Lease: Lease, Upstream: x.upstream})
+	x.emit(Start{Run: r.Run, Spec: r.spec, Token: x.token, Until: x.lease(r.sentAt), Upstream: x.upstream})
 }
 
 // Started notes how the worker took a start that carried token.
@@ -144,6 +153,7 @@
 	if r == nil || r.phase != starting || r.token != token {
 		return
 	}
+	x.dropSilent(x.clock.Now())
 	switch out {
 	case Accepted:
 		x.look.unanswered = 0
@@ -231,7 +241,7 @@
 	switch r.phase {
 	case waiting:
 		x.refuse(r, messenger.Overtaken)
-	case starting, doubtful:
+	case starting, doubtful, detached:
 		r.dropped = true
 	case running:
 		r.dropped = true
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -48,7 +48,7 @@
 // start carries a start out and returns its outcome.
 func (v *simWorker) start(s executor.Start, deadline time.Time) executor.Outcome {
 	now := v.w.clock.Now()
-	if s.Upstream.Born != v.up.Born {
+	if s.Upstream.Born != v.up.Born || s.Upstream.ID != v.up.ID {
 		return executor.OtherWorker
 	}
 	if s.Token < v.token {
@@ -92,6 +92,8 @@
 	how := messenger.Done
 	if r.fails {
 		how = messenger.Failed
+	} else {
+		v.w.done[r.run.Task] = true
 	}
 	v.end(r, how)
 }
@@ -106,7 +108,7 @@
 }
 
 func (v *simWorker) stop(s executor.Stop) {
-	if s.Token < v.token || s.Upstream.Born != v.up.Born {
+	if s.Token < v.token || s.Upstream.Born != v.up.Born || s.Upstream.ID != v.up.ID {
 		return
 	}
 	v.token = s.Token
@@ -148,7 +150,7 @@
 		return executor.Seen{}, false
 	}
 	v.token = l.Token
-	if l.Lease > 0 {
+	if !l.Until.IsZero() {
 		v.extend(deadline)
 	}
 	v.ends = slices.DeleteFunc(v.ends, func(e executor.Ended) bool { return e.Number <= l.Seen })
