--- a/soaker/deployment_test.go
+++ b/soaker/deployment_test.go
@@ -73,6 +73,8 @@
 	cancel   context.CancelFunc
 	ctx      context.Context
 	centres  int
+	// direct lets agents call their workers without a proxy between.
+	direct bool
 	// evacuation is held while a data centre is evacuated.
 	evacuation sync.Mutex
 
@@ -99,9 +101,9 @@
 	links, calls *proxy
 	control      string
 	id           string
-	// gone is set when the worker has ended for good.
-	gone atomic.Bool
-	// leave ends the worker's heartbeats and its interface.
+	// busy is held by the fault that strikes the worker.
+	busy sync.Mutex
+	// leave ends the worker for good.
 	leave func()
 }
 
@@ -153,10 +155,14 @@
 }
 
 func newDeployment(t testing.TB, entries, agents int) *deployment {
+	return deploy(t, entries, agents, false)
+}
+
+func deploy(t testing.TB, entries, agents int, direct bool) *deployment {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &deployment{
 		t: t, dir: t.TempDir(), store: emulator.NewStore(), watch: newWatcher(),
-		ctx: ctx, cancel: cancel, centres: max(entries, 2), lastRuns: make(map[string]lastRun),
+		ctx: ctx, cancel: cancel, centres: max(entries, 2), direct: direct, lastRuns: make(map[string]lastRun),
 	}
 	d.address = serve(t, d.store.Handler())
 	d.store.Rewrite = d.throughProxy
@@ -234,12 +240,9 @@
 }
 
 // Began implements emulator.Observer.
-func (o observer) Began(worker, task string, run int) {
-	if o.site.gone.Load() {
-		return // A call that was held up has reached an instance that is no more.
-	}
-	o.watcher.Began(worker, task, run)
-	o.d.noteRun(worker, task, run)
+func (o observer) Began(l emulator.Life, task string, run int) {
+	o.watcher.Began(l, task, run)
+	o.d.noteRun(l.ID, task, run)
 	o.d.hookMu.Lock()
 	defer o.d.hookMu.Unlock()
 	for _, h := range o.d.hooks {
@@ -293,19 +296,22 @@
 	d.watch.mu.Unlock()
 	s.worker = emulator.NewWorker(emulator.WorkerConfig{
 		ID: s.id, Service: service, DataCentre: dc, CPU: workerCPU,
-		Agent: s.control, Observer: observer{d.watch, d, s}, Work: d.watch.work,
+		Agent: s.control, Heartbeat: heartbeatInterval, Observer: observer{d.watch, d, s}, Work: d.watch.work,
 	})
 	s.links = newProxy(d.t, fmt.Sprintf("127.0.0.1:%d", ports[1]))
-	app, closeApp := serveUntil(d.t, s.worker.Handler())
-	s.calls = newProxy(d.t, app)
 	ctx, cancel := context.WithCancel(d.ctx)
 	s.leave = func() {
 		cancel()
-		closeApp()
+		s.worker.End()
+	}
+	app := serveWorker(ctx, d.t, s.worker)
+	s.calls = newProxy(d.t, app)
+	if !d.direct {
+		app = s.calls.address
 	}
 	go s.worker.Run(ctx)
 	s.agent = d.newProcess(name, "agent", fmt.Sprintf(
-		"listen.control=%s\napp=%s\nservice=%s\ninternal_ports=%d,%d\n", s.control, s.calls.address, service, ports[1], ports[2]), dc)
+		"listen.control=%s\napp=%s\nservice=%s\ninternal_ports=%d,%d\n", s.control, app, service, ports[1], ports[2]), dc)
 	d.mu.Lock()
 	d.sites = append(d.sites, s)
 	d.mu.Unlock()
--- a/soaker/process_test.go
+++ b/soaker/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"os/exec"
 	"slices"
@@ -239,15 +238,9 @@
 	time.Sleep(instanceStart)
 	old.worker.SetDraining(true)
 	time.Sleep(drain)
-	r, err := http.NewRequest(http.MethodDelete, "http://"+old.control+"/api/instances/"+old.id, nil)
-	require.NoError(d.t, err)
-	if resp, err := (&http.Client{Timeout: instanceStart}).Do(r); err == nil {
-		_ = resp.Body.Close()
-	}
+	old.worker.SendDelete(d.ctx, old.worker.ID())
 	time.Sleep(leave)
 	old.leave()
-	old.gone.Store(true)
-	old.worker.Restart()
 	p.end(syscall.SIGTERM)
 }
 
