soaker: Show a refusal after a start that a worker's restart left in doubt

Callers get 429 for a job of which a task has started: the agent is stopped as its worker begins the run, the worker restarts, and the agent, awake again, finds its start unanswered and nothing at the worker's new life. It refuses the run as one that never began, and the entry refuses the job. The run may have begun in the worker's last life.

--- a/soaker/process_test.go
+++ b/soaker/process_test.go
@@ -427,3 +427,19 @@
 		})
 	}
 }
+
+func TestAJobIsNotRefusedAfterAStartThatTheWorkersRestartLeftInDoubt(t *testing.T) {
+	// frozen is longer than an entry may be silent, so that the agent drops the run.
+	const frozen = 600 * time.Millisecond
+	underLoad(t, 2, 4, func(d *deployment, rng *rand.Rand) {
+		s := pick(rng, d.all())
+		strike(s.agent, func() {
+			if d.orderedTo(by(s.agent), func() { s.agent.signal(syscall.SIGSTOP) }) {
+				time.Sleep(frozen)
+				s.worker.Restart()
+			}
+			s.agent.signal(syscall.SIGCONT)
+		})
+		time.Sleep(between(rng, 50*time.Millisecond, 300*time.Millisecond))
+	})
+}
