executor: Take a start that a worker's restart left in doubt for one that may have begun

Callers got 429 for a job of which a task had started: the agent was stopped as its worker began the run, the worker restarted, and the agent, awake again, found nothing at the new life and refused the run as one that had never begun. Now it has lapsed.

--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -253,6 +253,19 @@
 	require.False(t, b.x.Idle())
 }
 
+func TestStartThatWasOnItsWayWhenTheWorkerRestartedMayHaveBegun(t *testing.T) {
+	b := newBench(t)
+	b.place(run1, 1000)
+	b.x.SetUpstream(upstream(2))
+	b.drain()
+	look := b.looks[len(b.looks)-1]
+	b.x.Looked(executor.Seen{Number: look.Number, Born: 2})
+	b.drain()
+	require.Empty(t, b.starts)
+	require.Empty(t, b.refused())
+	require.Equal(t, []messenger.End{{Run: run1, How: messenger.Lapsed}}, b.ended())
+}
+
 func TestWorkerKnownOnlyByItsListsTakesNothing(t *testing.T) {
 	b := newBench(t)
 	b.x.Looked(executor.Seen{Number: 1, Born: 2})
--- a/executor/run.go
+++ b/executor/run.go
@@ -177,7 +177,8 @@
 
 // doubtAll holds every run for one that may be at the worker or not, until a
 // look under a higher token tells. A start that was on its way when the worker
-// restarted under the same id may have reached its new incarnation.
+// restarted under the same id may have reached its new incarnation, or have begun
+// in the last one.
 func (x *Executor) doubtAll(why string) {
 	x.token++
 	for _, r := range x.sorted() {
@@ -187,6 +188,9 @@
 		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run in doubt", Why: why})
 		r.phase = doubtful
 		r.token = x.token
+		if r.begunAt.IsZero() {
+			r.begunAt = r.sentAt
+		}
 		x.look.urgent = true
 	}
 }
