--- a/courier/peer.go
+++ b/courier/peer.go
@@ -18,7 +18,7 @@
 	// records of tasks that are not past their deadline.
 	RosterCertain bool
 	// Roster lists agent incarnations that may hold such records.
-	Roster []AgentRef
+	Roster []RosterAgent
 	// Entries lists the entries that the sender knows.
 	Entries []EntryInfo
 	// BundleVersion is the version in force at the sender.
@@ -33,9 +33,19 @@
 	Witness bool
 	// Stamp is the sender's own clock, as the time since its start; Echo is
 	// the last Stamp of the receiver's that has arrived. Echo dates what the
-	// sender says by the receiver's clock.
-	Stamp time.Duration
-	Echo  time.Duration
+	// sender says by the receiver's clock, if the stamp is of the incarnation
+	// EchoOf.
+	Stamp  time.Duration
+	Echo   time.Duration
+	EchoOf string `json:",omitempty"`
+}
+
+// EchoTo returns the echoed stamp, or zero when it is not of incarnation.
+func (h PeerHello) EchoTo(incarnation string) time.Duration {
+	if h.EchoOf != incarnation {
+		return 0
+	}
+	return h.Echo
 }
 
 // AgentRef names one incarnation of an agent.
@@ -44,6 +54,14 @@
 	Incarnation string
 }
 
+// RosterAgent is an agent in a roster.
+type RosterAgent struct {
+	AgentRef
+	// Lapsed is how much has passed of the time for which an agent matters
+	// that was lost; it is zero for one in use.
+	Lapsed time.Duration `json:",omitempty"`
+}
+
 // Relay passes a caller's submission to the entry that owns it.
 type Relay struct {
 	// ID pairs the RelayReply with the Relay on this link.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -21,6 +21,12 @@
 	HeartbeatInterval = 500 * time.Millisecond
 	// Lapse is how long an entry counts as alive after its last heartbeat.
 	Lapse = 2 * time.Second
+	// MayRunFor is how long an entry that is silent here counts as one that may
+	// still be running, after the store or another entry last named it.
+	MayRunFor = 6 * time.Second
+	// PauseLimit is the longest gap between two calls that is no pause of this
+	// process.
+	PauseLimit = Lapse / 2
 	// JoinDelay is how long a new entry listens before it owns partitions.
 	JoinDelay = time.Second
 	// ForgetAfter drops the address of an entry that nobody has heard of.
@@ -32,8 +38,10 @@
 	info    courier.EntryInfo
 	ready   bool
 	leaving bool
-	// stamp is the last stamp received; the next heartbeat echoes it.
+	// stamp is the last stamp received, from incarnation; the next heartbeat
+	// echoes it.
 	stamp         time.Duration
+	incarnation   string
 	bundleVersion uint64
 	votersVersion uint64
 	// heard is when the last heartbeat came; named is when the address was
@@ -47,20 +55,42 @@
 	clock   clockwork.Clock
 	self    courier.EntryInfo
 	started time.Time
+	// lastRun is when the registrar last ran; a longer gap than PauseLimit
+	// means that it could hear nobody meanwhile.
+	lastRun time.Time
 	leaving bool
 	members map[string]*member
 }
 
 // NewRegistrar returns a registrar that knows only its own entry.
 func NewRegistrar(clock clockwork.Clock, self courier.EntryInfo) *Registrar {
+	now := clock.Now()
 	return &Registrar{
 		clock:   clock,
 		self:    self,
-		started: clock.Now(),
+		started: now,
+		lastRun: now,
 		members: make(map[string]*member),
 	}
 }
 
+// wake leaves the time that this process was paused out of the silence of the
+// others.
+func (g *Registrar) wake() {
+	now := g.clock.Now()
+	gap := now.Sub(g.lastRun)
+	g.lastRun = now
+	if gap <= PauseLimit {
+		return
+	}
+	for _, m := range g.members {
+		m.named = m.named.Add(gap)
+		if !m.heard.IsZero() {
+			m.heard = m.heard.Add(gap)
+		}
+	}
+}
+
 // SetLeaving takes this entry out of the view for good.
 func (g *Registrar) SetLeaving() { g.leaving = true }
 
@@ -74,6 +104,7 @@
 
 // Learn notes that other entries exist.
 func (g *Registrar) Learn(entries []courier.EntryInfo) {
+	g.wake()
 	for _, e := range entries {
 		if e.ID == g.self.ID || e.ID == "" {
 			continue
@@ -96,6 +127,7 @@
 	g.Learn([]courier.EntryInfo{h.Entry})
 	m := g.members[h.Entry.ID]
 	m.stamp = h.Stamp
+	m.incarnation = h.Incarnation
 	m.bundleVersion = h.BundleVersion
 	m.votersVersion = h.VotersVersion
 	m.ready = h.Ready
@@ -109,18 +141,27 @@
 // TimeOf returns the time of this entry's clock that a stamp stands for.
 func (g *Registrar) TimeOf(stamp time.Duration) time.Time { return g.started.Add(stamp) }
 
-// Echo returns the last stamp received from another entry, and the versions
-// that it had.
-func (g *Registrar) Echo(entry string) (stamp time.Duration, bundle, voters uint64) {
+// Echo is what the last heartbeat received from another entry said: its stamp,
+// the incarnation that sent it, and the versions in force there.
+type Echo struct {
+	Stamp         time.Duration
+	Incarnation   string
+	BundleVersion uint64
+	VotersVersion uint64
+}
+
+// Echo returns the Echo of an entry, which is zero before its first heartbeat.
+func (g *Registrar) Echo(entry string) Echo {
 	m := g.members[entry]
 	if m == nil {
-		return 0, 0, 0
+		return Echo{}
 	}
-	return m.stamp, m.bundleVersion, m.votersVersion
+	return Echo{m.stamp, m.incarnation, m.bundleVersion, m.votersVersion}
 }
 
 // Tick forgets entries that nobody has heard of for long.
 func (g *Registrar) Tick() {
+	g.wake()
 	now := g.clock.Now()
 	for id, m := range g.members {
 		if now.Sub(m.heard) > ForgetAfter && now.Sub(m.named) > ForgetAfter {
@@ -135,6 +176,7 @@
 
 // View returns the entries that own partitions, in order.
 func (g *Registrar) View() []string {
+	g.wake()
 	var out []string
 	if g.Ready() {
 		out = append(out, g.self.ID)
@@ -148,12 +190,19 @@
 	return out
 }
 
-// Peers returns the other entries that are alive, in order. A leaving one is
-// among them only while it still runs.
+// mayRun reports whether m may be running out of reach of this entry: it has
+// been heard here, has not said that it leaves, and is still being named.
+func (g *Registrar) mayRun(m *member) bool {
+	return !m.heard.IsZero() && !m.leaving && g.clock.Since(m.named) < MayRunFor
+}
+
+// Peers returns the other entries that are alive or may be, in order. A
+// leaving one is among them only while it still runs.
 func (g *Registrar) Peers() []string {
+	g.wake()
 	var out []string
 	for id, m := range g.members {
-		if g.alive(m) {
+		if g.alive(m) || g.mayRun(m) {
 			out = append(out, id)
 		}
 	}
