soaker, scheduler: Run directed tests of real processes beside each other; keep their ports apart

A package of tests uses several hundred ports now, so soaks that run side by side keep 1,009 apart, not 97, and a worker whose port has been taken meanwhile takes another: two tests in two runs ended with "address already in use" before. The simulated caller who sends again no longer asks for a job that the last one's leave had answered, which ended one trial run of the package by a panic.

--- a/scheduler/hearsay_test.go
+++ b/scheduler/hearsay_test.go
@@ -60,7 +60,11 @@
 		}
 		slices.Sort(tickets)
 		for _, ticket := range tickets {
-			job := w.results[e.tickets[ticket]].job
+			id, waits := e.tickets[ticket]
+			if !waits {
+				continue // The last one's leave has had this one answered.
+			}
+			job := w.results[id].job
 			e.do(func() {
 				delete(e.tickets, ticket)
 				e.core.Leave(ticket)
--- a/soaker/callers_test.go
+++ b/soaker/callers_test.go
@@ -79,6 +79,7 @@
 // resetWhileRunning resets the callers' connections again and again while their
 // jobs run.
 func resetWhileRunning(t *testing.T, fronts int, links bool, late time.Duration) {
+	runBeside(t)
 	const rounds = 20
 	d := newDeployment(t, 2, 4)
 	d.awaitReady(0)
@@ -146,6 +147,7 @@
 // sentAgainAfterAPause stops an entry with jobs on their way to it, breaks its
 // callers' connections, and wakes it as the callers send their jobs elsewhere.
 func sentAgainAfterAPause(t *testing.T, late time.Duration) {
+	runBeside(t)
 	const (
 		rounds = 4
 		// wakes is how long after the second sending the entry goes on.
@@ -182,6 +184,7 @@
 }
 
 func TestAJobIsNotPlacedAgainOnceItsCallerMayHaveSentItAgain(t *testing.T) {
+	runBeside(t)
 	const rounds = 6
 	d := newDeployment(t, 2, 4)
 	d.awaitReady(0)
@@ -212,6 +215,7 @@
 }
 
 func TestACallerWhoseJobAnotherEntryRunsIsAnsweredWithItsEnd(t *testing.T) {
+	runBeside(t)
 	const (
 		jobs = 12
 		// later is how long after the first sending the second one comes.
--- a/soaker/deployment_test.go
+++ b/soaker/deployment_test.go
@@ -116,7 +116,7 @@
 )
 
 // portsPerProcess spaces the ports of soaks that run side by side.
-const portsPerProcess = 97
+const portsPerProcess = 1009
 
 // nextPort is the next port to hand out, counted from portFirst.
 var nextPort atomic.Int64
@@ -154,6 +154,19 @@
 	return l.Addr().String(), end
 }
 
+// besideMost bounds the deployments that run at the same time.
+const besideMost = 3
+
+// beside holds a token for each deployment that runs beside others.
+var beside = make(chan struct{}, besideMost)
+
+// runBeside lets a test run beside others that do.
+func runBeside(t *testing.T) {
+	t.Parallel()
+	beside <- struct{}{}
+	t.Cleanup(func() { <-beside })
+}
+
 func newDeployment(t testing.TB, entries, agents int) *deployment {
 	return deploy(t, entries, agents, false)
 }
--- a/soaker/process_test.go
+++ b/soaker/process_test.go
@@ -346,6 +346,7 @@
 
 // underLoad plays one kind of fault for a while, under load.
 func underLoad(t *testing.T, entries, agents int, f func(d *deployment, rng *rand.Rand)) {
+	runBeside(t)
 	const seed = 1
 	d := newDeployment(t, entries, agents)
 	d.awaitReady(seed)
--- a/soaker/worker_test.go
+++ b/soaker/worker_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/pomeloferry/pomeloferry/platform/emulator"
@@ -22,9 +23,15 @@
 // serveWorker serves a worker on a port that stays its own while it refuses
 // connections.
 func serveWorker(ctx context.Context, t testing.TB, w *emulator.Worker) string {
-	address := fmt.Sprintf("127.0.0.1:%d", freePorts(t, 1)[0])
-	require.NoError(t, w.Serve(ctx, address))
-	return address
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", freePorts(t, 1)[0])
+		err := w.Serve(ctx, address)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue // Another soak has taken it since.
+		}
+		require.NoError(t, err)
+		return address
+	}
 }
 
 // steady sends single tasks of a given time, one each interval to each entry
@@ -101,6 +108,7 @@
 // strikeWorkers plays steady load and strikes workers one after the other, each while
 // it runs a task and others have room. No task may run twice.
 func strikeWorkers(t *testing.T, work time.Duration, strike func(d *deployment, s *site)) {
+	runBeside(t)
 	// inFlight of the 40 tasks that there is room for.
 	const inFlight = 32
 	d := deploy(t, 2, 4, true)
