executor: Count the room of a claimed run once

A run whose entry had restarted kept its demand and got it once more when the entry's next life claimed it, so that room was lost for good. Test: TestRunThatTheNextLifeOfItsEntryClaimsHoldsItsRoomOnce, failing before (6,000 free in place of 7,000).

--- a/executor/outcome_test.go
+++ b/executor/outcome_test.go
@@ -44,6 +44,18 @@
 	require.Equal(t, []messenger.End{{Run: run1, How: messenger.Done}}, b.ended())
 }
 
+func TestRunThatTheNextLifeOfItsEntryClaimsHoldsItsRoomOnce(t *testing.T) {
+	b := newBench(t)
+	b.running(run1)
+	b.x.Hello(messenger.Hello{Entry: "e", Incarnation: 2})
+	b.drain()
+	b.place(run1, 1000)
+	require.Equal(t, 7000, b.x.Dump().Free.CPU)
+	b.clock.Advance(time.Millisecond)
+	b.lookAnswered(1, nil, executor.Ended{Number: 1, End: messenger.End{Run: run1, How: messenger.Stopped}})
+	require.Equal(t, 8000, b.x.Dump().Free.CPU)
+}
+
 func TestRunThatHasEndedIsNotStartedAgain(t *testing.T) {
 	b := newBench(t)
 	b.lookAnswered(1, []messenger.Progress{{Run: run1, Percent: 90}})
--- a/executor/start.go
+++ b/executor/start.go
@@ -82,14 +82,14 @@
 
 // claim gives a run that was found at the worker to the entry that names it.
 func (x *Executor) claim(r *run, owner string, t messenger.Task, p messenger.Place) {
+	if r.here() {
+		x.used = x.used.Minus(r.Demand).Plus(t.Demand)
+	}
 	r.owner = owner
 	r.job = p.Job
 	r.spec = p.Spec
 	r.Demand = t.Demand
 	r.Estimate = t.Estimate
-	if r.here() {
-		x.used = x.used.Plus(t.Demand)
-	}
 }
 
 // takes reports whether a new run may wait here, and if not, why.
