--- a/executor/entry.go
+++ b/executor/entry.go
@@ -248,12 +248,7 @@
 	}
 	if beat || r.Complete {
 		e.beatAt = now
-		for _, o := range x.sorted() {
-			if o.owner == e.name || (r.Complete && o.owner == "") {
-				r.Runs = append(r.Runs, x.progress(o))
-			}
-			r.Runs = append(r.Runs, o.joinedBy(e.name)...)
-		}
+		r.Runs = x.runsFor(e, r.Complete)
 	}
 	if r.Complete {
 		x.emit(Note{Owner: e.name, Worker: x.upstream.ID, What: "list of runs sent", Why: fmt.Sprintf("%d runs", len(r.Runs)), Age: x.clock.Since(x.look.openAt)})
@@ -275,6 +270,19 @@
 	return n
 }
 
+// runsFor lists the runs of an entry, and those that it may claim in a complete
+// list.
+func (x *Executor) runsFor(e *entry, complete bool) []messenger.Progress {
+	var out []messenger.Progress
+	for _, r := range x.sorted() {
+		if r.owner == e.name || (complete && r.owner == "") {
+			out = append(out, x.progress(r))
+		}
+		out = append(out, r.joinedBy(e.name)...)
+	}
+	return out
+}
+
 // joinedBy lists the placements of an entry that get the outcome of a run.
 func (r *run) joinedBy(name string) []messenger.Progress {
 	var out []messenger.Progress
