executor: Look for silent entries and overdue runs wherever a start is sent again

A start can be sent again from the answer to the start and from a look. Only the first looked for entries that have fallen silent meanwhile, and neither for runs that have to end: an agent that was paused with an unanswered start sent it once more, after its entry had placed the task elsewhere, and a start lengthened the lease of a run whose stop did nothing. The check now stands where both ways meet, and no longer in Started, since pump makes it for the rest.

Tests, failing before: TestPausedAgentSendsNoUnansweredStartAgainForAnEntryThatHas- GivenItUp, TestNoStartIsSentAgainWhileARunThatHasToEndGoesOn. go test ./executor ./scheduler passes.

--- a/executor/evidence_test.go
+++ b/executor/evidence_test.go
@@ -175,6 +175,41 @@
 	require.Equal(t, []messenger.Refusal{{Run: run1, Reason: messenger.Overtaken}}, b.refused())
 }
 
+func TestPausedAgentSendsNoUnansweredStartAgainForAnEntryThatHasGivenItUp(t *testing.T) {
+	b := newBench(t)
+	b.place(run1, 1000)
+	b.x.Started(run1, b.starts[0].Token, executor.Unanswered)
+	b.drain()
+	look := b.looks[0]
+	b.clock.Advance(2 * time.Second)
+	b.lookAnswered(look.Number, nil)
+	require.Empty(t, b.starts)
+	require.Equal(t, []messenger.Refusal{{Run: run1, Reason: messenger.Overtaken}}, b.refused())
+}
+
+func TestNoStartIsSentAgainWhileARunThatHasToEndGoesOn(t *testing.T) {
+	b := newBench(t)
+	b.running(run1)
+	b.x.Hello(messenger.Hello{Entry: "f", Incarnation: 1})
+	b.clock.Advance(messenger.SilenceLimit + time.Millisecond)
+	b.x.Tick()
+	b.drain()
+	other := messenger.Run{Task: "k.0.0.0", Number: 1}
+	b.x.Place("f", messenger.Place{
+		Number: 1, Job: "k", Spec: "spec", Service: "quotes", Patience: 12 * time.Millisecond, Echo: b.stamp,
+		Tasks: []messenger.Task{{Run: other, Demand: messenger.Demand{CPU: 1000}}},
+	})
+	b.drain()
+	require.Len(t, b.starts, 1)
+	b.x.Started(other, b.starts[0].Token, executor.Unanswered)
+	b.drain()
+	look := b.looks[0]
+	b.clock.Advance(110 * time.Millisecond)
+	b.lookAnswered(look.Number, []messenger.Progress{{Run: run1, Percent: 50}})
+	require.Empty(t, b.starts, "it would lengthen the lease of run 1")
+	require.Equal(t, []messenger.Refusal{{Run: other, Reason: messenger.Unhealthy}}, b.refused())
+}
+
 func TestPausedAgentStartsNothingThatHasWaitedTooLong(t *testing.T) {
 	b := newBench(t)
 	b.running(messenger.Run{Task: "big", Number: 1})
--- a/executor/start.go
+++ b/executor/start.go
@@ -164,7 +164,6 @@
 	if r == nil || r.phase != starting || r.token != token {
 		return
 	}
-	x.dropSilent(x.clock.Now())
 	switch out {
 	case Accepted:
 		x.look.unanswered = 0
@@ -228,10 +227,12 @@
 
 // again sends a start that has done nothing once more, within bounds.
 func (x *Executor) again(r *run) {
+	now := x.clock.Now()
+	x.dropSilent(now)
 	switch {
 	case r.dropped:
 		x.refuse(r, messenger.Overtaken)
-	case r.tries >= startTries:
+	case r.tries >= startTries || x.overdue(now):
 		x.refuse(r, messenger.Unhealthy)
 	default:
 		x.start(r)
