executor, scheduler: Say once how an outcome is kept, a run abandoned and a task taken off its agent

The look-up of an entry before an outcome is kept stood three times, dropping a run together with the time by which it has to end twice, and taking a task off its agent four times, twice without freeing the worker's probe. Whether it is known what runs was a question that changed what it asked about; the time is looked at in Tick now, so that the list goes out up to 20 ms later when the worker does not answer. Comments of fields that meant something else by now say what they hold.

go test ./executor ./scheduler passes, no test was changed.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -14,7 +14,7 @@
 type entry struct {
 	name        string
 	incarnation int64
-	// heard is when a message of the entry's last arrived.
+	// heard is when the entry is last known to have been there.
 	heard time.Time
 	// echo is the entry's last stamp.
 	echo time.Duration
@@ -161,8 +161,7 @@
 	}
 	for _, r := range x.sorted() {
 		if r.owner == "" && !r.dropped && now.After(r.expires) {
-			x.drop(r)
-			r.mustEnd = now.Add(stopPatience)
+			x.abandon(r, now)
 		}
 	}
 }
@@ -171,12 +170,17 @@
 	for _, r := range x.sorted() {
 		if r.owner == owner && !r.dropped {
 			x.emit(Note{Run: r.Run, Owner: owner, What: "run dropped", Why: "entry silent or restarted"})
-			x.drop(r)
-			r.mustEnd = x.clock.Now().Add(stopPatience)
+			x.abandon(r, x.clock.Now())
 		}
 	}
 }
 
+// abandon drops a run that nobody waits for any more, and that has to end soon.
+func (x *Executor) abandon(r *run, now time.Time) {
+	x.drop(r)
+	r.mustEnd = now.Add(stopPatience)
+}
+
 // changed marks that entries have not heard of the present room.
 func (x *Executor) changed() {
 	for _, e := range x.entries {
@@ -241,7 +245,7 @@
 		e.upstream = true
 	}
 	// A list of runs is complete only after the worker has been seen.
-	if !e.complete && x.looked(now) {
+	if !e.complete && x.settled {
 		r.Complete = true
 		e.complete = true
 		r.Ended = append(r.Ended, x.unclaimedEnds()...)
@@ -305,11 +309,3 @@
 	}
 	return x.upstream
 }
-
-// looked reports whether it is known what runs.
-func (x *Executor) looked(now time.Time) bool {
-	if !x.settled && now.After(leaseEnd(x.began)) && now.After(leaseEnd(x.leasedAt)) {
-		x.settled = true
-	}
-	return x.settled
-}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -174,6 +174,7 @@
 	x.expireWaiting(now)
 	x.stopAgain(now)
 	x.lapseSure(now)
+	x.settleByTime(now)
 	x.forgetEnds(now)
 	x.nextLook()
 	x.beat(now)
--- a/executor/outcome.go
+++ b/executor/outcome.go
@@ -66,8 +66,12 @@
 	return ends, refusals, o.last
 }
 
-// note adds an outcome for the entry.
-func (e *entry) note(c outcome) { e.outcomes.note(c) }
+// keep has an entry, if it is known, hear of an outcome.
+func (x *Executor) keep(name string, c outcome) {
+	if e := x.entries[name]; e != nil {
+		e.outcomes.note(c)
+	}
+}
 
 // unclaimedEnd is the end of a run that no entry had claimed.
 type unclaimedEnd struct {
--- a/executor/run.go
+++ b/executor/run.go
@@ -33,8 +33,8 @@
 // run is one run of a task at this agent.
 type run struct {
 	messenger.Task
-	// owner is empty for a run that was found at the worker and that no entry
-	// has claimed.
+	// owner is empty for a run that no entry has claimed: it was found at the
+	// worker, or its entry has restarted.
 	owner string
 	job   string
 	spec  string
@@ -50,13 +50,14 @@
 	mustEnd time.Time
 	// dropped runs are stopped as soon as it is known that they have started.
 	dropped bool
-	// expires is when a waiting run is refused.
+	// expires is when a waiting run is refused, and one that was found at the
+	// worker dropped.
 	expires time.Time
 	// sentAt is when the start was last sent; token is what it carried.
 	sentAt time.Time
 	token  uint64
 	tries  int
-	// begunAt is when the worker is first known to have it.
+	// begunAt is when the worker is first known, or taken, to have it.
 	begunAt time.Time
 	// stopAt is when the stop was last sent.
 	stopAt time.Time
@@ -93,13 +94,9 @@
 	if r.owner == "" {
 		x.unclaimed[r.Run] = unclaimedEnd{End: end, at: x.clock.Now()}
 	}
-	if e := x.entries[r.owner]; e != nil {
-		e.note(outcome{end: end})
-	}
+	x.keep(r.owner, outcome{end: end})
 	for _, c := range r.joined {
-		if e := x.entries[c.entry]; e != nil {
-			e.note(outcome{end: messenger.End{Run: c.run, How: how}})
-		}
+		x.keep(c.entry, outcome{end: messenger.End{Run: c.run, How: how}})
 	}
 	if how != messenger.Done {
 		// The entry's line on the job covers runs that end well.
@@ -128,9 +125,7 @@
 }
 
 func (x *Executor) refused(owner string, r messenger.Run, why messenger.Reason) {
-	if e := x.entries[owner]; e != nil {
-		e.note(outcome{refused: messenger.Refusal{Run: r, Reason: why}})
-	}
+	x.keep(owner, outcome{refused: messenger.Refusal{Run: r, Reason: why}})
 	x.emit(Note{Run: r, Owner: owner, What: "run refused", Why: string(why)})
 }
 
@@ -204,6 +199,16 @@
 	}
 }
 
+// settleByTime notes that every lease that an earlier incarnation of the agent,
+// or a look of this one, has asked for is over: what runs is known then, also
+// without an answer of the worker.
+func (x *Executor) settleByTime(now time.Time) {
+	if !x.settled && now.After(leaseEnd(x.began)) && now.After(leaseEnd(x.leasedAt)) {
+		x.settled = true
+		x.changed()
+	}
+}
+
 // sorted returns the runs in a fixed order.
 func (x *Executor) sorted() []*run {
 	out := make([]*run, 0, len(x.runs))
--- a/executor/start.go
+++ b/executor/start.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		if end, ok := x.unclaimed[t.Run]; ok {
-			e.note(outcome{end: end.End})
+			e.outcomes.note(outcome{end: end.End})
 			continue
 		}
 		if why, ok := x.takes(t, p, stale); !ok {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -184,8 +184,7 @@
 	s.throughput.add(t.work(), s.clock.Now())
 	took := s.clock.Since(t.placedAt)
 	a.health.succeeded(t.current(), float64(t.job.Steps[t.step].Estimate)/float64(max(took, time.Millisecond)))
-	delete(a.tasks, t.current())
-	t.agent = nil
+	t.unplace()
 	s.done(t)
 }
 
@@ -212,8 +211,7 @@
 	}
 	t.failures++
 	if t.failures >= t.job.Queue.MaxAttempts {
-		delete(a.tasks, t.current())
-		t.agent = nil
+		t.unplace()
 		t.state = finished
 		s.end(t.job, Answer{Outcome: JobFailed, Why: "task " + t.id + " failed too often"})
 		return
@@ -256,12 +254,17 @@
 	s.again(t, "refused: "+string(r.Reason))
 }
 
-// again makes a task wait for a worker once more.
-func (s *Scheduler) again(t *task, why string) {
-	s.emit(Note{Job: t.job.ID, Queue: t.job.Queue.Name, Run: t.current(), Agent: t.agent.name, What: "task to be placed again", Why: why, Age: s.clock.Since(t.job.arrived)})
+// unplace takes a task off its agent, whose worker its run tells nothing more of.
+func (t *task) unplace() {
 	t.agent.health.unproven(t.current())
 	delete(t.agent.tasks, t.current())
 	t.agent = nil
+}
+
+// again makes a task wait for a worker once more.
+func (s *Scheduler) again(t *task, why string) {
+	s.emit(Note{Job: t.job.ID, Queue: t.job.Queue.Name, Run: t.current(), Agent: t.agent.name, What: "task to be placed again", Why: why, Age: s.clock.Since(t.job.arrived)})
+	t.unplace()
 	t.state = ready
 	t.percent = 0
 	t.age = 0
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -228,8 +228,7 @@
 	s.leave(left)
 	for _, t := range j.tasks {
 		if t.agent != nil {
-			t.agent.health.unproven(t.current())
-			delete(t.agent.tasks, t.current())
+			t.unplace()
 		}
 		t.state = finished
 	}
