--- a/executor/evidence_test.go
+++ b/executor/evidence_test.go
@@ -112,6 +112,17 @@
 	require.Equal(t, 7000, b.x.Dump().Free.CPU)
 }
 
+// restarted returns an agent that has just restarted and knows its worker from
+// an entry, or does not.
+func restarted(t *testing.T, known messenger.Upstream) *bench {
+	clock := clockwork.NewFakeClock()
+	b := &bench{t: t, clock: clock}
+	b.x = executor.NewExecutor(clock, executor.Identity{Agent: "a", DataCentre: "dc", Incarnation: 2, Token: 100}, executor.Config{})
+	b.x.Hello(messenger.Hello{Entry: "e", Incarnation: 1, Upstream: known})
+	b.drain()
+	return b
+}
+
 func TestRestartedAgentListsNothingBeforeItsWorkerHasAnswered(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -122,11 +133,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			clock := clockwork.NewFakeClock()
-			b := &bench{t: t, clock: clock}
-			b.x = executor.NewExecutor(clock, executor.Identity{Agent: "a", DataCentre: "dc", Incarnation: 2, Token: 100}, executor.Config{})
-			b.x.Hello(messenger.Hello{Entry: "e", Incarnation: 1, Upstream: tt.known})
-			b.drain()
+			b := restarted(t, tt.known)
 			tells := b.tells
 			for _, l := range b.looks {
 				b.x.LookFailed(l.Number, executor.NotSent)
--- a/executor/lease_test.go
+++ b/executor/lease_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/pomeloferry/pomeloferry/executor"
@@ -43,11 +42,7 @@
 }
 
 func TestRestartedAgentListsNothingBeforeItsOwnLooksLeaseIsOver(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	b := &bench{t: t, clock: clock}
-	b.x = executor.NewExecutor(clock, executor.Identity{Agent: "a", DataCentre: "dc", Incarnation: 2, Token: 100}, executor.Config{})
-	b.x.Hello(messenger.Hello{Entry: "e", Incarnation: 1})
-	b.drain()
+	b := restarted(t, messenger.Upstream{})
 	b.pass(550 * time.Millisecond)
 	// The worker announces itself and carries the look out; the answer is lost.
 	b.x.SetUpstream(upstream(1))
@@ -56,7 +51,7 @@
 	require.False(t, b.looks[0].Until.IsZero())
 	renewed := b.looks[0].Until
 	b.x.LookFailed(b.looks[0].Number, executor.Unanswered)
-	for clock.Now().Before(renewed) {
+	for b.clock.Now().Before(renewed) {
 		b.pass(10 * time.Millisecond)
 		require.False(t, complete(b.tells), "the look has lengthened the lease of what runs there")
 	}
--- a/executor/outcome_test.go
+++ b/executor/outcome_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/pomeloferry/pomeloferry/executor"
@@ -33,12 +32,8 @@
 }
 
 func TestEndThatCameWhileNoAgentWasThereIsToldWithTheList(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	b := &bench{t: t, clock: clock}
-	b.x = executor.NewExecutor(clock, executor.Identity{Agent: "a", DataCentre: "dc", Incarnation: 2, Token: 100}, executor.Config{})
-	b.x.Hello(messenger.Hello{Entry: "e", Incarnation: 1, Upstream: upstream(1)})
-	b.drain()
-	clock.Advance(10 * time.Millisecond)
+	b := restarted(t, upstream(1))
+	b.clock.Advance(10 * time.Millisecond)
 	b.lookAnswered(1, nil, executor.Ended{Number: 7, End: messenger.End{Run: run1, How: messenger.Done}})
 	require.True(t, complete(b.tells))
 	require.Equal(t, []messenger.End{{Run: run1, How: messenger.Done}}, b.ended())
--- a/soaker/process_test.go
+++ b/soaker/process_test.go
@@ -271,10 +271,7 @@
 	}},
 	{"calls silent", func(d *deployment, rng *rand.Rand, span time.Duration) {
 		p := pick(rng, d.all()).calls
-		p.muteOut.Store(true)
-		time.Sleep(span)
-		p.muteOut.Store(false)
-		p.reset()
+		p.silence(&p.muteOut, span)
 	}},
 	{"open connections silent for good", func(d *deployment, rng *rand.Rand, _ time.Duration) {
 		s := pick(rng, d.all())
--- a/soaker/proxy_test.go
+++ b/soaker/proxy_test.go
@@ -170,6 +170,15 @@
 	return out
 }
 
+// silence swallows what goes one way for a while, and then breaks all
+// connections.
+func (p *proxy) silence(way *atomic.Bool, span time.Duration) {
+	way.Store(true)
+	time.Sleep(span)
+	way.Store(false)
+	p.reset()
+}
+
 // reset breaks all connections.
 func (p *proxy) reset() {
 	for _, c := range p.open() {
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -172,17 +172,11 @@
 	}},
 	{"link silent towards the agent", func(d *deployment, rng *rand.Rand, span time.Duration) {
 		p := pick(rng, d.all()).links
-		p.muteIn.Store(true)
-		time.Sleep(span)
-		p.muteIn.Store(false)
-		p.reset()
+		p.silence(&p.muteIn, span)
 	}},
 	{"link silent towards the entry", func(d *deployment, rng *rand.Rand, span time.Duration) {
 		p := pick(rng, d.all()).links
-		p.muteOut.Store(true)
-		time.Sleep(span)
-		p.muteOut.Store(false)
-		p.reset()
+		p.silence(&p.muteOut, span)
 	}},
 	{"worker restarted", func(d *deployment, rng *rand.Rand, _ time.Duration) {
 		pick(rng, d.all()).worker.Restart()
