scheduler: Lose in simulated links what goes out on one that was replaced

Cause: the stand-in. It sent by the newest link of the agent, also while the entry had only heard of the last one. The entry process sends on the link that it has taken in, and what goes out on one that has ended is lost (acceptor, core.links). A frozen entry also sent its Hello at once.

The checks are the same.

--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -1,6 +1,8 @@
 package scheduler_test
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pomeloferry/pomeloferry/executor"
@@ -13,6 +15,7 @@
 	e.incarnation = e.w.clock.Now().UnixMilli()
 	e.core = scheduler.NewScheduler(e.w.clock, "dc-"+e.name[len("entry-"):])
 	e.tickets = make(map[uint64]string)
+	e.links = make(map[string]*simLink)
 	e.down = false
 	core := e.core
 	core.Configure(configuration())
@@ -51,10 +54,8 @@
 	for _, effect := range e.core.Drain() {
 		switch m := effect.(type) {
 		case scheduler.Send:
-			for _, a := range e.w.agents {
-				if l := a.links[e.name]; a.name == m.Agent && l != nil {
-					l.toAgent(m.Message)
-				}
+			if l := e.links[m.Agent]; l != nil {
+				l.toAgent(m.Message)
 			}
 		case scheduler.Reply:
 			e.reply(m)
@@ -78,9 +79,10 @@
 // kill ends the entry. Its callers' connections break, and they send again.
 func (e *simEntry) kill(span time.Duration) {
 	e.down = true
-	for _, id := range e.tickets {
-		e.w.again(e.w.results[id].job)
+	for _, ticket := range slices.Sorted(maps.Keys(e.tickets)) {
+		e.w.again(e.w.results[e.tickets[ticket]].job)
 	}
+	e.tickets = make(map[uint64]string)
 	for _, a := range e.w.agents {
 		if l := a.links[e.name]; l != nil {
 			l.close()
@@ -102,8 +104,11 @@
 	if !a.down && (old == nil || !old.cut) {
 		l := &simLink{entry: e, agent: a, open: true, opened: e.w.clock.Now(), heardAt: e.w.clock.Now()}
 		a.links[e.name] = l
-		e.do(func() { core.Opened(a.name) })
-		l.toAgent(messenger.Hello{Entry: e.name, Incarnation: e.incarnation, Upstream: core.Upstream(a.name)})
+		e.do(func() {
+			e.links[a.name] = l
+			core.Opened(a.name)
+			l.toAgent(messenger.Hello{Entry: e.name, Incarnation: e.incarnation, Upstream: core.Upstream(a.name)})
+		})
 	}
 	e.w.after(20*time.Millisecond, func() { e.connect(a, core) })
 }
@@ -112,7 +117,7 @@
 func (e *simEntry) beat() {
 	now := e.w.clock.Now()
 	for _, a := range e.w.agents {
-		l := a.links[e.name]
+		l := e.links[a.name]
 		if l == nil || !l.open {
 			continue
 		}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -100,8 +100,11 @@
 	incarnation int64
 	core        *scheduler.Scheduler
 	tickets     map[uint64]string
-	ticket      uint64
-	down        bool
+	// links are those that the entry has taken in, by agent. What it sends on one
+	// that has been replaced meanwhile is lost.
+	links  map[string]*simLink
+	ticket uint64
+	down   bool
 	// frozenUntil holds back all that the process does.
 	frozenUntil time.Time
 }
