scheduler, executor: Let a job wait that another entry holds

Cause: an entry took not having heard of a break for a caller who is still there, and entries knew nothing of each other's jobs.

Now heartbeats name the jobs that an entry has held for 500 ms and those whose runs may go on, agents pass the lists to the other entries, and one that gets such a job names it as waiting. The first one gives it up, and the second one goes on when nobody holds it. A job of 1.2 s that no agent has heard of, or not within a second, is given up. Agents tell on of an entry's jobs for 1,290 ms after its last heartbeat, also when it has restarted; what an agent told counts as long when it has restarted itself.

Tried and left: to wait without telling, so that the first entry runs to its end (callers waited for work whose answer nobody gets); to count waiting jobs in the queue (others were refused for "expected wait 9.8 s"); no list at all on the wire for an empty one (a job waited until its deadline; found by real processes).

--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -41,6 +41,7 @@
 	directives, _ := c.acceptor.Configuration()
 	evacuated := slices.Sorted(maps.Keys(directives.Evacuated))
 	want := c.scheduler.Want()
+	held, waits := c.scheduler.Held()
 	for _, l := range due {
 		l.beatAt = now
 		l.Send(messenger.Beat{
@@ -50,12 +51,13 @@
 			Evacuated: evacuated,
 			Want:      want,
 			Heard:     c.scheduler.Heard(c.names[l.Link]),
+			Held:      held,
+			Waits:     waits,
 		})
 	}
 }
 
 func (c *core) opened(m linkOpened) {
-	now := c.acceptor.deps.Clock.Now()
 	if old := c.links[m.agent]; old != nil {
 		c.closed(old.Link)
 		old.Close()
@@ -63,9 +65,11 @@
 	if m.link.Ended() {
 		return
 	}
+	// The scheduler must not date the entry's stamps later than they are.
+	c.scheduler.Opened(m.agent)
+	now := c.acceptor.deps.Clock.Now()
 	c.links[m.agent] = &link{Link: m.link, openedAt: now, beatAt: now}
 	c.names[m.link] = m.agent
-	c.scheduler.Opened(m.agent)
 	c.acceptor.connected.Store(true)
 	c.acceptor.deps.Log.WithField("agent", m.agent).Info("agent in touch")
 	m.link.Send(messenger.Hello{
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -38,6 +38,7 @@
 	// beatAt is when the progress of runs was last told.
 	beatAt   time.Time
 	outcomes outcomes
+	held     held
 }
 
 // Hello opens a link of an entry. Runs of an earlier incarnation are dropped,
@@ -56,6 +57,7 @@
 		x.disown(h.Entry)
 		e.incarnation = h.Incarnation
 		e.outcomes = outcomes{}
+		e.held.restart()
 	}
 	if !x.owes(h.Entry) {
 		// A Hello that was read late must not keep runs alive.
@@ -67,6 +69,7 @@
 	e.outcomes.told = 0
 	e.complete = false
 	e.upstream = false
+	e.held.told = false
 	e.changed = true
 	e.want = messenger.Want{}
 	if x.upstream.Born == 0 && x.upstream.ID == "" && h.Upstream.Born != 0 {
@@ -87,10 +90,15 @@
 	if e == nil {
 		return
 	}
+	if b.Stamp-e.echo > 2*messenger.BeatInterval {
+		// The entry was paused and waits for an echo.
+		e.changed = true
+	}
 	e.echo = b.Stamp
 	e.outcomes.heard(b.Heard)
 	x.direct(name, b)
 	x.wants(e, b.Want)
+	x.holds(e, b)
 	x.contact(e, b.Echo)
 }
 
@@ -149,6 +157,7 @@
 // dropSilent drops the runs of entries that have been silent for too long, so
 // that their callers may have the jobs run elsewhere.
 func (x *Executor) dropSilent(now time.Time) {
+	x.forgetHeld(now)
 	for _, e := range slices.Clone(x.order) {
 		if now.Sub(e.heard) <= entryPatience {
 			continue
@@ -244,6 +253,12 @@
 		r.Upstream = &up
 		e.upstream = true
 	}
+	if !e.held.told {
+		var others []string
+		others, r.Waits = x.heldBeside(e)
+		r.Held = &others
+		e.held.told = true
+	}
 	// A list of runs is complete only after the worker has been seen.
 	if !e.complete && x.settled {
 		r.Complete = true
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -24,6 +24,8 @@
 	tells  []messenger.Report
 	// stamp is the last one that the agent has sent.
 	stamp time.Duration
+	// held is what the last effects told each entry of the others' jobs.
+	held map[string]*[]string
 }
 
 func newBench(t *testing.T) *bench {
@@ -42,6 +44,7 @@
 
 func (b *bench) drain() {
 	b.starts, b.stops, b.looks, b.tells = nil, nil, nil, nil
+	b.held = make(map[string]*[]string)
 	for _, e := range b.x.Drain() {
 		switch e := e.(type) {
 		case executor.Start:
@@ -53,6 +56,9 @@
 		case executor.Tell:
 			b.tells = append(b.tells, e.Report)
 			b.stamp = e.Report.Stamp
+			if e.Report.Held != nil {
+				b.held[e.Entry] = e.Report.Held
+			}
 		}
 	}
 }
--- /dev/null
+++ b/executor/held_test.go
@@ -0,0 +1,54 @@
+package executor_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/messenger"
+)
+
+func TestEntriesHearOfTheJobsThatOthersHold(t *testing.T) {
+	b := newBench(t)
+	b.x.Hello(messenger.Hello{Entry: "f", Incarnation: 1})
+	b.x.Beat("f", messenger.Beat{Stamp: 1, Held: []string{"j"}})
+	b.clock.Advance(20 * time.Millisecond)
+	b.drain()
+	require.Equal(t, &[]string{"j"}, b.held["e"])
+	b.clock.Advance(messenger.HeldFor)
+	b.x.Beat("f", messenger.Beat{Stamp: 2, Held: []string{"j"}})
+	b.x.Tick()
+	b.drain()
+	require.Nil(t, b.held["e"], "nothing has changed")
+	b.clock.Advance(messenger.HeldFor + time.Millisecond)
+	b.x.Tick()
+	b.drain()
+	require.Equal(t, &[]string{}, b.held["e"], "the other entry is silent")
+}
+
+func TestEntryHearsOfTheJobsThatOthersHoldOnEachLink(t *testing.T) {
+	b := newBench(t)
+	b.x.Hello(messenger.Hello{Entry: "f", Incarnation: 1})
+	b.x.Beat("f", messenger.Beat{Stamp: 1, Held: []string{"j"}})
+	b.x.Hello(messenger.Hello{Entry: "e", Incarnation: 1})
+	b.clock.Advance(20 * time.Millisecond)
+	b.drain()
+	require.Equal(t, &[]string{"j"}, b.held["e"])
+}
+
+func TestJobsOfAnEntryThatHasRestartedAreToldOf(t *testing.T) {
+	b := newBench(t)
+	b.x.Hello(messenger.Hello{Entry: "f", Incarnation: 1})
+	b.x.Beat("f", messenger.Beat{Stamp: 1, Held: []string{"j"}})
+	b.x.Hello(messenger.Hello{Entry: "f", Incarnation: 2})
+	b.x.Beat("f", messenger.Beat{Stamp: 1, Held: []string{"k"}})
+	b.clock.Advance(20 * time.Millisecond)
+	b.drain()
+	require.Equal(t, &[]string{"k", "j"}, b.held["e"])
+	b.clock.Advance(messenger.HeldFor)
+	b.x.Beat("f", messenger.Beat{Stamp: 2, Held: []string{"k"}})
+	b.x.Tick()
+	b.drain()
+	require.Equal(t, &[]string{"k"}, b.held["e"])
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -10,6 +10,8 @@
 	BeatInterval = 120 * time.Millisecond
 	// SilenceLimit ends a link on which nothing arrived for so long.
 	SilenceLimit = 400 * time.Millisecond
+	// HeldFor is how long agents tell of the jobs in an entry's last heartbeat.
+	HeldFor = 1290 * time.Millisecond
 )
 
 // Demand is an amount of a worker's resources.
@@ -74,6 +76,11 @@
 	// Heard is the Outcomes of the last Report on the link. The agent drops
 	// those outcomes.
 	Heard uint64 `cbor:"6,keyasint,omitempty"`
+	// Held lists the jobs that the entry holds and that their callers might soon
+	// send to another one.
+	Held []string `cbor:"7,keyasint,omitempty"`
+	// Waits lists those of Held that wait since another entry holds them.
+	Waits []string `cbor:"8,keyasint,omitempty"`
 }
 
 // Want is what waits at an entry for room. Agents share scarce room out by it.
@@ -238,4 +245,10 @@
 	// Outcomes is the number of the last of all ends and refusals that the
 	// agent has told the entry of, on this link or an earlier one.
 	Outcomes uint64 `cbor:"19,keyasint,omitempty"`
+	// Held lists the jobs that other entries hold, as of their last heartbeats;
+	// nil means as in the last report on the link.
+	Held *[]string `cbor:"20,keyasint,omitempty"`
+	// Waits lists those of Held that wait at an entry since another one holds
+	// them. It goes with Held.
+	Waits []string `cbor:"21,keyasint,omitempty"`
 }
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -33,6 +33,9 @@
 	if now.Add(j.least()).After(j.Deadline) {
 		return Answer{Outcome: Overloaded, RetryAfter: backLeast, Why: "caller waits for less than the work takes"}, false
 	}
+	if s.yield(j) {
+		return Answer{}, true
+	}
 	if wait := s.expectedWait(j); wait > s.patience(j) && !now.Before(s.settled) {
 		s.short = true
 		return Answer{Outcome: Overloaded, RetryAfter: s.backIn(), Why: "expected wait " + wait.String()}, false
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -28,6 +28,17 @@
 	reportedAt time.Time
 	// heard is the number of the last outcome told on the link.
 	heard uint64
+	// held are the jobs that other entries hold, as the agent has last told;
+	// heldBefore those that its earlier incarnation told of, until forgetAt.
+	held       map[string]bool
+	heldBefore map[string]bool
+	forgetAt   time.Time
+	// waits are those of held that wait at an entry since another one holds them.
+	waits []string
+	// heldBy is the incarnation that held is of.
+	heldBy int64
+	// openedAt is when the link was opened; the entry's stamps count from there.
+	openedAt time.Time
 	// links counts the links that have been opened.
 	links int
 	// placements counts the Place messages on the link.
--- /dev/null
+++ b/scheduler/held_test.go
@@ -0,0 +1,227 @@
+package scheduler_test
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/messenger"
+	"github.com/pomeloferry/pomeloferry/scheduler"
+)
+
+// heldBy returns an agent's word that other entries hold jobs.
+func heldBy(agent string, jobs ...string) messenger.Report {
+	r := report(agent, 0)
+	r.Held = &jobs
+	return r
+}
+
+// lasting returns a job of one task whose caller waits for long.
+func (b *bench) lasting() scheduler.Job {
+	j := b.job(jobID, 1)
+	j.Deadline = b.clock.Now().Add(time.Minute)
+	return j
+}
+
+func TestJobThatAnotherEntryHoldsIsNotPlaced(t *testing.T) {
+	tests := []struct {
+		name string
+		over func(b *bench)
+	}{
+		{"until it holds it no longer", func(b *bench) { b.s.Report(heldBy("a")) }},
+		{"until the agent that said so has been silent for long", func(b *bench) {
+			b.s.Closed("a")
+			b.clock.Advance(messenger.HeldFor)
+			b.s.Report(report("b", 0))
+			b.s.Tick()
+			require.Empty(b.t, b.drain())
+			b.clock.Advance(time.Millisecond)
+			b.s.Report(report("b", 0))
+			b.s.Tick()
+		}},
+		{"until the agent that said so has been back for long", func(b *bench) {
+			r := heldBy("a")
+			r.Incarnation = 2
+			b.s.Report(r)
+			require.Empty(b.t, b.drain(), "it has not heard of the job yet")
+			b.clock.Advance(messenger.HeldFor)
+			b.s.Report(report("b", 0))
+			b.s.Tick()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			b.open("a")
+			b.open("b")
+			b.s.Report(heldBy("a", jobID))
+			b.s.Submit(1, b.lasting())
+			b.s.Report(report("a", 0))
+			b.s.Report(report("b", 0))
+			b.s.Tick()
+			require.Empty(t, b.drain())
+			require.Empty(t, b.replies, "it is not known that it has not run")
+			tt.over(b)
+			b.drain()
+			require.Equal(t, 1, b.placed().Tasks[0].Number)
+		})
+	}
+}
+
+func TestJobThatAnotherEntryHoldsIsNotSaidToHaveNotRun(t *testing.T) {
+	b := newBench(t)
+	b.open("a")
+	b.s.Report(heldBy("a", jobID))
+	b.s.Submit(1, b.job(jobID, 1))
+	b.clock.Advance(1500 * time.Millisecond)
+	b.s.Tick()
+	b.drain()
+	require.Equal(t, scheduler.Unsettled, b.replies[1].Outcome)
+}
+
+func TestJobsThatGoOnForLongAreNamedInHeartbeats(t *testing.T) {
+	b := newBench(t)
+	b.open("a")
+	b.s.Submit(1, b.lasting())
+	b.s.Submit(2, b.job("0000000000000002", 1))
+	b.drain()
+	require.Empty(t, b.beat("a", 2))
+	b.clock.Advance(500 * time.Millisecond)
+	require.Equal(t, []string{jobID, "0000000000000002"}, b.beat("a", 2))
+	b.s.Leave(1)
+	require.Contains(t, b.beat("a", 2), jobID, "its run may go on")
+	r := report("a", 2)
+	r.Ended = []messenger.End{{Run: messenger.Run{Task: jobID + ".0.0.0", Number: 1}, How: messenger.Stopped}}
+	b.s.Report(r)
+	require.NotContains(t, b.beat("a", 2), jobID)
+}
+
+func TestJobThatWaitsAtAnotherEntryIsGivenUp(t *testing.T) {
+	tests := []struct {
+		name  string
+		begin func(b *bench)
+	}{
+		{"while it runs", func(b *bench) { b.s.Submit(1, b.lasting()) }},
+		{"while it waits as well", func(b *bench) {
+			b.s.Report(heldBy("a", jobID))
+			b.s.Submit(1, b.lasting())
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			b.open("a")
+			tt.begin(b)
+			b.clock.Advance(600 * time.Millisecond)
+			b.beat("a", 1)
+			r := heldBy("a", jobID)
+			r.Waits = []string{jobID}
+			b.s.Report(r)
+			b.s.Tick()
+			b.drain()
+			require.Empty(t, b.replies, "its caller may still be here")
+			b.clock.Advance(600 * time.Millisecond)
+			b.beat("a", 1)
+			b.s.Tick()
+			b.drain()
+			require.Equal(t, scheduler.Unsettled, b.replies[1].Outcome)
+		})
+	}
+}
+
+func TestJobThatWaitsIsNamedAsWaiting(t *testing.T) {
+	b := newBench(t)
+	b.open("a")
+	b.s.Report(heldBy("a", jobID))
+	b.s.Submit(1, b.lasting())
+	jobs, waits := b.s.Held()
+	require.Equal(t, []string{jobID}, jobs)
+	require.Equal(t, []string{jobID}, waits)
+}
+
+func TestJobThatWaitedIsNotLeftBehindWhenItsCallerSendsItAgain(t *testing.T) {
+	b := newBench(t)
+	b.open("a")
+	b.s.Report(heldBy("a", jobID))
+	b.s.Submit(1, b.lasting())
+	b.s.Leave(1)
+	b.s.Submit(2, b.lasting())
+	b.drain()
+	b.s.Report(heldBy("a"))
+	b.drain()
+	b.placed()
+}
+
+func TestJobThatOtherEntriesMayNotKnowOfIsGivenUpBeforeItIsSentAgain(t *testing.T) {
+	tests := []struct {
+		name string
+		play func(b *bench)
+		want scheduler.Outcome
+	}{
+		{"no agent has heard of it", func(b *bench) {
+			b.s.Submit(1, b.lasting())
+			for range 12 {
+				b.clock.Advance(100 * time.Millisecond)
+				_, _ = b.s.Held()
+				b.s.Report(report("a", 1))
+			}
+		}, scheduler.Unsettled},
+		{"no agent has heard anything for long", func(b *bench) {
+			b.s.Submit(1, b.lasting())
+			b.clock.Advance(600 * time.Millisecond)
+			b.beat("a", 1)
+			b.clock.Advance(time.Second)
+			b.s.Report(report("a", 1))
+		}, scheduler.Unsettled},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			b.open("a")
+			tt.play(b)
+			b.s.Tick()
+			b.drain()
+			require.Equal(t, tt.want, b.replies[1].Outcome)
+		})
+	}
+}
+
+func TestJobThatOtherEntriesKnowOfGoesOn(t *testing.T) {
+	b := newBench(t)
+	b.open("a")
+	b.s.Submit(1, b.lasting())
+	for range 30 {
+		b.clock.Advance(100 * time.Millisecond)
+		b.beat("a", 1)
+		b.s.Tick()
+		b.drain()
+		require.Empty(t, b.replies)
+	}
+}
+
+func TestJobsWhoseCallersLeftUnnoticedRunOnceAtATime(t *testing.T) {
+	long := kind{tasks: 2, work: 2 * time.Second, cpu: 3100}
+	for seed := range uint64(10) {
+		w := newWorld(t, 9100+seed, 3, 6, 31_000)
+		w.load(6*time.Second, 0.3)
+		for range 60 {
+			w.run(100 * time.Millisecond)
+			e := w.entries[w.rng.IntN(len(w.entries))]
+			if w.rng.IntN(20) == 0 && !e.down {
+				e.kill(time.Duration(w.rng.Int64N(int64(600 * time.Millisecond))))
+			}
+			w.submit(e, long)
+			w.after(time.Duration(w.rng.Int64N(int64(2*time.Second))), func() {
+				if tickets := slices.Sorted(maps.Keys(e.tickets)); len(tickets) > 0 {
+					e.breakUnheard(tickets[w.rng.IntN(len(tickets))])
+				}
+			})
+		}
+		w.run(8 * time.Second)
+		w.check()
+		require.NotZero(t, w.summary().inAim, "seed %d", seed)
+	}
+}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -149,6 +149,7 @@
 	queuedUp bool
 	// begun means that a task may have started.
 	begun bool
+	hold  hold
 	// overdue means that latest had passed, and rank is the place of its kind,
 	// both as of when the queue was last sorted.
 	overdue bool
@@ -166,6 +167,7 @@
 		left:    make([]int, len(j.Steps)),
 		latest:  now.Add(j.objective() - j.chain()),
 		begun:   last.begun,
+		hold:    hold{since: now},
 	}
 	for i, s := range j.Steps {
 		n.left[i] = s.Count
--- a/scheduler/loss_test.go
+++ b/scheduler/loss_test.go
@@ -59,7 +59,7 @@
 		b.clock.Advance(20 * time.Millisecond)
 		b.s.Opened("a")
 		b.clock.Advance(400 * time.Millisecond)
-		b.s.Report(report("b", 0))
+		b.beat("b", 0)
 		b.s.Tick()
 		if len(b.drain()) > 0 {
 			return
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -78,15 +78,15 @@
 // dropPlaced drops the jobs from the queue that have no task to place.
 func (s *Scheduler) dropPlaced() {
 	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool {
-		j.queuedUp = s.jobs[j.ID] == j && j.has(ready)
+		j.queuedUp = s.jobs[j.ID] == j && s.yielding[j.ID] != j && j.has(ready)
 		return !j.queuedUp
 	})
 }
 
 // enqueue makes pass look at a job that has tasks to place, once no run of its
-// last try can go on.
+// last try can go on and no other entry holds it.
 func (s *Scheduler) enqueue(j *job) {
-	if s.remains[j.ID] > 0 {
+	if s.remains[j.ID] > 0 || s.yield(j) {
 		return
 	}
 	s.requeued++
@@ -99,6 +99,9 @@
 // placeJob sends as many of a job's waiting tasks as there is room for. Tasks
 // go to as few workers as possible, so that one bad worker harms few jobs.
 func (s *Scheduler) placeJob(j *job, agents []*agent, now time.Time) {
+	if s.yield(j) || !s.mayRun(j, now) {
+		return
+	}
 	for step := range j.Steps {
 		var todo []*task
 		for _, t := range j.tasks {
@@ -194,6 +197,7 @@
 // send places tasks of one step at an agent.
 func (s *Scheduler) send(a *agent, j *job, tasks []*task) {
 	now := s.clock.Now()
+	j.hold.started = true
 	a.placements++
 	p := messenger.Place{
 		Number:   a.placements,
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -21,6 +21,7 @@
 func (s *Scheduler) Opened(name string) {
 	a := s.agentNamed(name)
 	a.open = false
+	a.openedAt = s.clock.Now()
 	a.links++
 	a.placements = 0
 	a.pending = nil
@@ -58,6 +59,7 @@
 	a.reportedAt = s.clock.Now()
 	a.covered()
 	waiting := s.requeued
+	s.heldElsewhere(a, r)
 	for _, e := range r.Ended {
 		s.ended(a, e)
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -3,9 +3,9 @@
 // elsewhere. It does no input or output and reads time from a clock interface.
 // It returns effects; the entry process carries them out.
 //
-// The entry that takes a job on owns it. No second entry learns of it: a
-// caller whose connection broke sends the job again only after a time within
-// which every run of the lost owner has ended.
+// The entry that takes a job on owns it. A caller whose connection broke sends
+// the job again only after a time within which every run of a lost owner has
+// ended, and within which the other entries have heard of an owner that lives.
 package scheduler
 
 import (
@@ -42,6 +42,8 @@
 	records map[string]record
 	// remains counts, for jobs that are over, the runs that may still go on.
 	remains map[string]int
+	// yielding are the jobs that wait since another entry holds them.
+	yielding map[string]*job
 	// shares counts refusals by the name of the queue.
 	shares map[string]*share
 	// forget lists the records in the order of their making.
@@ -56,6 +58,8 @@
 	// throughput is the work done lately; short is for Short.
 	throughput throughput
 	short      bool
+	// echoed is when the last heartbeat was sent that an agent has echoed.
+	echoed time.Time
 	// settled is when the entry can be taken to know the room; zero before the
 	// first configuration.
 	settled time.Time
@@ -80,6 +84,7 @@
 		tickets:    make(map[uint64]*job),
 		records:    make(map[string]record),
 		remains:    make(map[string]int),
+		yielding:   make(map[string]*job),
 		shares:     make(map[string]*share),
 	}
 }
@@ -130,6 +135,7 @@
 	s.tickets[ticket] = j
 	s.jobs[j.ID] = j
 	if n := s.remains[j.ID]; n > 0 {
+		j.hold.since = now.Add(-holdAfter)
 		s.emit(Note{Job: j.ID, Queue: j.Queue.Name, What: "job waits", Why: fmt.Sprintf("%d runs of its last try may go on", n)})
 	}
 	s.enqueue(j)
@@ -195,8 +201,14 @@
 	for _, j := range s.sorted() {
 		if !now.Before(j.Deadline) {
 			s.giveUp(j, "deadline passed")
+		} else if !s.mayRun(j, now) {
+			s.giveUp(j, "other entries may not know of it")
 		}
 	}
+	for _, a := range s.byName {
+		s.giveWay(a)
+	}
+	s.resume()
 	s.moveSlow(now)
 	s.forgetOld(now)
 	s.pass()
@@ -223,6 +235,9 @@
 	}
 	j.tickets = nil
 	delete(s.jobs, j.ID)
+	if s.yielding[j.ID] == j {
+		delete(s.yielding, j.ID)
+	}
 	left := j.in(placed)
 	s.withdraw(left)
 	s.leave(left)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -20,14 +20,22 @@
 	// replies are the answers so far, by ticket.
 	replies map[uint64]scheduler.Answer
 	sent    []any
+	// opened is when the link to an agent was opened.
+	opened map[string]time.Time
 }
 
 func newBench(t *testing.T) *bench {
+	b := newYoungBench(t)
+	// The entry has been up for long enough to know its agents.
+	b.clock.Advance(time.Second)
+	return b
+}
+
+// newYoungBench returns the same of an entry that has just started.
+func newYoungBench(t *testing.T) *bench {
 	clock := clockwork.NewFakeClock()
-	b := &bench{t: t, clock: clock, s: scheduler.NewScheduler(clock, "dc-0"), replies: make(map[uint64]scheduler.Answer)}
+	b := &bench{t: t, clock: clock, s: scheduler.NewScheduler(clock, "dc-0"), replies: make(map[uint64]scheduler.Answer), opened: make(map[string]time.Time)}
 	b.s.Configure(configuration())
-	// The entry has been up for long enough to know its agents.
-	clock.Advance(time.Second)
 	return b
 }
 
@@ -57,12 +65,23 @@
 // open brings an agent into touch.
 func (b *bench) open(agent string) {
 	b.s.Opened(agent)
+	b.opened[agent] = b.clock.Now()
 	r := report(agent, 0)
 	r.Complete = true
 	b.s.Report(r)
 	b.drain()
 }
 
+// beat has the entry send a heartbeat, which an agent echoes in its report, and
+// returns the jobs that the heartbeat names.
+func (b *bench) beat(agent string, seen uint64) []string {
+	held, _ := b.s.Held()
+	r := report(agent, seen)
+	r.Echo = b.clock.Since(b.opened[agent])
+	b.s.Report(r)
+	return held
+}
+
 func (b *bench) job(id string, tasks int) scheduler.Job {
 	return scheduler.Job{
 		ID: id, Queue: quotes(), Spec: "spec", Deadline: b.clock.Now().Add(1500 * time.Millisecond),
@@ -145,11 +164,11 @@
 	b.s.Closed("a")
 	b.open("b")
 	b.clock.Advance(time.Second)
-	b.s.Report(report("b", 0))
+	b.beat("b", 0)
 	b.s.Tick()
 	require.Empty(t, b.drain())
 	b.clock.Advance(300 * time.Millisecond)
-	b.s.Report(report("b", 0))
+	b.beat("b", 0)
 	b.s.Tick()
 	b.drain()
 	require.Equal(t, 2, b.placed().Tasks[0].Number)
@@ -201,14 +220,12 @@
 }
 
 func TestNothingIsRefusedForLackOfRoomWhileLinksAreBeingOpened(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	b := &bench{t: t, clock: clock, s: scheduler.NewScheduler(clock, "dc-0"), replies: make(map[uint64]scheduler.Answer)}
-	b.s.Configure(configuration())
+	b := newYoungBench(t)
 	const jobs = 6
 	for i := range jobs {
 		b.s.Submit(uint64(1+i), b.job(fmt.Sprintf("%016x", 1+i), 8))
 	}
-	clock.Advance(100 * time.Millisecond)
+	b.clock.Advance(100 * time.Millisecond)
 	b.s.Tick()
 	b.drain()
 	require.Empty(t, b.replies, "the room is not known yet")
@@ -219,7 +236,7 @@
 			placed++
 		}
 	}
-	clock.Advance(time.Second)
+	b.clock.Advance(time.Second)
 	b.s.Tick()
 	b.drain()
 	require.Len(t, b.replies, jobs-1-placed, "what found no room is refused once the room is known")
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -16,6 +16,7 @@
 	e.core = scheduler.NewScheduler(e.w.clock, "dc-"+e.name[len("entry-"):])
 	e.tickets = make(map[uint64]string)
 	e.links = make(map[string]*simLink)
+	e.unheard = make(map[uint64]bool)
 	e.down = false
 	core := e.core
 	core.Configure(configuration())
@@ -67,6 +68,9 @@
 func (e *simEntry) reply(m scheduler.Reply) {
 	r := e.w.results[e.tickets[m.Ticket]]
 	delete(e.tickets, m.Ticket)
+	if e.unheard[m.Ticket] {
+		return
+	}
 	e.w.after(linkDelay, func() {
 		if !r.got {
 			r.got = true
@@ -76,11 +80,21 @@
 	})
 }
 
+// breakUnheard breaks a caller's connection, which the entry does not hear of.
+func (e *simEntry) breakUnheard(ticket uint64) {
+	if !e.unheard[ticket] {
+		e.unheard[ticket] = true
+		e.w.again(e.w.results[e.tickets[ticket]].job)
+	}
+}
+
 // kill ends the entry. Its callers' connections break, and they send again.
 func (e *simEntry) kill(span time.Duration) {
 	e.down = true
 	for _, ticket := range slices.Sorted(maps.Keys(e.tickets)) {
-		e.w.again(e.w.results[e.tickets[ticket]].job)
+		if !e.unheard[ticket] {
+			e.w.again(e.w.results[e.tickets[ticket]].job)
+		}
 	}
 	e.tickets = make(map[uint64]string)
 	for _, a := range e.w.agents {
@@ -127,7 +141,8 @@
 		}
 		if now.Sub(l.beatAt) >= messenger.BeatInterval {
 			l.beatAt = now
-			l.toAgent(messenger.Beat{Stamp: now.Sub(l.opened), Echo: l.echo, Want: e.core.Want(), Heard: e.core.Heard(a.name)})
+			held, waits := e.core.Held()
+			l.toAgent(messenger.Beat{Stamp: now.Sub(l.opened), Echo: l.echo, Want: e.core.Want(), Heard: e.core.Heard(a.name), Held: held, Waits: waits})
 		}
 	}
 }
--- a/scheduler/twice_test.go
+++ b/scheduler/twice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -61,8 +62,8 @@
 		slices.Sort(tickets)
 		for _, ticket := range tickets {
 			id, waits := e.tickets[ticket]
-			if !waits {
-				continue // The last one's leave has had this one answered.
+			if !waits || e.unheard[ticket] {
+				continue // The last one's leave has had this one answered, or nobody waits.
 			}
 			job := w.results[id].job
 			e.do(func() {
@@ -74,6 +75,12 @@
 			})
 		}
 	}},
+	{"callers' connections break and their entry does not hear of it", func(w *world) {
+		e := w.entries[w.rng.IntN(len(w.entries))]
+		for _, ticket := range slices.Sorted(maps.Keys(e.tickets)) {
+			e.breakUnheard(ticket)
+		}
+	}},
 	{"an agent restarts beside a worker that does not answer", func(w *world) {
 		a := w.anyAgent()
 		a.worker.muteUntil = w.clock.Now().Add(400 * time.Millisecond)
--- a/scheduler/withdrawn_test.go
+++ b/scheduler/withdrawn_test.go
@@ -52,8 +52,10 @@
 		}, 2},
 		{"agent lost", func(b *bench, _ messenger.Run) {
 			b.s.Closed("a")
-			b.clock.Advance(1300 * time.Millisecond)
-			b.s.Report(report("b", 0))
+			for range 2 {
+				b.clock.Advance(650 * time.Millisecond)
+				b.beat("b", 0)
+			}
 			b.s.Tick()
 		}, 2},
 	}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -102,9 +102,12 @@
 	tickets     map[uint64]string
 	// links are those that the entry has taken in, by agent. What it sends on one
 	// that has been replaced meanwhile is lost.
-	links  map[string]*simLink
-	ticket uint64
-	down   bool
+	links map[string]*simLink
+	// unheard marks the tickets whose callers have gone without the entry's
+	// hearing of it.
+	unheard map[uint64]bool
+	ticket  uint64
+	down    bool
 	// frozenUntil holds back all that the process does.
 	frozenUntil time.Time
 }
--- a/soaker/callers_test.go
+++ b/soaker/callers_test.go
@@ -214,6 +214,33 @@
 	d.judge("%d rounds", rounds)
 }
 
+func TestAJobWhoseCallerLeftUnheardRunsOnceAtATime(t *testing.T) {
+	runBeside(t)
+	const (
+		rounds = 4
+		// work is long enough for the first run to go on when the job comes again.
+		work = 1400 * time.Millisecond
+	)
+	d := newDeployment(t, 2, 4)
+	d.awaitReady(0)
+	d.watch.fixedWork.Store(int64(work))
+	for round := range rounds {
+		client := newCaller(d.balanced, false)
+		var wg sync.WaitGroup
+		for i := range callerConns {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				d.watch.submit(client, d.balanced, 0, fmt.Sprintf("%08x%08x", round, i), 2)
+			}()
+		}
+		time.Sleep(time.Duration(10+rand.IntN(30)) * time.Millisecond)
+		d.callers[0].resetCallers(callerPatience)
+		wg.Wait()
+	}
+	d.judge("%d rounds", rounds)
+}
+
 func TestACallerWhoseJobAnotherEntryRunsIsAnsweredWithItsEnd(t *testing.T) {
 	runBeside(t)
 	const (
