acceptor, scheduler: Count what is read after a pause as old as the pause

Cause: a word dated by when it is read. A request that came in the pause counted as new, and so did the reports of agents on which tasks are placed.

Ruled out: to look at the socket alone, which does not know of a break that was not heard. What that costs was not measured.

--- a/acceptor/core.go
+++ b/acceptor/core.go
@@ -47,6 +47,9 @@
 	linkClosed struct{ link *messenger.Link }
 )
 
+// pauseLeast is the least time without any message that counts as a pause.
+const pauseLeast = 200 * time.Millisecond
+
 // core owns the scheduler.
 type core struct {
 	acceptor  *Acceptor
@@ -54,6 +57,8 @@
 	replies   map[uint64]chan scheduler.Answer
 	links     map[string]*link
 	names     map[*messenger.Link]string
+	// at is when the last message had been dealt with.
+	at time.Time
 }
 
 func newCore(a *Acceptor) *core {
@@ -68,6 +73,7 @@
 
 // Receive implements actor.Actor.
 func (c *core) Receive(ctx actor.Context) {
+	c.noticePause()
 	switch m := ctx.Message().(type) {
 	case tick:
 		c.acceptor.lag.took(m.sent)
@@ -99,6 +105,14 @@
 		ctx.Respond(c.scheduler.Waiting(m.queue))
 	}
 	c.carryOut()
+	c.at = c.acceptor.deps.Clock.Now()
+}
+
+// noticePause tells the scheduler of a pause of the process: a tick comes sooner.
+func (c *core) noticePause() {
+	if !c.at.IsZero() && c.acceptor.deps.Clock.Since(c.at) > pauseLeast {
+		c.scheduler.Woke()
+	}
 }
 
 // carryOut does what the scheduler decided.
--- a/acceptor/jobs.go
+++ b/acceptor/jobs.go
@@ -46,6 +46,7 @@
 		a.Turned(j.ID, "entry stops before the job can end")
 		return scheduler.Answer{Outcome: scheduler.Unavailable, RetryAfter: time.Second, Why: "entry stops"}
 	}
+	j.Sent = began.Add(-a.lag.unread())
 	ticket := a.tickets.Add(1)
 	reply := make(chan scheduler.Answer, 1)
 	a.post(submit{ticket: ticket, job: j, reply: reply})
--- a/acceptor/lag_test.go
+++ b/acceptor/lag_test.go
@@ -21,3 +21,22 @@
 	l.took(clock.Now())
 	require.LessOrEqual(t, l.behind(), time.Duration(0), "it has caught up")
 }
+
+func TestRequestReadAfterAPauseMayBeAsOldAsThat(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := lag{clock: clock}
+	l.took(clock.Now())
+	clock.Advance(tickInterval)
+	l.took(clock.Now())
+	require.Zero(t, l.unread())
+	clock.Advance(time.Second)
+	l.took(clock.Now())
+	clock.Advance(tickInterval)
+	l.took(clock.Now())
+	require.Equal(t, time.Second+tickInterval, l.unread())
+	clock.Advance(time.Second - tickInterval)
+	l.took(clock.Now())
+	require.Equal(t, 2*time.Second, l.unread(), "one pause after the other")
+	clock.Advance(catchUp + 1)
+	require.Zero(t, l.unread())
+}
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -30,6 +30,9 @@
 	if why := s.impossible(j); why != "" {
 		return Answer{Outcome: Impossible, Why: why}, false
 	}
+	if !s.mayRun(j, now) {
+		return Answer{Outcome: Overloaded, RetryAfter: backLeast, Why: "may have been sent again since"}, false
+	}
 	if now.Add(j.least()).After(j.Deadline) {
 		return Answer{Outcome: Overloaded, RetryAfter: backLeast, Why: "caller waits for less than the work takes"}, false
 	}
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -39,6 +39,9 @@
 	heldBy int64
 	// openedAt is when the link was opened; the entry's stamps count from there.
 	openedAt time.Time
+	// echoed is when the entry's last heartbeat was sent that the agent had heard
+	// when it last reported on the link.
+	echoed time.Time
 	// links counts the links that have been opened.
 	links int
 	// placements counts the Place messages on the link.
@@ -74,9 +77,10 @@
 }
 
 // serves reports whether tasks of a queue may be placed here at all.
-func (a *agent) serves(q Queue, c Configuration, now time.Time) bool {
+func (a *agent) serves(q Queue, c Configuration, now, woke time.Time) bool {
 	up := a.upstream
 	return a.open &&
+		!a.echoed.Before(woke) &&
 		now.Sub(a.reportedAt) <= reportAge &&
 		up.Born != 0 &&
 		up.Service == q.Service &&
--- a/scheduler/held.go
+++ b/scheduler/held.go
@@ -66,8 +66,9 @@
 // has heard of this entry's.
 func (s *Scheduler) heldElsewhere(a *agent, r messenger.Report) {
 	if r.Echo > 0 {
-		if at := a.openedAt.Add(r.Echo); at.After(s.echoed) {
-			s.echoed = at
+		a.echoed = a.openedAt.Add(r.Echo)
+		if a.echoed.After(s.echoed) {
+			s.echoed = a.echoed
 		}
 	}
 	if r.Held == nil {
@@ -154,6 +155,13 @@
 	})
 }
 
+// Woke notes that the entry has taken nothing in for a while. What it reads now
+// may have been said before that, so an agent counts from its next echo on.
+func (s *Scheduler) Woke() {
+	s.woke = s.clock.Now()
+	s.emit(Note{What: "entry was paused"})
+}
+
 // mayRun reports whether no other entry can have begun a job that its caller has
 // sent again: it is too early for that, or the others know that it is held here.
 func (s *Scheduler) mayRun(j *job, now time.Time) bool {
--- a/scheduler/held_test.go
+++ b/scheduler/held_test.go
@@ -71,6 +71,20 @@
 	}
 }
 
+func TestEntryThatWasPausedPlacesNothingByWhatWasSaidBefore(t *testing.T) {
+	b := newBench(t)
+	b.open("a")
+	b.clock.Advance(500 * time.Millisecond)
+	b.s.Woke()
+	b.s.Report(report("a", 0))
+	b.s.Submit(1, b.lasting())
+	require.Empty(t, b.drain(), "the report may have been made before the pause")
+	b.clock.Advance(time.Millisecond)
+	b.beat("a", 0)
+	b.drain()
+	require.Len(t, b.placed().Tasks, 1)
+}
+
 func TestJobThatAnotherEntryHoldsIsNotSaidToHaveNotRun(t *testing.T) {
 	b := newBench(t)
 	b.open("a")
@@ -176,6 +190,12 @@
 			b.clock.Advance(time.Second)
 			b.s.Report(report("a", 1))
 		}, scheduler.Unsettled},
+		{"the entry was paused before it read it", func(b *bench) {
+			j := b.lasting()
+			j.Sent = b.clock.Now().Add(-1300 * time.Millisecond)
+			b.s.Submit(1, j)
+			require.Empty(b.t, b.sent)
+		}, scheduler.Overloaded},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -17,6 +17,9 @@
 	Steps []Step
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// Sent is when the caller may have sent the job at the earliest; zero means
+	// when it is handed in.
+	Sent time.Time
 }
 
 // Step is a set of equal tasks.
@@ -167,7 +170,10 @@
 		left:    make([]int, len(j.Steps)),
 		latest:  now.Add(j.objective() - j.chain()),
 		begun:   last.begun,
-		hold:    hold{since: now},
+		hold:    hold{since: j.Sent},
+	}
+	if j.Sent.IsZero() {
+		n.hold.since = now
 	}
 	for i, s := range j.Steps {
 		n.left[i] = s.Count
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -130,7 +130,7 @@
 		if !j.Steps[step].Demand.Fits(a.free()) {
 			continue
 		}
-		if !a.serves(j.Queue, s.config, now) || !a.sound(now) || !a.suits(j.Steps[step]) {
+		if !a.serves(j.Queue, s.config, now, s.woke) || !a.sound(now) || !a.suits(j.Steps[step]) {
 			continue
 		}
 		f := a.fit(j, step, todo, now)
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -22,6 +22,7 @@
 	a := s.agentNamed(name)
 	a.open = false
 	a.openedAt = s.clock.Now()
+	a.echoed = time.Time{}
 	a.links++
 	a.placements = 0
 	a.pending = nil
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -60,6 +60,8 @@
 	short      bool
 	// echoed is when the last heartbeat was sent that an agent has echoed.
 	echoed time.Time
+	// woke is when the entry last went on after a pause; zero before one.
+	woke time.Time
 	// settled is when the entry can be taken to know the room; zero before the
 	// first configuration.
 	settled time.Time
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -18,6 +18,7 @@
 	e.links = make(map[string]*simLink)
 	e.unheard = make(map[uint64]bool)
 	e.down = false
+	e.at = e.w.clock.Now()
 	core := e.core
 	core.Configure(configuration())
 	for _, a := range e.w.agents {
@@ -47,6 +48,10 @@
 	if e.down || e.core != core {
 		return
 	}
+	if now := e.w.clock.Now(); now.Sub(e.at) > pauseLeast {
+		e.core.Woke()
+	}
+	e.at = e.w.clock.Now()
 	f()
 	e.carryOut()
 }
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -50,6 +50,8 @@
 	stopMost = 50 * time.Millisecond
 	// callTimeout bounds a call to a worker.
 	callTimeout = 40 * time.Millisecond
+	// pauseLeast is the least time in which an entry that does nothing is paused.
+	pauseLeast = 200 * time.Millisecond
 	// resendAfter is the least time after which a caller sends a job again.
 	resendAfter = 1300 * time.Millisecond
 )
@@ -110,6 +112,8 @@
 	down    bool
 	// frozenUntil holds back all that the process does.
 	frozenUntil time.Time
+	// at is when the entry last did something.
+	at time.Time
 }
 
 // simAgent is an agent process with its worker.
@@ -272,6 +276,7 @@
 			w.again(j)
 			return
 		}
+		j.Sent = w.clock.Now()
 		e.do(func() {
 			e.ticket++
 			e.tickets[e.ticket] = j.ID
