scheduler: Give no job up for what a lost agent said long ago

What callers would have seen: a job given up after 1.2 s, each time that it was sent again, since an agent that has gone for good had once told that it waited at another entry. Cause: what an agent says of waiting jobs had no age; what it says of held ones has. Found by reading. TestJobIsNotGivenUpForWhatALostAgentSaidLongAgo fails without it. The state dump counts the jobs that wait for another entry.

--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -7,8 +7,10 @@
 	Version   uint64
 	Evacuated map[string]bool
 	Jobs      int
-	Waiting   []JobDump
-	Agents    []AgentDump
+	// Yielding counts the jobs that wait since another entry holds them.
+	Yielding int
+	Waiting  []JobDump
+	Agents   []AgentDump
 }
 
 // JobDump is the state of one job that waits.
@@ -35,7 +37,7 @@
 
 // Dump returns the state.
 func (s *Scheduler) Dump() Dump {
-	d := Dump{Version: s.config.Version, Evacuated: s.config.Evacuated, Jobs: len(s.jobs)}
+	d := Dump{Version: s.config.Version, Evacuated: s.config.Evacuated, Jobs: len(s.jobs), Yielding: len(s.yielding)}
 	for _, j := range s.queue {
 		if n := len(j.in(ready)); n > 0 {
 			d.Waiting = append(d.Waiting, JobDump{
--- a/scheduler/held.go
+++ b/scheduler/held.go
@@ -110,6 +110,9 @@
 // giveWay gives the jobs up that wait at another entry and have been here for so
 // long that their callers must have sent them there since.
 func (s *Scheduler) giveWay(a *agent) {
+	if s.clock.Since(a.reportedAt) > messenger.HeldFor {
+		return
+	}
 	for _, id := range a.waits {
 		if j := s.jobs[id]; j != nil && s.clock.Since(j.arrived) >= knownBy {
 			s.giveUp(j, "sent again to another entry")
--- a/scheduler/held_test.go
+++ b/scheduler/held_test.go
@@ -146,6 +146,26 @@
 	}
 }
 
+func TestJobIsNotGivenUpForWhatALostAgentSaidLongAgo(t *testing.T) {
+	b := newBench(t)
+	b.open("a")
+	b.open("b")
+	r := heldBy("b", jobID)
+	r.Waits = []string{jobID}
+	b.s.Report(r)
+	b.s.Closed("b")
+	b.clock.Advance(messenger.HeldFor + time.Millisecond)
+	b.s.Report(report("a", 0))
+	b.s.Submit(1, b.lasting())
+	for range 20 {
+		b.clock.Advance(100 * time.Millisecond)
+		b.beat("a", 1)
+		b.s.Tick()
+	}
+	b.drain()
+	require.Empty(t, b.replies)
+}
+
 func TestJobThatWaitsIsNamedAsWaiting(t *testing.T) {
 	b := newBench(t)
 	b.open("a")
