--- a/scheduler/held_test.go
+++ b/scheduler/held_test.go
@@ -19,13 +19,6 @@
 	return r
 }
 
-// lasting returns a job of one task whose caller waits for long.
-func (b *bench) lasting() scheduler.Job {
-	j := b.job(jobID, 1)
-	j.Deadline = b.clock.Now().Add(time.Minute)
-	return j
-}
-
 func TestJobThatAnotherEntryHoldsIsNotPlaced(t *testing.T) {
 	tests := []struct {
 		name string
--- a/scheduler/loss_test.go
+++ b/scheduler/loss_test.go
@@ -7,8 +7,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-const jobID = "0000000000000001"
-
 func TestRunsAreNotLostWithALinkThatAnotherOneReplaces(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -33,9 +31,7 @@
 			b := newBench(t)
 			b.open("a")
 			b.open("b")
-			j := b.job(jobID, 1)
-			j.Deadline = b.clock.Now().Add(time.Minute)
-			b.s.Submit(1, j)
+			b.s.Submit(1, b.lasting())
 			b.drain()
 			b.placed()
 			tt.reopen(b)
@@ -49,9 +45,7 @@
 	b := newBench(t)
 	b.open("a")
 	b.open("b")
-	j := b.job(jobID, 1)
-	j.Deadline = b.clock.Now().Add(time.Minute)
-	b.s.Submit(1, j)
+	b.s.Submit(1, b.lasting())
 	b.drain()
 	// The process is stopped; its machine goes on taking connections.
 	for range 12 {
--- a/scheduler/report_test.go
+++ b/scheduler/report_test.go
@@ -23,7 +23,7 @@
 	b.open("b")
 	b.s.Report(full("a"))
 	b.s.Report(full("b"))
-	b.s.Submit(1, b.job("0000000000000001", 3))
+	b.s.Submit(1, b.job(jobID, 3))
 	require.Empty(t, b.drain())
 	// Room for two of the three tasks.
 	r := full("b")
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -12,6 +12,9 @@
 	"github.com/pomeloferry/pomeloferry/scheduler"
 )
 
+// jobID is the job that most tests hand in.
+const jobID = "0000000000000001"
+
 // bench is a scheduler with one agent, whose messages the test writes itself.
 type bench struct {
 	t     *testing.T
@@ -89,6 +92,13 @@
 	}
 }
 
+// lasting returns a job of one task whose caller waits for long.
+func (b *bench) lasting() scheduler.Job {
+	j := b.job(jobID, 1)
+	j.Deadline = b.clock.Now().Add(time.Minute)
+	return j
+}
+
 // ejected reports whether the worker at an agent is set aside.
 func (b *bench) ejected(agent string) bool {
 	for _, a := range b.s.Dump().Agents {
@@ -115,7 +125,7 @@
 func TestListOlderThanAPlacementTellsNothingOfIt(t *testing.T) {
 	b := newBench(t)
 	b.open("a")
-	b.s.Submit(1, b.job("0000000000000001", 2))
+	b.s.Submit(1, b.job(jobID, 2))
 	b.drain()
 	require.Len(t, b.placed().Tasks, 2)
 	// The agent lists its runs anew before it has taken the placement in.
@@ -133,7 +143,7 @@
 func TestRunsThatARestartedAgentFoundAreClaimed(t *testing.T) {
 	b := newBench(t)
 	b.open("a")
-	b.s.Submit(1, b.job("0000000000000001", 1))
+	b.s.Submit(1, b.job(jobID, 1))
 	b.drain()
 	run := b.placed().Tasks[0].Run
 	b.s.Closed("a")
@@ -156,9 +166,7 @@
 func TestRunsOfALostAgentAreRunAgainOnlyWhenTheyHaveEndedForCertain(t *testing.T) {
 	b := newBench(t)
 	b.open("a")
-	j := b.job("0000000000000001", 1)
-	j.Deadline = b.clock.Now().Add(time.Minute)
-	b.s.Submit(1, j)
+	b.s.Submit(1, b.lasting())
 	b.drain()
 	b.placed()
 	b.s.Closed("a")
@@ -181,30 +189,30 @@
 		want scheduler.Outcome
 	}{
 		{"no worker for so long", func(b *bench) {
-			b.s.Submit(1, b.job("0000000000000001", 1))
+			b.s.Submit(1, b.job(jobID, 1))
 			b.clock.Advance(200 * time.Millisecond)
 			b.s.Tick()
 		}, scheduler.Overloaded},
 		{"larger than any worker", func(b *bench) {
 			b.open("a")
-			j := b.job("0000000000000001", 1)
+			j := b.job(jobID, 1)
 			j.Steps[0].Demand.CPU = 99_000
 			b.s.Submit(1, j)
 		}, scheduler.Impossible},
 		{"caller waits for less than the work takes", func(b *bench) {
 			b.open("a")
-			j := b.job("0000000000000001", 1)
+			j := b.job(jobID, 1)
 			j.Deadline = b.clock.Now().Add(20 * time.Millisecond)
 			b.s.Submit(1, j)
 		}, scheduler.Overloaded},
 		{"no steps", func(b *bench) {
-			j := b.job("0000000000000001", 1)
+			j := b.job(jobID, 1)
 			j.Steps = nil
 			b.s.Submit(1, j)
 		}, scheduler.Impossible},
 		{"deadline with a run that may have started", func(b *bench) {
 			b.open("a")
-			b.s.Submit(1, b.job("0000000000000001", 1))
+			b.s.Submit(1, b.job(jobID, 1))
 			b.clock.Advance(1500 * time.Millisecond)
 			b.s.Tick()
 		}, scheduler.Unsettled},
@@ -264,7 +272,7 @@
 		b.s.Submit(uint64(1+i), j)
 		b.drain()
 	}
-	end(messenger.Run{Task: "0000000000000001.0.0.0", Number: 1}, messenger.Failed, 1, 3)
+	end(messenger.Run{Task: jobID + ".0.0.0", Number: 1}, messenger.Failed, 1, 3)
 	end(messenger.Run{Task: "0000000000000002.0.0.0", Number: 1}, messenger.Failed, 2, 3)
 	require.True(t, b.ejected("a"))
 	end(messenger.Run{Task: "0000000000000003.0.0.0", Number: 1}, messenger.Done, 2, 3)
@@ -276,7 +284,7 @@
 	for _, a := range []string{"a", "b", "c"} {
 		b.open(a)
 	}
-	b.s.Submit(1, b.job("0000000000000001", 1))
+	b.s.Submit(1, b.job(jobID, 1))
 	agents := make(map[string]bool)
 	for range quotes().MaxAttempts {
 		var to string
@@ -300,7 +308,7 @@
 func TestJobSentAgainJoinsTheRunningOneAndGetsItsAnswer(t *testing.T) {
 	b := newBench(t)
 	b.open("a")
-	j := b.job("0000000000000001", 1)
+	j := b.job(jobID, 1)
 	b.s.Submit(1, j)
 	b.drain()
 	run := b.placed().Tasks[0].Run
@@ -341,7 +349,7 @@
 			b.s.Opened("a")
 			b.s.Report(r)
 			b.s.Closed("b")
-			b.s.Submit(1, b.job("0000000000000001", 1))
+			b.s.Submit(1, b.job(jobID, 1))
 			require.Empty(t, b.drain())
 		})
 	}
@@ -350,24 +358,24 @@
 func TestStepsRunInTheirOrder(t *testing.T) {
 	b := newBench(t)
 	b.open("a")
-	j := b.job("0000000000000001", 1)
+	j := b.job(jobID, 1)
 	j.Steps = append(j.Steps, j.Steps[0])
 	j.Steps[1].After = []int{0}
 	b.s.Submit(1, j)
 	b.drain()
 	first := b.placed()
-	require.Equal(t, "0000000000000001.0.0.0", first.Tasks[0].Task)
+	require.Equal(t, jobID+".0.0.0", first.Tasks[0].Task)
 	r := report("a", 1)
 	r.Ended = []messenger.End{{Run: first.Tasks[0].Run, How: messenger.Done}}
 	b.s.Report(r)
 	b.drain()
-	require.Equal(t, "0000000000000001.0.1.0", b.placed().Tasks[0].Task)
+	require.Equal(t, jobID+".0.1.0", b.placed().Tasks[0].Task)
 }
 
 func TestRunThatIsNoLongerAtItsAgentMayHaveStarted(t *testing.T) {
 	b := newBench(t)
 	b.open("a")
-	b.s.Submit(1, b.job("0000000000000001", 1))
+	b.s.Submit(1, b.job(jobID, 1))
 	b.drain()
 	b.s.Closed("a")
 	b.clock.Advance(time.Second)
--- a/scheduler/withdrawn_test.go
+++ b/scheduler/withdrawn_test.go
@@ -63,9 +63,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			b := newBench(t)
 			run := b.leftBehind()
-			j := b.job(jobID, 1)
-			j.Deadline = b.clock.Now().Add(time.Minute)
-			b.s.Submit(2, j)
+			b.s.Submit(2, b.lasting())
 			require.Empty(t, b.drain(), "run 1 may go on")
 			b.clock.Advance(100 * time.Millisecond)
 			b.s.Report(report("b", 0))
@@ -116,9 +114,7 @@
 func TestJobWhoseTaskFailedTooOftenLeavesNoRunBehind(t *testing.T) {
 	b := newBench(t)
 	b.open("a")
-	j := b.job(jobID, 1)
-	j.Deadline = b.clock.Now().Add(time.Minute)
-	b.s.Submit(1, j)
+	b.s.Submit(1, b.lasting())
 	b.drain()
 	seen := uint64(0)
 	for len(b.replies) == 0 {
@@ -140,8 +136,7 @@
 	b.s.Tick()
 	b.s.Report(report("a", seen))
 	b.drain()
-	j.Deadline = b.clock.Now().Add(time.Minute)
-	b.s.Submit(2, j)
+	b.s.Submit(2, b.lasting())
 	b.drain()
 	require.NotEmpty(t, b.sent, "all runs of the last try have ended")
 }
