scheduler: Take ends in before the word that a job waits elsewhere

What callers would have seen: 504 for a job whose last end came in the same report as the word that it waits at another entry. Cause: the order in which a report is taken in. Found by reading; TestJobThatEndsAsItsCallerSendsItElsewhereIsComplete fails without it.

--- a/scheduler/held_test.go
+++ b/scheduler/held_test.go
@@ -139,6 +139,22 @@
 	}
 }
 
+func TestJobThatEndsAsItsCallerSendsItElsewhereIsComplete(t *testing.T) {
+	b := newBench(t)
+	b.open("a")
+	b.s.Submit(1, b.lasting())
+	for range 2 {
+		b.clock.Advance(650 * time.Millisecond)
+		b.beat("a", 1)
+	}
+	r := heldBy("a", jobID)
+	r.Waits = []string{jobID}
+	r.Ended = []messenger.End{{Run: messenger.Run{Task: jobID + ".0.0.0", Number: 1}, How: messenger.Done}}
+	b.s.Report(r)
+	b.drain()
+	require.Equal(t, scheduler.Complete, b.replies[1].Outcome)
+}
+
 func TestJobIsNotGivenUpForWhatALostAgentSaidLongAgo(t *testing.T) {
 	b := newBench(t)
 	b.open("a")
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -60,7 +60,6 @@
 	a.reportedAt = s.clock.Now()
 	a.covered()
 	waiting := s.requeued
-	s.heldElsewhere(a, r)
 	for _, e := range r.Ended {
 		s.ended(a, e)
 	}
@@ -70,6 +69,7 @@
 	for _, p := range r.Runs {
 		s.progress(a, p)
 	}
+	s.heldElsewhere(a, r)
 	if r.Complete {
 		s.reconcile(a, r)
 	}
