--- a/acceptor/core.go
+++ b/acceptor/core.go
@@ -57,7 +57,7 @@
 	replies   map[uint64]chan scheduler.Answer
 	links     map[string]*link
 	names     map[*messenger.Link]string
-	// at is when the last message had been dealt with.
+	// at is when the last message was taken in or had been dealt with.
 	at time.Time
 }
 
@@ -105,14 +105,17 @@
 		ctx.Respond(c.scheduler.Waiting(m.queue))
 	}
 	c.carryOut()
-	c.at = c.acceptor.deps.Clock.Now()
+	c.noticePause()
 }
 
-// noticePause tells the scheduler of a pause of the process: a tick comes sooner.
+// noticePause tells the scheduler of a pause of the process, between messages or
+// within one: a tick comes sooner.
 func (c *core) noticePause() {
-	if !c.at.IsZero() && c.acceptor.deps.Clock.Since(c.at) > pauseLeast {
+	now := c.acceptor.deps.Clock.Now()
+	if !c.at.IsZero() && now.Sub(c.at) > pauseLeast {
 		c.scheduler.Woke()
 	}
+	c.at = now
 }
 
 // carryOut does what the scheduler decided.
--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -41,7 +41,9 @@
 	directives, _ := c.acceptor.Configuration()
 	evacuated := slices.Sorted(maps.Keys(directives.Evacuated))
 	want := c.scheduler.Want()
-	held, waits := c.scheduler.Held()
+	held := c.scheduler.Held()
+	// What has been named counts from before the stamp on.
+	now = c.acceptor.deps.Clock.Now()
 	for _, l := range due {
 		l.beatAt = now
 		l.Send(messenger.Beat{
@@ -51,8 +53,9 @@
 			Evacuated: evacuated,
 			Want:      want,
 			Heard:     c.scheduler.Heard(c.names[l.Link]),
-			Held:      held,
-			Waits:     waits,
+			Held:      held.All,
+			Waits:     held.Waits,
+			Over:      held.Over,
 		})
 	}
 }
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -254,9 +254,8 @@
 		e.upstream = true
 	}
 	if !e.held.told {
-		var others []string
-		others, r.Waits = x.heldBeside(e)
-		r.Held = &others
+		others := x.heldBeside(e)
+		r.Held, r.Waits, r.Over = &others.jobs, others.waits, others.over
 		e.held.told = true
 	}
 	// A list of runs is complete only after the worker has been seen.
--- a/executor/held.go
+++ b/executor/held.go
@@ -9,9 +9,9 @@
 
 // held is what an entry and the others have to know of each other's jobs.
 type held struct {
-	// jobs and waits are those of the entry's last heartbeat, which came at.
-	jobs, waits []string
-	at          time.Time
+	// heldJobs are those of the entry's last heartbeat, which came at.
+	heldJobs
+	at time.Time
 	// past are the jobs of earlier incarnations of the entry, whose runs may go
 	// on.
 	past []pastJobs
@@ -19,6 +19,13 @@
 	told bool
 }
 
+// heldJobs are an entry's jobs as a heartbeat names them.
+type heldJobs struct{ jobs, waits, over []string }
+
+func (h heldJobs) equal(o heldJobs) bool {
+	return slices.Equal(h.jobs, o.jobs) && slices.Equal(h.waits, o.waits) && slices.Equal(h.over, o.over)
+}
+
 // pastJobs are told of until a time.
 type pastJobs struct {
 	jobs  []string
@@ -29,7 +36,7 @@
 func (h *held) restart() {
 	if len(h.jobs) > 0 {
 		h.past = append(h.past, pastJobs{jobs: h.jobs, until: h.at.Add(messenger.HeldFor)})
-		h.jobs, h.waits = nil, nil
+		h.heldJobs = heldJobs{}
 	}
 }
 
@@ -39,28 +46,20 @@
 	h.past = slices.DeleteFunc(h.past, func(p pastJobs) bool { return now.After(p.until) })
 	forgotten := len(h.past) < n
 	if len(h.jobs) > 0 && now.Sub(h.at) > messenger.HeldFor {
-		h.jobs, h.waits = nil, nil
+		h.heldJobs = heldJobs{}
 		forgotten = true
 	}
 	return forgotten
 }
 
-// all lists the jobs that the entry holds or held shortly before it restarted.
-func (h *held) all() []string {
-	out := slices.Clone(h.jobs)
-	for _, p := range h.past {
-		out = append(out, p.jobs...)
-	}
-	return out
-}
-
 // holds takes in the jobs that an entry holds. The others hear of a change.
 func (x *Executor) holds(e *entry, b messenger.Beat) {
 	e.held.at = x.clock.Now()
-	if slices.Equal(e.held.jobs, b.Held) && slices.Equal(e.held.waits, b.Waits) {
+	now := heldJobs{jobs: b.Held, waits: b.Waits, over: b.Over}
+	if e.held.equal(now) {
 		return
 	}
-	e.held.jobs, e.held.waits = b.Held, b.Waits
+	e.held.heldJobs = now
 	x.heldChanged(e)
 }
 
@@ -83,15 +82,22 @@
 	}
 }
 
-// heldBeside lists the jobs that the other entries hold, and those of them that
-// wait. An empty first list is not nil, since that would be none on the wire.
-func (x *Executor) heldBeside(e *entry) (jobs, waits []string) {
-	jobs = []string{}
+// heldBeside lists the jobs that the other entries hold. An empty list is not nil,
+// since that would be none on the wire.
+func (x *Executor) heldBeside(e *entry) heldJobs {
+	out := heldJobs{jobs: []string{}}
 	for _, o := range x.order {
-		if o != e {
-			jobs = append(jobs, o.held.all()...)
-			waits = append(waits, o.held.waits...)
+		if o == e {
+			continue
+		}
+		out.jobs = append(out.jobs, o.held.jobs...)
+		out.waits = append(out.waits, o.held.waits...)
+		out.over = append(out.over, o.held.over...)
+		for _, p := range o.held.past {
+			// Its callers have gone, and its runs are being stopped.
+			out.jobs = append(out.jobs, p.jobs...)
+			out.over = append(out.over, p.jobs...)
 		}
 	}
-	return jobs, waits
+	return out
 }
--- a/messenger/link_test.go
+++ b/messenger/link_test.go
@@ -49,7 +49,7 @@
 		messenger.Hello{Entry: "e", Incarnation: 3, Upstream: up},
 		messenger.Place{Number: 1, Job: "j", Spec: "spec", Service: "s", Patience: time.Millisecond, Echo: 5, Tasks: []messenger.Task{{Run: run, Demand: messenger.Demand{CPU: 3100}, Estimate: time.Second}}},
 		messenger.Withdraw{Runs: []messenger.Run{run}},
-		messenger.Beat{Stamp: 7, Echo: 8, Held: []string{"j", "k"}, Waits: []string{"k"}},
+		messenger.Beat{Stamp: 7, Echo: 8, Held: []string{"j", "k", "l"}, Waits: []string{"k"}, Over: []string{"l"}},
 	}
 	for _, m := range down {
 		a.Send(m)
@@ -62,6 +62,7 @@
 		Refused: []messenger.Refusal{{Run: run, Reason: messenger.NoRoom}},
 		Held:    &[]string{"k"},
 		Waits:   []string{"k"},
+		Over:    []string{"l"},
 	}
 	b.Send(back)
 	none := messenger.Report{Agent: "a", Held: &[]string{}}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -81,6 +81,8 @@
 	Held []string `cbor:"7,keyasint,omitempty"`
 	// Waits lists those of Held that wait since another entry holds them.
 	Waits []string `cbor:"8,keyasint,omitempty"`
+	// Over lists those of Held that are over and whose runs may go on.
+	Over []string `cbor:"9,keyasint,omitempty"`
 }
 
 // Want is what waits at an entry for room. Agents share scarce room out by it.
@@ -249,6 +251,8 @@
 	// nil means as in the last report on the link.
 	Held *[]string `cbor:"20,keyasint,omitempty"`
 	// Waits lists those of Held that wait at an entry since another one holds
-	// them. It goes with Held.
+	// them, and Over those that are over and whose runs may go on. They go with
+	// Held.
 	Waits []string `cbor:"21,keyasint,omitempty"`
+	Over  []string `cbor:"22,keyasint,omitempty"`
 }
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -28,15 +28,13 @@
 	reportedAt time.Time
 	// heard is the number of the last outcome told on the link.
 	heard uint64
-	// held are the jobs that other entries hold, as the agent has last told;
-	// heldBefore those that its earlier incarnation told of, until forgetAt.
-	held       map[string]bool
-	heldBefore map[string]bool
-	forgetAt   time.Time
-	// waits are those of held that wait at an entry since another one holds them.
-	waits []string
-	// heldBy is the incarnation that held is of.
-	heldBy int64
+	// held are the jobs that other entries hold, as the agent told at heldAt.
+	held   map[string]holding
+	heldAt time.Time
+	// heldBy is the incarnation that held is of. heldBefore has what earlier ones
+	// told, and until when it counts.
+	heldBy     int64
+	heldBefore map[string]time.Time
 	// openedAt is when the link was opened; the entry's stamps count from there.
 	openedAt time.Time
 	// echoed is when the entry's last heartbeat was sent that the agent had heard
--- a/scheduler/held.go
+++ b/scheduler/held.go
@@ -24,6 +24,9 @@
 	// for the others still to know of the jobs in it. The rest of HeldFor is for
 	// a tick, the word to withdraw runs, their stop and the way of both.
 	echoMost = messenger.HeldFor - 290*time.Millisecond
+	// readUpTime is how long after a pause no job is given up for it: its end may
+	// be among what has still to be read.
+	readUpTime = 50 * time.Millisecond
 )
 
 // hold is what other entries know of a job.
@@ -39,87 +42,148 @@
 	contested bool
 }
 
-// Held lists the jobs that other entries have to know of, for a heartbeat, and
-// those of them that wait.
-func (s *Scheduler) Held() (jobs, waits []string) {
+// Held are the jobs that other entries have to know of, for a heartbeat.
+type Held struct {
+	All []string
+	// Waits are those of All that wait since another entry holds them, and Over
+	// those that are over and whose runs may go on.
+	Waits, Over []string
+}
+
+// Held returns the jobs that other entries have to know of.
+func (s *Scheduler) Held() Held {
 	now := s.clock.Now()
+	var h Held
 	for _, j := range s.jobs {
 		switch {
 		case s.yielding[j.ID] == j:
-			waits = append(waits, j.ID)
+			h.Waits = append(h.Waits, j.ID)
 		case now.Sub(j.hold.since) < holdAfter:
 			continue
 		case j.hold.toldAt.IsZero():
 			j.hold.toldAt = now
 		}
-		jobs = append(jobs, j.ID)
+		h.All = append(h.All, j.ID)
 	}
 	for id := range s.remains {
-		jobs = append(jobs, id)
+		if s.jobs[id] == nil {
+			h.Over = append(h.Over, id)
+			h.All = append(h.All, id)
+		}
 	}
-	slices.Sort(jobs)
-	slices.Sort(waits)
-	return slices.Compact(jobs), waits
+	slices.Sort(h.All)
+	slices.Sort(h.Waits)
+	slices.Sort(h.Over)
+	return h
 }
 
+// holding is how another entry holds a job; a later one says more.
+type holding int
+
+const (
+	heldNot holding = iota
+	heldOver
+	heldWaits
+	heldBegun
+)
+
 // heldElsewhere takes in what an agent tells of other entries' jobs, and what it
 // has heard of this entry's.
 func (s *Scheduler) heldElsewhere(a *agent, r messenger.Report) {
+	now := s.clock.Now()
 	if r.Echo > 0 {
 		a.echoed = a.openedAt.Add(r.Echo)
 		if a.echoed.After(s.echoed) {
 			s.echoed = a.echoed
 		}
 	}
-	if r.Held == nil {
-		return
-	}
-	if a.heldBy != r.Incarnation {
-		// One that has restarted has not heard of all jobs yet.
-		a.heldBy = r.Incarnation
-		a.heldBefore = a.held
-		a.forgetAt = s.clock.Now().Add(messenger.HeldFor)
+	if r.Held != nil {
+		a.keepHeld(r.Incarnation, now)
+		a.held = heldIn(r)
 	}
-	a.held = make(map[string]bool, len(*r.Held))
-	for _, id := range *r.Held {
-		a.held[id] = true
-		s.contest(a, id)
+	a.heldAt = now
+	if r.Held != nil {
+		s.giveWay(a)
+		s.resume()
 	}
-	a.waits = r.Waits
-	s.giveWay(a)
-	s.resume()
 }
 
-// contest notes that a job that was begun here is held by another entry as well.
-// It is given up when it is old enough for its caller to have sent it there.
-func (s *Scheduler) contest(a *agent, id string) {
-	j := s.jobs[id]
-	if j == nil || !j.hold.started || slices.Contains(a.report.Waits, id) {
+// keepHeld keeps what an earlier incarnation of the agent told for a while, since
+// one that has restarted has not heard of all jobs yet.
+func (a *agent) keepHeld(incarnation int64, now time.Time) {
+	maps.DeleteFunc(a.heldBefore, func(_ string, until time.Time) bool { return !now.Before(until) })
+	if a.heldBy == incarnation {
 		return
 	}
-	age := s.clock.Since(j.arrived)
-	if !j.hold.contested {
-		j.hold.contested = true
-		s.emit(Note{Job: id, Queue: j.Queue.Name, Agent: a.name, What: "job held by two entries", Age: age})
+	a.heldBy = incarnation
+	if now.Sub(a.heldAt) > messenger.HeldFor {
+		return
 	}
-	if age >= LossAfter {
-		s.giveUp(j, "another entry has begun it")
+	if a.heldBefore == nil {
+		a.heldBefore = make(map[string]time.Time)
 	}
+	for id := range a.held {
+		a.heldBefore[id] = now.Add(messenger.HeldFor)
+	}
+}
+
+// heldIn returns the jobs that a report says other entries hold.
+func heldIn(r messenger.Report) map[string]holding {
+	held := make(map[string]holding, len(*r.Held))
+	lists := []struct {
+		ids []string
+		how holding
+	}{{r.Over, heldOver}, {r.Waits, heldWaits}, {*r.Held, heldBegun}}
+	count := make(map[string]int)
+	for _, l := range lists {
+		for _, id := range l.ids {
+			if l.how == heldBegun {
+				// All lists those of the others as well.
+				if count[id]--; count[id] >= 0 {
+					continue
+				}
+			} else {
+				count[id]++
+			}
+			held[id] = max(held[id], l.how)
+		}
+	}
+	return held
 }
 
-// giveWay gives the jobs up that wait at another entry and have been here for so
-// long that their callers must have sent them there since.
+// giveWay gives the jobs up that others hold, by the word of one agent, and that
+// have been here for so long that their callers must have sent them there since.
 func (s *Scheduler) giveWay(a *agent) {
-	if s.clock.Since(a.reportedAt) > messenger.HeldFor {
+	if s.clock.Since(a.heldAt) > messenger.HeldFor {
 		return
 	}
-	for _, id := range a.waits {
-		if j := s.jobs[id]; j != nil && s.clock.Since(j.arrived) >= knownBy {
+	for _, id := range slices.Sorted(maps.Keys(a.held)) {
+		j := s.jobs[id]
+		if j == nil {
+			continue
+		}
+		age := s.clock.Since(j.arrived)
+		switch how := a.held[id]; {
+		case how == heldWaits && age >= knownBy:
 			s.giveUp(j, "sent again to another entry")
+		case how == heldBegun && j.hold.started:
+			s.contest(a, j, age)
 		}
 	}
 }
 
+// contest notes that a job has been begun by another entry as well. It is given up
+// when it is old enough for its caller to have sent it there.
+func (s *Scheduler) contest(a *agent, j *job, age time.Duration) {
+	if !j.hold.contested {
+		j.hold.contested = true
+		s.emit(Note{Job: j.ID, Queue: j.Queue.Name, Agent: a.name, What: "job held by two entries", Age: age})
+	}
+	if age >= LossAfter {
+		s.giveUp(j, "another entry has begun it")
+	}
+}
+
 // yield has a job wait if another entry holds it, and reports whether it does.
 func (s *Scheduler) yield(j *job) bool {
 	now := s.clock.Now()
@@ -154,7 +218,7 @@
 // holder reports whether an agent has lately said that another entry has a job.
 func (s *Scheduler) holder(id string, now time.Time) bool {
 	return slices.ContainsFunc(s.byName, func(a *agent) bool {
-		return (a.held[id] && now.Sub(a.reportedAt) <= messenger.HeldFor) || (a.heldBefore[id] && now.Before(a.forgetAt))
+		return (a.held[id] != heldNot && now.Sub(a.heldAt) <= messenger.HeldFor) || now.Before(a.heldBefore[id])
 	})
 }
 
@@ -162,6 +226,7 @@
 // may have been said before that, so an agent counts from its next echo on.
 func (s *Scheduler) Woke() {
 	s.woke = s.clock.Now()
+	s.readUp = s.woke.Add(readUpTime)
 	s.emit(Note{What: "entry was paused"})
 }
 
@@ -172,5 +237,6 @@
 		return true
 	}
 	told := j.hold.toldAt
-	return !told.IsZero() && !s.echoed.Before(told) && now.Sub(s.echoed) < echoMost
+	inTime := !told.IsZero() && told.Sub(j.hold.since) < knownBy
+	return inTime && !s.echoed.Before(told) && now.Sub(s.echoed) < echoMost
 }
--- a/scheduler/held_test.go
+++ b/scheduler/held_test.go
@@ -36,9 +36,11 @@
 			b.s.Tick()
 		}},
 		{"until the agent that said so has been back for long", func(b *bench) {
-			r := heldBy("a")
-			r.Incarnation = 2
-			b.s.Report(r)
+			for i := range int64(2) {
+				r := heldBy("a")
+				r.Incarnation = 2 + i
+				b.s.Report(r)
+			}
 			require.Empty(b.t, b.drain(), "it has not heard of the job yet")
 			b.clock.Advance(messenger.HeldFor)
 			b.s.Report(report("b", 0))
@@ -155,6 +157,38 @@
 	require.Equal(t, scheduler.Complete, b.replies[1].Outcome)
 }
 
+func TestJobThatWasBegunHereAndElsewhereIsGivenUpOnceItIsOld(t *testing.T) {
+	tests := []struct {
+		name string
+		over bool
+		want map[uint64]scheduler.Answer
+	}{
+		{"it goes on there", false, map[uint64]scheduler.Answer{1: {Outcome: scheduler.Unsettled, RetryAfter: scheduler.LossAfter, Why: "another entry has begun it"}}},
+		{"its runs there are being stopped", true, map[uint64]scheduler.Answer{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			b.open("a")
+			b.s.Submit(1, b.lasting())
+			r := heldBy("a", jobID)
+			if tt.over {
+				r.Over = []string{jobID}
+			}
+			b.s.Report(r)
+			for range 13 {
+				b.drain()
+				require.Empty(t, b.replies, "its caller may still be here")
+				b.clock.Advance(100 * time.Millisecond)
+				b.beat("a", 1)
+				b.s.Tick()
+			}
+			b.drain()
+			require.Equal(t, tt.want, b.replies)
+		})
+	}
+}
+
 func TestJobIsNotGivenUpForWhatALostAgentSaidLongAgo(t *testing.T) {
 	b := newBench(t)
 	b.open("a")
@@ -180,9 +214,7 @@
 	b.open("a")
 	b.s.Report(heldBy("a", jobID))
 	b.s.Submit(1, b.lasting())
-	jobs, waits := b.s.Held()
-	require.Equal(t, []string{jobID}, jobs)
-	require.Equal(t, []string{jobID}, waits)
+	require.Equal(t, scheduler.Held{All: []string{jobID}, Waits: []string{jobID}}, b.s.Held())
 }
 
 func TestJobThatWaitedIsNotLeftBehindWhenItsCallerSendsItAgain(t *testing.T) {
@@ -208,7 +240,7 @@
 			b.s.Submit(1, b.lasting())
 			for range 12 {
 				b.clock.Advance(100 * time.Millisecond)
-				_, _ = b.s.Held()
+				b.s.Held()
 				b.s.Report(report("a", 1))
 			}
 		}, scheduler.Unsettled},
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -107,7 +107,7 @@
 	s.reconcileWithdrawn(a, r, there)
 	var strays []messenger.Run
 	for _, p := range r.Runs {
-		if a.tasks[p.Run] == nil && (!restarted || s.jobs[jobOf(p.Task)] != nil) {
+		if a.withdrawn[p.Run] != nil || (a.tasks[p.Run] == nil && (!restarted || s.jobs[jobOf(p.Task)] != nil)) {
 			strays = append(strays, p.Run)
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -62,6 +62,8 @@
 	echoed time.Time
 	// woke is when the entry last went on after a pause; zero before one.
 	woke time.Time
+	// readUp is when what came in the pause can be taken to have been read.
+	readUp time.Time
 	// settled is when the entry can be taken to know the room; zero before the
 	// first configuration.
 	settled time.Time
@@ -137,7 +139,7 @@
 	s.tickets[ticket] = j
 	s.jobs[j.ID] = j
 	if n := s.remains[j.ID]; n > 0 {
-		j.hold.since = now.Add(-holdAfter)
+		j.hold.since = now.Add(-max(holdAfter, now.Sub(j.hold.since)))
 		s.emit(Note{Job: j.ID, Queue: j.Queue.Name, What: "job waits", Why: fmt.Sprintf("%d runs of its last try may go on", n)})
 	}
 	s.enqueue(j)
@@ -203,7 +205,7 @@
 	for _, j := range s.sorted() {
 		if !now.Before(j.Deadline) {
 			s.giveUp(j, "deadline passed")
-		} else if !s.mayRun(j, now) {
+		} else if !s.mayRun(j, now) && !now.Before(s.readUp) {
 			s.giveUp(j, "other entries may not know of it")
 		}
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -78,7 +78,7 @@
 // beat has the entry send a heartbeat, which an agent echoes in its report, and
 // returns the jobs that the heartbeat names.
 func (b *bench) beat(agent string, seen uint64) []string {
-	held, _ := b.s.Held()
+	held := b.s.Held().All
 	r := report(agent, seen)
 	r.Echo = b.clock.Since(b.opened[agent])
 	b.s.Report(r)
--- a/scheduler/twice_test.go
+++ b/scheduler/twice_test.go
@@ -66,6 +66,8 @@
 				continue // The last one's leave has had this one answered, or nobody waits.
 			}
 			job := w.results[id].job
+			// A paused entry hears of it later, and the caller is gone all the same.
+			e.unheard[ticket] = true
 			e.do(func() {
 				delete(e.tickets, ticket)
 				e.core.Leave(ticket)
--- a/scheduler/withdrawn_test.go
+++ b/scheduler/withdrawn_test.go
@@ -52,8 +52,8 @@
 		}, 2},
 		{"agent lost", func(b *bench, _ messenger.Run) {
 			b.s.Closed("a")
-			for range 2 {
-				b.clock.Advance(650 * time.Millisecond)
+			for range 5 {
+				b.clock.Advance(260 * time.Millisecond)
 				b.beat("b", 0)
 			}
 			b.s.Tick()
@@ -76,6 +76,24 @@
 	}
 }
 
+func TestWithdrawnRunThatARestartedAgentFoundIsWithdrawnAgain(t *testing.T) {
+	b := newBench(t)
+	b.open("a")
+	b.s.Submit(1, b.lasting())
+	b.drain()
+	run := b.placed().Tasks[0].Run
+	b.s.Closed("a")
+	b.s.Leave(1)
+	b.drain()
+	b.s.Opened("a")
+	r := report("a", 0)
+	r.Incarnation = 2
+	r.Complete = true
+	r.Runs = []messenger.Progress{{Run: run}}
+	b.s.Report(r)
+	require.Equal(t, []any{messenger.Withdraw{Runs: []messenger.Run{run}}}, b.drain())
+}
+
 func TestTaskThatWasDoneInTheLastTryIsNotRunAgain(t *testing.T) {
 	b := newBench(t)
 	run := b.leftBehind()
