scheduler: Look once a tick whether a job has been sent elsewhere

Giving way was looked into for each agent, at each report and each tick, over sorted copies of all that others hold; with hundreds of long jobs that is work that grows with agents times jobs. Now each tick looks at the jobs that are old enough, which are few. The cost before was reckoned, not measured.

--- a/scheduler/held.go
+++ b/scheduler/held.go
@@ -103,7 +103,6 @@
 	}
 	a.heldAt = now
 	if r.Held != nil {
-		s.giveWay(a)
 		s.resume()
 	}
 }
@@ -151,43 +150,47 @@
 	return held
 }
 
-// giveWay gives the jobs up that others hold, by the word of one agent, and that
-// have been here for so long that their callers must have sent them there since.
-func (s *Scheduler) giveWay(a *agent) {
-	if s.clock.Since(a.heldAt) > messenger.HeldFor {
-		return
-	}
-	for _, id := range slices.Sorted(maps.Keys(a.held)) {
-		j := s.jobs[id]
-		if j == nil {
-			continue
-		}
-		age := s.clock.Since(j.arrived)
-		switch how := a.held[id]; {
-		case how == heldWaits && age >= knownBy:
-			s.giveUp(j, "sent again to another entry")
-		case how == heldBegun && j.hold.started:
-			s.contest(a, j, age)
-		}
+// gaveWay gives a job up that another entry holds as well, when it has been here
+// for so long that its caller must have sent it there since, and reports that.
+func (s *Scheduler) gaveWay(j *job, now time.Time) bool {
+	age := now.Sub(j.arrived)
+	if age < knownBy {
+		return false
 	}
-}
-
-// contest notes that a job has been begun by another entry as well. It is given up
-// when it is old enough for its caller to have sent it there.
-func (s *Scheduler) contest(a *agent, j *job, age time.Duration) {
-	if !j.hold.contested {
+	how := s.heldAs(j.ID, now)
+	if how == heldBegun && j.hold.started && !j.hold.contested {
 		j.hold.contested = true
-		s.emit(Note{Job: j.ID, Queue: j.Queue.Name, Agent: a.name, What: "job held by two entries", Age: age})
+		s.emit(Note{Job: j.ID, Queue: j.Queue.Name, What: "job held by two entries", Age: age})
 	}
-	if age >= LossAfter {
+	switch {
+	case how == heldWaits:
+		s.giveUp(j, "sent again to another entry")
+	case how == heldBegun && j.hold.started && age >= LossAfter:
 		s.giveUp(j, "another entry has begun it")
+	default:
+		return false
 	}
+	return true
+}
+
+// heldAs returns how other entries hold a job by what agents have lately said.
+func (s *Scheduler) heldAs(id string, now time.Time) holding {
+	how := heldNot
+	for _, a := range s.byName {
+		if now.Sub(a.heldAt) <= messenger.HeldFor {
+			how = max(how, a.held[id])
+		}
+		if now.Before(a.heldBefore[id]) {
+			how = max(how, heldOver)
+		}
+	}
+	return how
 }
 
 // yield has a job wait if another entry holds it, and reports whether it does.
 func (s *Scheduler) yield(j *job) bool {
 	now := s.clock.Now()
-	if j.hold.started || !s.holder(j.ID, now) {
+	if j.hold.started || s.heldAs(j.ID, now) == heldNot {
 		return false
 	}
 	if s.yielding[j.ID] == nil {
@@ -207,7 +210,7 @@
 		switch {
 		case s.jobs[id] != j:
 			delete(s.yielding, id)
-		case !s.holder(id, now):
+		case s.heldAs(id, now) == heldNot:
 			delete(s.yielding, id)
 			j.hold = hold{since: now.Add(-holdAfter)}
 			s.enqueue(j)
@@ -215,13 +218,6 @@
 	}
 }
 
-// holder reports whether an agent has lately said that another entry has a job.
-func (s *Scheduler) holder(id string, now time.Time) bool {
-	return slices.ContainsFunc(s.byName, func(a *agent) bool {
-		return (a.held[id] != heldNot && now.Sub(a.heldAt) <= messenger.HeldFor) || now.Before(a.heldBefore[id])
-	})
-}
-
 // Woke notes that the entry has taken nothing in for a while. What it reads now
 // may have been said before that, so an agent counts from its next echo on.
 func (s *Scheduler) Woke() {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -203,15 +203,14 @@
 		}
 	}
 	for _, j := range s.sorted() {
-		if !now.Before(j.Deadline) {
+		switch {
+		case !now.Before(j.Deadline):
 			s.giveUp(j, "deadline passed")
-		} else if !s.mayRun(j, now) && !now.Before(s.readUp) {
+		case s.gaveWay(j, now):
+		case !s.mayRun(j, now) && !now.Before(s.readUp):
 			s.giveUp(j, "other entries may not know of it")
 		}
 	}
-	for _, a := range s.byName {
-		s.giveWay(a)
-	}
 	s.resume()
 	s.moveSlow(now)
 	s.forgetOld(now)
