executor, scheduler: Tell of held jobs in heartbeats, and of jobs that are over late

Now agents tell of changes in heartbeats, and a job that ended unnamed is named once it has been over for 500 ms.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -253,7 +253,7 @@
 		r.Upstream = &up
 		e.upstream = true
 	}
-	if !e.held.told {
+	if (beat || !e.complete) && !e.held.told {
 		others := x.heldBeside(e)
 		r.Held, r.Waits, r.Over = &others.jobs, others.waits, others.over
 		e.held.told = true
--- a/executor/held.go
+++ b/executor/held.go
@@ -63,12 +63,12 @@
 	x.heldChanged(e)
 }
 
-// heldChanged marks that the others have not heard of what an entry holds.
+// heldChanged marks that the others have not heard of what an entry holds. They
+// hear of it in the next heartbeat, which bounds what the lists cost.
 func (x *Executor) heldChanged(e *entry) {
 	for _, o := range x.order {
 		if o != e {
 			o.held.told = false
-			o.changed = true
 		}
 	}
 }
--- a/scheduler/held.go
+++ b/scheduler/held.go
@@ -66,7 +66,8 @@
 		h.All = append(h.All, j.ID)
 	}
 	for id := range s.remains {
-		if s.jobs[id] == nil {
+		r := s.records[id]
+		if s.jobs[id] == nil && (r.named || now.Sub(r.made) >= holdAfter) {
 			h.Over = append(h.Over, id)
 			h.All = append(h.All, id)
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -76,6 +76,8 @@
 	lastRun int
 	// begun means that a task may have started.
 	begun bool
+	// named means that other entries have been told of the job.
+	named bool
 }
 
 // NewScheduler returns a scheduler without configuration, which takes no jobs.
@@ -250,7 +252,7 @@
 		}
 		t.state = finished
 	}
-	s.records[j.ID] = record{answer: a, made: now, lastRun: j.lastRun(), begun: j.begun || len(left) > 0}
+	s.records[j.ID] = record{answer: a, made: now, lastRun: j.lastRun(), begun: j.begun || len(left) > 0, named: !j.hold.toldAt.IsZero()}
 	s.forget = append(s.forget, j.ID)
 }
 
