messenger: Make the jobs that entries tell of one value

What was seen: three lists side by side in Beat and in Report, the same three in a type of executor and in one of scheduler; the first list held the others as well, so that scheduler counted occurrences to tell them apart and each waiting job went over the wire twice; and a remark that an empty list must not be nil. Now messenger.Held has three lists that do not overlap, used by all; Report has a pointer to it. Also: what is too old is dropped once a tick, beside forgetEnds, and no longer at each start; the end of the span after a pause is derived from its begin.

Tests build and expect the one value in place of the lists; what they assert is the same, and what an agent tells of a restarted entry's jobs is now asserted to be over. go test messenger executor acceptor scheduler: ok.

--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -53,9 +53,7 @@
 			Evacuated: evacuated,
 			Want:      want,
 			Heard:     c.scheduler.Heard(c.names[l.Link]),
-			Held:      held.All,
-			Waits:     held.Waits,
-			Over:      held.Over,
+			Held:      held,
 		})
 	}
 }
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -98,7 +98,7 @@
 	e.outcomes.heard(b.Heard)
 	x.direct(name, b)
 	x.wants(e, b.Want)
-	x.holds(e, b)
+	x.holds(e, b.Held)
 	x.contact(e, b.Echo)
 }
 
@@ -157,7 +157,6 @@
 // dropSilent drops the runs of entries that have been silent for too long, so
 // that their callers may have the jobs run elsewhere.
 func (x *Executor) dropSilent(now time.Time) {
-	x.forgetHeld(now)
 	for _, e := range slices.Clone(x.order) {
 		if now.Sub(e.heard) <= entryPatience {
 			continue
@@ -255,7 +254,7 @@
 	}
 	if (beat || !e.complete) && !e.held.told {
 		others := x.heldBeside(e)
-		r.Held, r.Waits, r.Over = &others.jobs, others.waits, others.over
+		r.Held = &others
 		e.held.told = true
 	}
 	// A list of runs is complete only after the worker has been seen.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -176,6 +176,7 @@
 	x.lapseSure(now)
 	x.settleByTime(now)
 	x.forgetEnds(now)
+	x.forgetHeld(now)
 	x.nextLook()
 	x.beat(now)
 }
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -25,7 +25,7 @@
 	// stamp is the last one that the agent has sent.
 	stamp time.Duration
 	// held is what the last effects told each entry of the others' jobs.
-	held map[string]*[]string
+	held map[string]*messenger.Held
 }
 
 func newBench(t *testing.T) *bench {
@@ -44,7 +44,7 @@
 
 func (b *bench) drain() {
 	b.starts, b.stops, b.looks, b.tells = nil, nil, nil, nil
-	b.held = make(map[string]*[]string)
+	b.held = make(map[string]*messenger.Held)
 	for _, e := range b.x.Drain() {
 		switch e := e.(type) {
 		case executor.Start:
--- a/executor/held.go
+++ b/executor/held.go
@@ -9,9 +9,9 @@
 
 // held is what an entry and the others have to know of each other's jobs.
 type held struct {
-	// heldJobs are those of the entry's last heartbeat, which came at.
-	heldJobs
-	at time.Time
+	// jobs are those of the entry's last heartbeat, which came at.
+	jobs messenger.Held
+	at   time.Time
 	// past are the jobs of earlier incarnations of the entry, whose runs may go
 	// on.
 	past []pastJobs
@@ -19,13 +19,6 @@
 	told bool
 }
 
-// heldJobs are an entry's jobs as a heartbeat names them.
-type heldJobs struct{ jobs, waits, over []string }
-
-func (h heldJobs) equal(o heldJobs) bool {
-	return slices.Equal(h.jobs, o.jobs) && slices.Equal(h.waits, o.waits) && slices.Equal(h.over, o.over)
-}
-
 // pastJobs are told of until a time.
 type pastJobs struct {
 	jobs  []string
@@ -34,9 +27,9 @@
 
 // restart keeps the jobs of an earlier incarnation of an entry for a while.
 func (h *held) restart() {
-	if len(h.jobs) > 0 {
-		h.past = append(h.past, pastJobs{jobs: h.jobs, until: h.at.Add(messenger.HeldFor)})
-		h.heldJobs = heldJobs{}
+	if jobs := slices.Concat(h.jobs.Jobs, h.jobs.Waits, h.jobs.Over); len(jobs) > 0 {
+		h.past = append(h.past, pastJobs{jobs: jobs, until: h.at.Add(messenger.HeldFor)})
+		h.jobs = messenger.Held{}
 	}
 }
 
@@ -45,22 +38,24 @@
 	n := len(h.past)
 	h.past = slices.DeleteFunc(h.past, func(p pastJobs) bool { return now.After(p.until) })
 	forgotten := len(h.past) < n
-	if len(h.jobs) > 0 && now.Sub(h.at) > messenger.HeldFor {
-		h.heldJobs = heldJobs{}
+	if now.Sub(h.at) > messenger.HeldFor && !equalHeld(h.jobs, messenger.Held{}) {
+		h.jobs = messenger.Held{}
 		forgotten = true
 	}
 	return forgotten
 }
 
+func equalHeld(a, b messenger.Held) bool {
+	return slices.Equal(a.Jobs, b.Jobs) && slices.Equal(a.Waits, b.Waits) && slices.Equal(a.Over, b.Over)
+}
+
 // holds takes in the jobs that an entry holds. The others hear of a change.
-func (x *Executor) holds(e *entry, b messenger.Beat) {
+func (x *Executor) holds(e *entry, jobs messenger.Held) {
 	e.held.at = x.clock.Now()
-	now := heldJobs{jobs: b.Held, waits: b.Waits, over: b.Over}
-	if e.held.equal(now) {
-		return
+	if !equalHeld(e.held.jobs, jobs) {
+		e.held.jobs = jobs
+		x.heldChanged(e)
 	}
-	e.held.heldJobs = now
-	x.heldChanged(e)
 }
 
 // heldChanged marks that the others have not heard of what an entry holds. They
@@ -82,21 +77,19 @@
 	}
 }
 
-// heldBeside lists the jobs that the other entries hold. An empty list is not nil,
-// since that would be none on the wire.
-func (x *Executor) heldBeside(e *entry) heldJobs {
-	out := heldJobs{jobs: []string{}}
+// heldBeside returns the jobs that the other entries hold.
+func (x *Executor) heldBeside(e *entry) messenger.Held {
+	var out messenger.Held
 	for _, o := range x.order {
 		if o == e {
 			continue
 		}
-		out.jobs = append(out.jobs, o.held.jobs...)
-		out.waits = append(out.waits, o.held.waits...)
-		out.over = append(out.over, o.held.over...)
+		out.Jobs = append(out.Jobs, o.held.jobs.Jobs...)
+		out.Waits = append(out.Waits, o.held.jobs.Waits...)
+		out.Over = append(out.Over, o.held.jobs.Over...)
 		for _, p := range o.held.past {
 			// Its callers have gone, and its runs are being stopped.
-			out.jobs = append(out.jobs, p.jobs...)
-			out.over = append(out.over, p.jobs...)
+			out.Over = append(out.Over, p.jobs...)
 		}
 	}
 	return out
--- a/messenger/link_test.go
+++ b/messenger/link_test.go
@@ -49,7 +49,7 @@
 		messenger.Hello{Entry: "e", Incarnation: 3, Upstream: up},
 		messenger.Place{Number: 1, Job: "j", Spec: "spec", Service: "s", Patience: time.Millisecond, Echo: 5, Tasks: []messenger.Task{{Run: run, Demand: messenger.Demand{CPU: 3100}, Estimate: time.Second}}},
 		messenger.Withdraw{Runs: []messenger.Run{run}},
-		messenger.Beat{Stamp: 7, Echo: 8, Held: []string{"j", "k", "l"}, Waits: []string{"k"}, Over: []string{"l"}},
+		messenger.Beat{Stamp: 7, Echo: 8, Held: messenger.Held{Jobs: []string{"j"}, Waits: []string{"k"}, Over: []string{"l"}}},
 	}
 	for _, m := range down {
 		a.Send(m)
@@ -60,12 +60,10 @@
 		Runs:    []messenger.Progress{{Run: run, Percent: 41, Age: time.Second}},
 		Ended:   []messenger.End{{Run: run, How: messenger.Done}},
 		Refused: []messenger.Refusal{{Run: run, Reason: messenger.NoRoom}},
-		Held:    &[]string{"k"},
-		Waits:   []string{"k"},
-		Over:    []string{"l"},
+		Held:    &messenger.Held{Jobs: []string{"j"}, Waits: []string{"k"}, Over: []string{"l"}},
 	}
 	b.Send(back)
-	none := messenger.Report{Agent: "a", Held: &[]string{}}
+	none := messenger.Report{Agent: "a", Held: &messenger.Held{}}
 	b.Send(none)
 	require.Equal(t, &back, <-ha.got)
 	require.Equal(t, &none, <-ha.got)
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -76,13 +76,19 @@
 	// Heard is the Outcomes of the last Report on the link. The agent drops
 	// those outcomes.
 	Heard uint64 `cbor:"6,keyasint,omitempty"`
-	// Held lists the jobs that the entry holds and that their callers might soon
-	// send to another one.
-	Held []string `cbor:"7,keyasint,omitempty"`
-	// Waits lists those of Held that wait since another entry holds them.
-	Waits []string `cbor:"8,keyasint,omitempty"`
-	// Over lists those of Held that are over and whose runs may go on.
-	Over []string `cbor:"9,keyasint,omitempty"`
+	// Held are the jobs that other entries have to know of.
+	Held Held `cbor:"7,keyasint,omitempty"`
+}
+
+// Held are jobs that an entry holds and that their callers might soon send to
+// another one, or have sent.
+type Held struct {
+	// Jobs go on at the entry.
+	Jobs []string `cbor:"1,keyasint,omitempty"`
+	// Waits lists jobs that wait since another entry holds them.
+	Waits []string `cbor:"2,keyasint,omitempty"`
+	// Over lists jobs that are over and whose runs may go on.
+	Over []string `cbor:"3,keyasint,omitempty"`
 }
 
 // Want is what waits at an entry for room. Agents share scarce room out by it.
@@ -247,12 +253,7 @@
 	// Outcomes is the number of the last of all ends and refusals that the
 	// agent has told the entry of, on this link or an earlier one.
 	Outcomes uint64 `cbor:"19,keyasint,omitempty"`
-	// Held lists the jobs that other entries hold, as of their last heartbeats;
-	// nil means as in the last report on the link.
-	Held *[]string `cbor:"20,keyasint,omitempty"`
-	// Waits lists those of Held that wait at an entry since another one holds
-	// them, and Over those that are over and whose runs may go on. They go with
-	// Held.
-	Waits []string `cbor:"21,keyasint,omitempty"`
-	Over  []string `cbor:"22,keyasint,omitempty"`
+	// Held are the jobs of the other entries, as of their last heartbeats; nil
+	// means as in the last report on the link.
+	Held *Held `cbor:"20,keyasint,omitempty"`
 }
--- a/scheduler/held.go
+++ b/scheduler/held.go
@@ -42,37 +42,28 @@
 	contested bool
 }
 
-// Held are the jobs that other entries have to know of, for a heartbeat.
-type Held struct {
-	All []string
-	// Waits are those of All that wait since another entry holds them, and Over
-	// those that are over and whose runs may go on.
-	Waits, Over []string
-}
-
-// Held returns the jobs that other entries have to know of.
-func (s *Scheduler) Held() Held {
+// Held returns the jobs that other entries have to know of, for a heartbeat.
+func (s *Scheduler) Held() messenger.Held {
 	now := s.clock.Now()
-	var h Held
+	var h messenger.Held
 	for _, j := range s.jobs {
 		switch {
 		case s.yielding[j.ID] == j:
 			h.Waits = append(h.Waits, j.ID)
-		case now.Sub(j.hold.since) < holdAfter:
-			continue
-		case j.hold.toldAt.IsZero():
-			j.hold.toldAt = now
+		case now.Sub(j.hold.since) >= holdAfter:
+			if j.hold.toldAt.IsZero() {
+				j.hold.toldAt = now
+			}
+			h.Jobs = append(h.Jobs, j.ID)
 		}
-		h.All = append(h.All, j.ID)
 	}
 	for id := range s.remains {
 		r := s.records[id]
 		if s.jobs[id] == nil && (r.named || now.Sub(r.made) >= holdAfter) {
 			h.Over = append(h.Over, id)
-			h.All = append(h.All, id)
 		}
 	}
-	slices.Sort(h.All)
+	slices.Sort(h.Jobs)
 	slices.Sort(h.Waits)
 	slices.Sort(h.Over)
 	return h
@@ -100,7 +91,7 @@
 	}
 	if r.Held != nil {
 		a.keepHeld(r.Incarnation, now)
-		a.held = heldIn(r)
+		a.held = heldIn(*r.Held)
 	}
 	a.heldAt = now
 	if r.Held != nil {
@@ -127,26 +118,17 @@
 	}
 }
 
-// heldIn returns the jobs that a report says other entries hold.
-func heldIn(r messenger.Report) map[string]holding {
-	held := make(map[string]holding, len(*r.Held))
-	lists := []struct {
-		ids []string
-		how holding
-	}{{r.Over, heldOver}, {r.Waits, heldWaits}, {*r.Held, heldBegun}}
-	count := make(map[string]int)
-	for _, l := range lists {
-		for _, id := range l.ids {
-			if l.how == heldBegun {
-				// All lists those of the others as well.
-				if count[id]--; count[id] >= 0 {
-					continue
-				}
-			} else {
-				count[id]++
-			}
-			held[id] = max(held[id], l.how)
-		}
+// heldIn returns how other entries hold the jobs that an agent tells of.
+func heldIn(h messenger.Held) map[string]holding {
+	held := make(map[string]holding, len(h.Jobs)+len(h.Waits)+len(h.Over))
+	for _, id := range h.Over {
+		held[id] = heldOver
+	}
+	for _, id := range h.Waits {
+		held[id] = heldWaits
+	}
+	for _, id := range h.Jobs {
+		held[id] = heldBegun
 	}
 	return held
 }
@@ -223,7 +205,6 @@
 // may have been said before that, so an agent counts from its next echo on.
 func (s *Scheduler) Woke() {
 	s.woke = s.clock.Now()
-	s.readUp = s.woke.Add(readUpTime)
 	s.emit(Note{What: "entry was paused"})
 }
 
--- a/scheduler/held_test.go
+++ b/scheduler/held_test.go
@@ -15,7 +15,14 @@
 // heldBy returns an agent's word that other entries hold jobs.
 func heldBy(agent string, jobs ...string) messenger.Report {
 	r := report(agent, 0)
-	r.Held = &jobs
+	r.Held = &messenger.Held{Jobs: jobs}
+	return r
+}
+
+// waitingBy returns an agent's word that jobs wait at other entries.
+func waitingBy(agent string, jobs ...string) messenger.Report {
+	r := report(agent, 0)
+	r.Held = &messenger.Held{Waits: jobs}
 	return r
 }
 
@@ -126,9 +133,7 @@
 			tt.begin(b)
 			b.clock.Advance(600 * time.Millisecond)
 			b.beat("a", 1)
-			r := heldBy("a", jobID)
-			r.Waits = []string{jobID}
-			b.s.Report(r)
+			b.s.Report(waitingBy("a", jobID))
 			b.s.Tick()
 			b.drain()
 			require.Empty(t, b.replies, "its caller may still be here")
@@ -149,8 +154,7 @@
 		b.clock.Advance(650 * time.Millisecond)
 		b.beat("a", 1)
 	}
-	r := heldBy("a", jobID)
-	r.Waits = []string{jobID}
+	r := waitingBy("a", jobID)
 	r.Ended = []messenger.End{{Run: messenger.Run{Task: jobID + ".0.0.0", Number: 1}, How: messenger.Done}}
 	b.s.Report(r)
 	b.drain()
@@ -173,7 +177,7 @@
 			b.s.Submit(1, b.lasting())
 			r := heldBy("a", jobID)
 			if tt.over {
-				r.Over = []string{jobID}
+				r.Held = &messenger.Held{Over: []string{jobID}}
 			}
 			b.s.Report(r)
 			for range 13 {
@@ -193,9 +197,7 @@
 	b := newBench(t)
 	b.open("a")
 	b.open("b")
-	r := heldBy("b", jobID)
-	r.Waits = []string{jobID}
-	b.s.Report(r)
+	b.s.Report(waitingBy("b", jobID))
 	b.s.Closed("b")
 	b.clock.Advance(messenger.HeldFor + time.Millisecond)
 	b.s.Report(report("a", 0))
@@ -214,7 +216,7 @@
 	b.open("a")
 	b.s.Report(heldBy("a", jobID))
 	b.s.Submit(1, b.lasting())
-	require.Equal(t, scheduler.Held{All: []string{jobID}, Waits: []string{jobID}}, b.s.Held())
+	require.Equal(t, messenger.Held{Waits: []string{jobID}}, b.s.Held())
 }
 
 func TestJobThatWaitedIsNotLeftBehindWhenItsCallerSendsItAgain(t *testing.T) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -62,8 +62,6 @@
 	echoed time.Time
 	// woke is when the entry last went on after a pause; zero before one.
 	woke time.Time
-	// readUp is when what came in the pause can be taken to have been read.
-	readUp time.Time
 	// settled is when the entry can be taken to know the room; zero before the
 	// first configuration.
 	settled time.Time
@@ -209,7 +207,7 @@
 		case !now.Before(j.Deadline):
 			s.giveUp(j, "deadline passed")
 		case s.gaveWay(j, now):
-		case !s.mayRun(j, now) && !now.Before(s.readUp):
+		case !s.mayRun(j, now) && now.Sub(s.woke) >= readUpTime:
 			s.giveUp(j, "other entries may not know of it")
 		}
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -78,11 +79,11 @@
 // beat has the entry send a heartbeat, which an agent echoes in its report, and
 // returns the jobs that the heartbeat names.
 func (b *bench) beat(agent string, seen uint64) []string {
-	held := b.s.Held().All
+	held := b.s.Held()
 	r := report(agent, seen)
 	r.Echo = b.clock.Since(b.opened[agent])
 	b.s.Report(r)
-	return held
+	return slices.Concat(held.Jobs, held.Waits, held.Over)
 }
 
 func (b *bench) job(id string, tasks int) scheduler.Job {
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -146,8 +146,7 @@
 		}
 		if now.Sub(l.beatAt) >= messenger.BeatInterval {
 			l.beatAt = now
-			held := e.core.Held()
-			l.toAgent(messenger.Beat{Stamp: now.Sub(l.opened), Echo: l.echo, Want: e.core.Want(), Heard: e.core.Heard(a.name), Held: held.All, Waits: held.Waits, Over: held.Over})
+			l.toAgent(messenger.Beat{Stamp: now.Sub(l.opened), Echo: l.echo, Want: e.core.Want(), Heard: e.core.Heard(a.name), Held: e.core.Held()})
 		}
 	}
 }
