scheduler, executor, receiver: Set tests up in one place each

What was seen: the hand-in of a job whose run is asked for, the list of an agent that has restarted, a heartbeat with its tick, another worker's announcement and the world with an agent in reach of one entry, each written out two to four times.

--- a/executor/evidence_test.go
+++ b/executor/evidence_test.go
@@ -48,6 +48,14 @@
 	return u
 }
 
+// announceAnother has one announce itself, and returns the look at it.
+func (b *bench) announceAnother() executor.Look {
+	b.clock.Advance(time.Millisecond)
+	b.x.SetUpstream(anotherWorker())
+	b.drain()
+	return b.looks[len(b.looks)-1]
+}
+
 func TestRunsAreNotOverBecauseSomeoneSaysTheirWorkerIsGone(t *testing.T) {
 	tests := []struct {
 		name string
@@ -97,10 +105,7 @@
 func TestWorkerIsKeptWhenTheOneThatAnnouncedItselfInItsPlaceIsNotThere(t *testing.T) {
 	b := newBench(t)
 	b.running(run1)
-	b.clock.Advance(time.Millisecond)
-	b.x.SetUpstream(anotherWorker())
-	b.drain()
-	look := b.looks[len(b.looks)-1]
+	look := b.announceAnother()
 	require.Equal(t, "w2", look.Upstream.ID)
 	b.x.LookFailed(look.Number, executor.OtherWorker)
 	b.drain()
--- a/executor/lease_test.go
+++ b/executor/lease_test.go
@@ -60,10 +60,7 @@
 func TestDetachedRunIsHeldWhileLooksAtItsWorkerLengthenItsLease(t *testing.T) {
 	b := newBench(t)
 	b.running(run1)
-	b.clock.Advance(time.Millisecond)
-	b.x.SetUpstream(anotherWorker())
-	b.drain()
-	stranger := b.looks[len(b.looks)-1]
+	stranger := b.announceAnother()
 	b.clock.Advance(300 * time.Millisecond)
 	b.x.Beat("e", messenger.Beat{Stamp: 1, Echo: b.stamp})
 	b.x.LookFailed(stranger.Number, executor.OtherWorker)
--- a/receiver/roster_test.go
+++ b/receiver/roster_test.go
@@ -55,12 +55,18 @@
 	}
 }
 
-// TestAgentUnknownToAnEntryThatFellSilentIsNotUsed cuts two entries off from each other while an agent is in reach of one.
-func TestAgentUnknownToAnEntryThatFellSilentIsNotUsed(t *testing.T) {
-	w := newWorld(t, 21, 2, 1, 2)
+// newWorldWithLonelyAgent returns two entries, of which the second never reaches the last of two agents.
+func newWorldWithLonelyAgent(t *testing.T, seed uint64) (*world, *simAgent) {
+	w := newWorld(t, seed, 2, 1, 2)
 	lonely := w.addAgent("agent-2", 0, "graz", 8)
 	w.cut(lonely.proc, w.entries[1].proc, time.Hour)
 	w.run(3 * time.Second)
+	return w, lonely
+}
+
+// TestAgentUnknownToAnEntryThatFellSilentIsNotUsed cuts two entries off from each other while an agent is in reach of one.
+func TestAgentUnknownToAnEntryThatFellSilentIsNotUsed(t *testing.T) {
+	w, lonely := newWorldWithLonelyAgent(t, 21)
 	w.cut(w.entries[0].proc, w.entries[1].proc, time.Hour)
 	w.run(30 * time.Second)
 	c := w.submit("job", 0, 8, 3000, 50*time.Second)
@@ -73,10 +79,7 @@
 
 // TestEntryThatWokeUpTakesNoOtherForEnded cuts a paused entry off from the other while an agent is in reach of it alone.
 func TestEntryThatWokeUpTakesNoOtherForEnded(t *testing.T) {
-	w := newWorld(t, 26, 2, 1, 2)
-	lonely := w.addAgent("agent-2", 0, "graz", 8)
-	w.cut(lonely.proc, w.entries[1].proc, time.Hour)
-	w.run(3 * time.Second)
+	w, lonely := newWorldWithLonelyAgent(t, 26)
 	w.pause(w.entries[0].proc, 8*time.Second)
 	w.cut(w.entries[0].proc, w.entries[1].proc, time.Hour)
 	w.run(30 * time.Second)
--- a/scheduler/held_test.go
+++ b/scheduler/held_test.go
@@ -138,9 +138,7 @@
 			b.drain()
 			require.Empty(t, b.replies, "its caller may still be here")
 			b.clock.Advance(600 * time.Millisecond)
-			b.beat("a", 1)
-			b.s.Tick()
-			b.drain()
+			b.turn("a")
 			require.Equal(t, scheduler.Unsettled, b.replies[1].Outcome)
 		})
 	}
@@ -278,9 +276,7 @@
 	b.s.Submit(1, b.lasting())
 	for range 30 {
 		b.clock.Advance(100 * time.Millisecond)
-		b.beat("a", 1)
-		b.s.Tick()
-		b.drain()
+		b.turn("a")
 		require.Empty(t, b.replies)
 	}
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -86,6 +86,14 @@
 	return slices.Concat(held.Jobs, held.Waits, held.Over)
 }
 
+// turn has the entry send a heartbeat, which an agent with one placement echoes,
+// and look at what has come due.
+func (b *bench) turn(agent string) {
+	b.beat(agent, 1)
+	b.s.Tick()
+	b.drain()
+}
+
 func (b *bench) job(id string, tasks int) scheduler.Job {
 	return scheduler.Job{
 		ID: id, Queue: quotes(), Spec: "spec", Deadline: b.clock.Now().Add(1500 * time.Millisecond),
@@ -100,6 +108,26 @@
 	return j
 }
 
+// handIn hands a job of one task in and returns the run that is placed.
+func (b *bench) handIn(ticket uint64, j scheduler.Job) messenger.Run {
+	b.t.Helper()
+	b.s.Submit(ticket, j)
+	b.drain()
+	return b.placed().Tasks[0].Run
+}
+
+// relinked opens a new link to an agent that has restarted and found runs, and
+// returns its word.
+func (b *bench) relinked(agent string, runs ...messenger.Progress) messenger.Report {
+	b.s.Opened(agent)
+	r := report(agent, 0)
+	r.Incarnation = 2
+	r.Complete = true
+	r.Runs = runs
+	b.s.Report(r)
+	return r
+}
+
 // ejected reports whether the worker at an agent is set aside.
 func (b *bench) ejected(agent string) bool {
 	for _, a := range b.s.Dump().Agents {
@@ -144,16 +172,9 @@
 func TestRunsThatARestartedAgentFoundAreClaimed(t *testing.T) {
 	b := newBench(t)
 	b.open("a")
-	b.s.Submit(1, b.job(jobID, 1))
-	b.drain()
-	run := b.placed().Tasks[0].Run
+	run := b.handIn(1, b.job(jobID, 1))
 	b.s.Closed("a")
-	b.s.Opened("a")
-	r := report("a", 0)
-	r.Incarnation = 2
-	r.Complete = true
-	r.Runs = []messenger.Progress{{Run: run, Percent: 50, Age: 30 * time.Millisecond}}
-	b.s.Report(r)
+	r := b.relinked("a", messenger.Progress{Run: run, Percent: 50, Age: 30 * time.Millisecond})
 	b.drain()
 	require.Equal(t, run, b.placed().Tasks[0].Run)
 	r = report("a", 1)
--- a/scheduler/withdrawn_test.go
+++ b/scheduler/withdrawn_test.go
@@ -15,9 +15,7 @@
 func (b *bench) leftBehind() messenger.Run {
 	b.open("a")
 	b.open("b")
-	b.s.Submit(1, b.job(jobID, 1))
-	b.drain()
-	run := b.placed().Tasks[0].Run
+	run := b.handIn(1, b.job(jobID, 1))
 	b.s.Leave(1)
 	require.Equal(b.t, []any{messenger.Withdraw{Runs: []messenger.Run{run}}}, b.drain())
 	return run
@@ -79,18 +77,11 @@
 func TestWithdrawnRunThatARestartedAgentFoundIsWithdrawnAgain(t *testing.T) {
 	b := newBench(t)
 	b.open("a")
-	b.s.Submit(1, b.lasting())
-	b.drain()
-	run := b.placed().Tasks[0].Run
+	run := b.handIn(1, b.lasting())
 	b.s.Closed("a")
 	b.s.Leave(1)
 	b.drain()
-	b.s.Opened("a")
-	r := report("a", 0)
-	r.Incarnation = 2
-	r.Complete = true
-	r.Runs = []messenger.Progress{{Run: run}}
-	b.s.Report(r)
+	b.relinked("a", messenger.Progress{Run: run})
 	require.Equal(t, []any{messenger.Withdraw{Runs: []messenger.Run{run}}}, b.drain())
 }
 
@@ -162,16 +153,9 @@
 func TestRunThatARestartedAgentFoundHasBegunItsJob(t *testing.T) {
 	b := newBench(t)
 	b.open("a")
-	b.s.Submit(1, b.job(jobID, 1))
-	b.drain()
-	run := b.placed().Tasks[0].Run
+	run := b.handIn(1, b.job(jobID, 1))
 	b.s.Closed("a")
-	b.s.Opened("a")
-	r := report("a", 0)
-	r.Incarnation = 2
-	r.Complete = true
-	r.Runs = []messenger.Progress{{Run: run}}
-	b.s.Report(r)
+	r := b.relinked("a", messenger.Progress{Run: run})
 	r.Refused = []messenger.Refusal{{Run: run, Reason: messenger.NoRoom}}
 	r.Free = messenger.Demand{}
 	b.s.Report(r)
