executor: Judge no pace by an end that was seen late

Cause: the pace of a run counts from when its start was sent to when its end is seen. Where the answer to the start is lost the run may have begun later, and where answers to looks are lost the end is seen late, so that a sound worker looked slow (0.15 for a run that took 60 of 60 ms). Such runs are not judged any more: with a start that was not answered, or an end that was seen more than 100 ms after the last answered look.

--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -21,7 +21,9 @@
 	starts []executor.Start
 	stops  []executor.Stop
 	looks  []executor.Look
-	tells  []messenger.Report
+	// lastLook is the number of the last look that was sent.
+	lastLook uint64
+	tells    []messenger.Report
 	// stamp is the last one that the agent has sent.
 	stamp time.Duration
 	// held is what the last effects told each entry of the others' jobs.
@@ -53,6 +55,7 @@
 			b.stops = append(b.stops, e)
 		case executor.Look:
 			b.looks = append(b.looks, e)
+			b.lastLook = e.Number
 		case executor.Tell:
 			b.tells = append(b.tells, e.Report)
 			b.stamp = e.Report.Stamp
--- a/executor/look.go
+++ b/executor/look.go
@@ -18,8 +18,10 @@
 	urgent bool
 	// notBefore is the earliest time of the next look.
 	notBefore time.Time
-	// answered is whether the worker has answered a look.
-	answered bool
+	// answered is whether the worker has answered a look, and answeredAt when it
+	// last did.
+	answered   bool
+	answeredAt time.Time
 	// seen is the number of the last end that was taken in.
 	seen int64
 	// unanswered counts the calls without an answer since the last answer.
@@ -176,6 +178,7 @@
 	x.settled = true
 	x.takeEnds(s.Ended)
 	x.takeRunning(s.Running)
+	l.answeredAt = x.clock.Now()
 	x.pump()
 	x.nextLook()
 }
--- a/executor/pace.go
+++ b/executor/pace.go
@@ -14,6 +14,9 @@
 	paceLife = 1500 * time.Millisecond
 	// paceAge is the least age of a run whose progress tells of the pace.
 	paceAge = 25 * time.Millisecond
+	// paceError is how much later than it came an end may be seen for the run
+	// still to tell of the pace.
+	paceError = 2 * busyWait
 )
 
 // jobPace is how fast the last seen run of a job was: the work done over the
@@ -56,7 +59,7 @@
 
 // pace notes how fast a run goes.
 func (x *Executor) pace(r *run) {
-	if r.age < paceAge || r.Estimate <= 0 || r.owner == "" || r.percent >= 100 {
+	if r.startUnsure || r.age < paceAge || r.Estimate <= 0 || r.owner == "" || r.percent >= 100 {
 		return
 	}
 	done := float64(r.percent) / 100 * float64(r.Estimate)
@@ -75,7 +78,8 @@
 	switch how {
 	case messenger.Done:
 		x.failures = failures{}
-		if took := x.clock.Since(r.sentAt); took > 0 && r.Estimate > 0 {
+		timed := !r.startUnsure && x.clock.Since(x.look.answeredAt) <= paceError
+		if took := x.clock.Since(r.sentAt); timed && took > 0 && r.Estimate > 0 {
 			x.paces.note(jobPace{job: r.job, pace: float64(r.Estimate) / float64(took), at: x.clock.Now()})
 		}
 	case messenger.Failed:
--- a/executor/run.go
+++ b/executor/run.go
@@ -57,6 +57,9 @@
 	sentAt time.Time
 	token  uint64
 	tries  int
+	// startUnsure means that a start was not answered, so that it is not known
+	// when the run began.
+	startUnsure bool
 	// begunAt is when the worker is first known, or taken, to have it.
 	begunAt time.Time
 	// stopAt is when the stop was last sent.
--- a/executor/start.go
+++ b/executor/start.go
@@ -208,6 +208,7 @@
 // effect later, and a look under that token tells whether it did.
 func (x *Executor) doubt(r *run) {
 	r.phase = doubtful
+	r.startUnsure = true
 	x.token++
 	r.token = x.token
 	x.look.unanswered++
