--- a/provider/writer.go
+++ b/provider/writer.go
@@ -10,6 +10,9 @@
 // ringSize is the number of log lines that wait for a slow reader.
 const ringSize = 4096
 
+// batchSize bounds what is written at once, in bytes.
+const batchSize = 32 << 10
+
 // RingWriter passes writes on to another writer without ever blocking. What
 // does not fit the ring is dropped and counted; the count is written as a line
 // of its own when there is room again.
@@ -47,13 +50,33 @@
 	<-r.done
 }
 
+// run passes on all that waits in one write, since each costs a system call.
 func (r *RingWriter) run(w io.Writer) {
 	defer close(r.done)
+	var batch []byte
 	for line := range r.lines {
+		batch = batch[:0]
 		if n := r.dropped.Swap(0); n > 0 {
-			// A log that cannot be written cannot be told of either.
-			_, _ = fmt.Fprintf(w, "{\"level\":\"warning\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)
+			batch = fmt.Appendf(batch, "{\"level\":\"warning\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)
+		}
+		batch = r.fill(append(batch, line...))
+		// A log that cannot be written cannot be told of either.
+		_, _ = w.Write(batch)
+	}
+}
+
+// fill appends the lines that wait, up to about batchSize bytes.
+func (r *RingWriter) fill(batch []byte) []byte {
+	for len(batch) < batchSize {
+		select {
+		case line, ok := <-r.lines:
+			if !ok {
+				return batch
+			}
+			batch = append(batch, line...)
+		default:
+			return batch
 		}
-		_, _ = w.Write(line)
 	}
+	return batch
 }
