acceptor, executor: Keep links by need, meet at a grid, tell room on demand

The number of links rose by 8 for each quarter of a second in which a job waited, however briefly, and never fell. Each link costs 8 heartbeats each way a second and reports of each change of room.

* The number of links (acceptor/budget.go) rises by half while jobs have waited for 30 ms or were refused, to 96 at most, has a floor of four for each worker that the entry's work keeps busy, and falls by 8 each 2 s.
A link that is not chosen any more is closed when no run depends on it.
* Entries tell each other of long jobs by way of agents that both are linked to; with 24 links of 240 many pairs had none in common.
They meet at a grid of agents now (acceptor/grid.go): any two entries have two in common, at a cost that grows with the square root of the fleet.
Weighed against it: a hub for all, which at 2,500 entries carries 2,500 links; a registry by the job's hash, which costs each job a round trip.
* An entry at which nothing waits is told of room each 60 ms at most; as soon as a job waits it asks with a heartbeat.
A report that is sent anyhow serves as the heartbeat when that is due within 60 ms.
* Agents are ranked once and chosen again only when something has changed; registrations that come together are read together; an entry that the store turns away asks each 0.6 s in the end.

--- /dev/null
+++ b/acceptor/budget.go
@@ -0,0 +1,56 @@
+package acceptor
+
+import (
+	"time"
+
+	"github.com/pomeloferry/pomeloferry/scheduler"
+)
+
+const (
+	// linksBase is the number of links that an entry keeps in use when it is not
+	// short of room, and linksMost the number that it never exceeds. They bound
+	// the messages of an entry and of an agent, whatever the fleet's size.
+	linksBase = 24
+	linksMost = 96
+	// linksGrowth is by what share the number rises each time that the entry is
+	// short of room: a burst is over within seconds.
+	linksGrowth = 0.5
+	// linksStep is by how much it falls after each linksRest without shortage.
+	linksStep = 8
+	linksRest = 2 * time.Second
+	// linksPerWorker is the number of links for each worker that the entry's work
+	// keeps busy. Other entries use the same workers, and a job whose tasks are
+	// large needs several that have room.
+	linksPerWorker = 4
+)
+
+// budget is how many links an entry keeps in use. It answers an entry that gets
+// more callers than its agents can serve, in a burst or since the balancer sends
+// it more than others; an entry that has room needs few, and each link costs
+// heartbeats at both ends.
+type budget struct {
+	most int
+	// calmSince is when the number last had to rise or stay, or last fell.
+	calmSince time.Time
+}
+
+func newBudget() budget { return budget{most: linksBase} }
+
+// adjust takes in what the entry needs, and reports whether the number has
+// changed. More links than there are agents are of no use.
+func (b *budget) adjust(need scheduler.Need, agents int, now time.Time) bool {
+	least := min(max(int(linksPerWorker*need.Workers), linksBase), linksMost)
+	next := max(b.most, least)
+	switch {
+	case need.Short && next < agents:
+		next = min(next+int(linksGrowth*float64(next)), linksMost)
+	case !need.Short && now.Sub(b.calmSince) >= linksRest:
+		next = max(next-linksStep, least)
+	}
+	if need.Short || next != b.most {
+		b.calmSince = now
+	}
+	changed := next != b.most
+	b.most = next
+	return changed
+}
--- a/acceptor/core.go
+++ b/acceptor/core.go
@@ -31,8 +31,11 @@
 	stateQuestion   struct{ job string }
 	cancelQuestion  struct{ job string }
 	waitingQuestion struct{ queue string }
-	// shortQuestion asks whether jobs lack room.
-	shortQuestion struct{}
+	// needQuestion asks for the scheduler.Need.
+	needQuestion struct{}
+	// releaseQuestion asks to end the links to agents on which nothing depends,
+	// and for their names.
+	releaseQuestion struct{ agents []string }
 	// linkOpened tells of a new link to an agent.
 	linkOpened struct {
 		agent string
@@ -57,6 +60,10 @@
 	replies   map[uint64]chan scheduler.Answer
 	links     map[string]*link
 	names     map[*messenger.Link]string
+	// asked is whether the agents have been told that jobs wait, and askedAt when
+	// they were last told so before a heartbeat was due.
+	asked   bool
+	askedAt time.Time
 	// at is when the last message was taken in or had been dealt with.
 	at time.Time
 }
@@ -95,8 +102,10 @@
 		c.closed(m.link)
 	case dumpQuestion:
 		ctx.Respond(c.scheduler.Dump())
-	case shortQuestion:
-		ctx.Respond(c.scheduler.Short())
+	case needQuestion:
+		ctx.Respond(c.scheduler.Need())
+	case releaseQuestion:
+		ctx.Respond(c.release(m.agents))
 	case stateQuestion:
 		ctx.Respond(c.scheduler.State(m.job))
 	case cancelQuestion:
--- a/acceptor/directives.go
+++ b/acceptor/directives.go
@@ -35,6 +35,7 @@
 func (d *directives) follow(ctx context.Context) error {
 	a := d.acceptor
 	var first sync.Once
+	failures := 0
 	for ctx.Err() == nil {
 		err := d.next(ctx)
 		first.Do(func() { close(a.read) })
@@ -42,10 +43,13 @@
 			return nil
 		}
 		d.last = announcer.Dependency(a.deps, "store", d.last, err)
-		if err != nil {
-			d.revision = 0
-			a.deps.Clock.Sleep(storePause)
+		if err == nil {
+			failures = 0
+			continue
 		}
+		failures++
+		d.revision = 0
+		a.deps.Clock.Sleep(jittered(storeBackoff(failures)))
 	}
 	return nil
 }
--- /dev/null
+++ b/acceptor/grid.go
@@ -0,0 +1,70 @@
+package acceptor
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Entries tell each other of long jobs by way of the agents that both are linked
+// to. Where each entry links a few agents out of hundreds, two entries might have
+// none in common. So some agents stand in a square grid; each entry belongs to
+// one row and one column by its name and links the agents of both. Any two
+// entries then have two agents in common, at a cost that grows with the square
+// root of the fleet.
+
+const (
+	// agentsPerCell is the least number of agents for each cell of the grid. A
+	// cell that has several keeps a holder when one is lost.
+	agentsPerCell = 9
+	// sideFactor is the step from one size of the grid to the next. The steps are
+	// coarse since entries that see fleets of slightly different sizes have to
+	// agree on the grid.
+	sideFactor = 2
+)
+
+// gridSide returns the number of rows, and of columns, for a number of agents.
+func gridSide(agents int) int {
+	side := 1
+	for next := side * sideFactor; agentsPerCell*next*next <= agents; next *= sideFactor {
+		side = next
+	}
+	return side
+}
+
+// meetingAgents returns the agents of an entry's row and column. The first agent
+// of each cell that is reached holds it; those before it stay linked, since other
+// entries may reach them.
+func meetingAgents(entry string, list []candidate) []string {
+	side := gridSide(len(list))
+	cells := make(map[int][]string)
+	reached := make(map[string]bool, len(list))
+	for _, c := range list {
+		cell := int(xxhash.Sum64String(c.agent) % uint64(side*side))
+		if inCross(entry, cell, side) {
+			cells[cell] = append(cells[cell], c.agent)
+			reached[c.agent] = c.reached
+		}
+	}
+	var out []string
+	for _, agents := range cells {
+		slices.SortFunc(agents, func(a, b string) int {
+			return cmp.Compare(xxhash.Sum64String("cell/"+a), xxhash.Sum64String("cell/"+b))
+		})
+		for _, name := range agents {
+			out = append(out, name)
+			if reached[name] {
+				break
+			}
+		}
+	}
+	return out
+}
+
+// inCross reports whether a cell is in the row or the column of an entry.
+func inCross(entry string, cell, side int) bool {
+	h := xxhash.Sum64String(entry)
+	row, column := int(h%uint64(side)), int(h/uint64(side)%uint64(side))
+	return cell/side == row || cell%side == column
+}
--- /dev/null
+++ b/acceptor/grid_test.go
@@ -0,0 +1,47 @@
+package acceptor
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestAnyTwoEntriesMeetAtTwoAgentsEvenWhenOneIsLost(t *testing.T) {
+	const entries = 55
+	for _, agents := range []int{68, 240, 1200} {
+		t.Run(fmt.Sprintf("%d agents", agents), func(t *testing.T) {
+			linked := make([]map[string]bool, entries)
+			for e := range entries {
+				id := fmt.Sprintf("entry-%d", e)
+				linked[e] = make(map[string]bool)
+				for _, name := range meetingAgents(id, fleet(id, agents)) {
+					linked[e][name] = true
+				}
+				require.LessOrEqual(t, len(linked[e]), 2*gridSide(agents)-1)
+			}
+			for i := range entries {
+				for j := range i {
+					common := 0
+					for name := range linked[i] {
+						if linked[j][name] {
+							common++
+						}
+					}
+					require.GreaterOrEqual(t, common, 2, "entries %d and %d", i, j)
+				}
+			}
+		})
+	}
+}
+
+func TestAnEntryThatCannotReachAnAgentMeetsTheOthersAtTheNextOne(t *testing.T) {
+	list := fleet("entry-1", 240)
+	before := meetingAgents("entry-1", list)
+	for i := range list {
+		list[i].reached = list[i].agent != before[0]
+	}
+	after := meetingAgents("entry-1", list)
+	require.Len(t, after, len(before)+1)
+	require.Subset(t, after, before)
+}
--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -29,9 +29,10 @@
 // beat sends heartbeats that are due.
 func (c *core) beat() {
 	now := c.acceptor.deps.Clock.Now()
+	ask := c.asks(now)
 	var due []*link
 	for _, l := range c.links {
-		if now.Sub(l.beatAt) >= messenger.BeatInterval {
+		if ask || now.Sub(l.beatAt) >= messenger.BeatInterval {
 			due = append(due, l)
 		}
 	}
@@ -58,6 +59,21 @@
 	}
 }
 
+// asks reports whether all agents are to be told now that jobs wait. Without
+// that they tell of room that falls free only now and then.
+func (c *core) asks(now time.Time) bool {
+	if !c.scheduler.Waits() {
+		c.asked = false
+		return false
+	}
+	if c.asked || now.Sub(c.askedAt) < messenger.AskInterval {
+		return false
+	}
+	c.asked = true
+	c.askedAt = now
+	return true
+}
+
 func (c *core) opened(m linkOpened) {
 	if old := c.links[m.agent]; old != nil {
 		c.closed(old.Link)
@@ -91,6 +107,24 @@
 	c.scheduler.Closed(name)
 }
 
+// release ends the links to agents at which the entry has no runs, and returns
+// the names of those that are not linked any more.
+func (c *core) release(agents []string) []string {
+	var out []string
+	for _, name := range agents {
+		if !c.scheduler.Idle(name) {
+			continue
+		}
+		out = append(out, name)
+		if l := c.links[name]; l != nil {
+			c.acceptor.deps.Log.WithField("agent", name).Info("link not needed any more")
+			c.closed(l.Link)
+			l.Close()
+		}
+	}
+	return out
+}
+
 // Receive implements messenger.Handler.
 func (a *Acceptor) Receive(l *messenger.Link, msg any) { a.post(linkMessage{link: l, msg: msg}) }
 
--- a/acceptor/link_test.go
+++ b/acceptor/link_test.go
@@ -4,11 +4,13 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/pomeloferry/pomeloferry/messenger"
 	"github.com/pomeloferry/pomeloferry/provider"
+	"github.com/pomeloferry/pomeloferry/scheduler"
 )
 
 // deaf takes no messages.
@@ -36,3 +38,23 @@
 	require.Empty(t, c.links)
 	require.True(t, first.Ended())
 }
+
+func TestLinkIsNotReleasedWhileTasksRunAtItsAgent(t *testing.T) {
+	a := &Acceptor{deps: provider.NewDeps(io.Discard), cfg: Config{DataCentre: "dc"}}
+	c := newCore(a)
+	up := messenger.Upstream{ID: "w", Born: 1, Service: "quotes", Capacity: messenger.Demand{CPU: 1000}}
+	for _, name := range []string{"busy", "idle"} {
+		c.opened(linkOpened{agent: name, link: newTestLink(t)})
+		c.scheduler.Report(messenger.Report{Agent: name, Incarnation: 1, Complete: true})
+	}
+	queue := scheduler.Queue{Name: "q", Service: "quotes", MaxAttempts: 1}
+	c.scheduler.Configure(scheduler.Configuration{Version: 1, Queues: []scheduler.Queue{queue}})
+	c.scheduler.Submit(1, scheduler.Job{
+		ID: "j", Queue: queue, Deadline: a.deps.Clock.Now().Add(time.Minute),
+		Steps: []scheduler.Step{{Count: 1, Demand: messenger.Demand{CPU: 1000}}},
+	})
+	c.scheduler.Report(messenger.Report{Agent: "busy", Incarnation: 1, Upstream: &up, Free: up.Capacity})
+	require.Equal(t, []string{"idle"}, c.release([]string{"busy", "idle"}))
+	require.Contains(t, c.links, "busy")
+	require.NotContains(t, c.links, "idle")
+}
--- a/acceptor/linkset.go
+++ b/acceptor/linkset.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/pomeloferry/pomeloferry/announcer"
 	"github.com/pomeloferry/pomeloferry/messenger"
 	"github.com/pomeloferry/pomeloferry/platform"
+	"github.com/pomeloferry/pomeloferry/scheduler"
 )
 
 const (
@@ -20,8 +22,13 @@
 	redialRound = 5
 	// directoryWait is how long one watch of the directory waits.
 	directoryWait = 2 * time.Second
-	// storePause is the pause after a failed call to the store.
-	storePause = 150 * time.Millisecond
+	// directoryPause is the pause after a watch that was answered. Agents that
+	// start together are then read together and not each by a call of its own.
+	directoryPause = 250 * time.Millisecond
+	// storePause is the pause after a failed call to the store. It doubles with
+	// each further failure up to storePauseMost, and is jittered.
+	storePause     = 150 * time.Millisecond
+	storePauseMost = 600 * time.Millisecond
 	// forgetAfter drops an agent that is out of touch and out of the directory
 	// for so long.
 	forgetAfter = 20 * time.Second
@@ -38,6 +45,8 @@
 	// listed is whether the directory holds it.
 	listed   bool
 	unlisted time.Time
+	// rank is the agent's place in the entry's ranking.
+	rank uint64
 	// failures counts the dials in a row that failed.
 	failures int
 	// cancel ends the goroutine that keeps the link; nil without one.
@@ -45,20 +54,23 @@
 }
 
 // linkSet follows the directory of agents and keeps links to those that choose
-// names. A link that stands is kept also when it is no longer chosen, since
-// runs may depend on it.
+// names. A link that is no longer chosen is closed once no run depends on it.
 type linkSet struct {
 	acceptor *Acceptor
 
 	mu      sync.Mutex
 	targets map[string]*target
-	// most is the number of links to keep in use. It grows while the entry is
-	// short of room.
-	most int
+	budget  budget
+	// revision is that of the directives by which agents were last chosen.
+	revision int64
+	// dirty means that something has changed since agents were last chosen.
+	dirty bool
+	// surplus lists the linked agents that were not chosen last.
+	surplus []string
 }
 
 func newLinkSet(a *Acceptor) *linkSet {
-	return &linkSet{acceptor: a, targets: make(map[string]*target), most: linksBase}
+	return &linkSet{acceptor: a, targets: make(map[string]*target), budget: newBudget()}
 }
 
 // follow keeps the targets as the directory has them until ctx ends.
@@ -67,6 +79,7 @@
 	last := ""
 	go s.reselect(ctx)
 	revision := int64(0)
+	failures := 0
 	for ctx.Err() == nil {
 		var err error
 		if revision == 0 {
@@ -78,13 +91,27 @@
 			return nil
 		}
 		last = announcer.Dependency(a.deps, "directory", last, err)
-		if err != nil {
-			a.deps.Clock.Sleep(storePause)
+		if err == nil {
+			failures = 0
+			continue
 		}
+		failures++
+		a.deps.Clock.Sleep(jittered(storeBackoff(failures)))
 	}
 	return nil
 }
 
+// storeBackoff is the pause after some calls to the store that failed in a row,
+// without jitter.
+func storeBackoff(failures int) time.Duration {
+	return min(storePause<<min(max(failures-1, 0), 2), storePauseMost)
+}
+
+// jittered returns a pause of half to one and a half times d.
+func jittered(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
+
 // list reads the whole directory.
 func (s *linkSet) list(ctx context.Context) (int64, error) {
 	items, revision, err := s.acceptor.store.List(ctx, platform.AgentPrefix)
@@ -93,7 +120,7 @@
 	}
 	listed := make(map[string]bool, len(items))
 	for _, i := range items {
-		listed[s.take(ctx, i)] = true
+		listed[s.take(i)] = true
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -102,6 +129,7 @@
 			s.unlist(t)
 		}
 	}
+	s.link(ctx)
 	return revision, nil
 }
 
@@ -109,21 +137,30 @@
 // for a new list.
 func (s *linkSet) watch(ctx context.Context, revision int64) (int64, error) {
 	items, next, err := s.acceptor.store.Watch(ctx, platform.AgentPrefix, revision, directoryWait)
-	if err != nil {
-		return 0, err
+	if err != nil || len(items) == 0 {
+		return next, err
 	}
+	s.takeAll(ctx, items)
+	s.acceptor.deps.Clock.Sleep(directoryPause)
+	return next, nil
+}
+
+// takeAll takes in changes of the directory.
+func (s *linkSet) takeAll(ctx context.Context, items []platform.Item) {
 	for _, i := range items {
 		if i.Deleted {
 			s.drop(i.Key[len(platform.AgentPrefix):])
 			continue
 		}
-		s.take(ctx, i)
+		s.take(i)
 	}
-	return next, nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.link(ctx)
 }
 
-// take keeps a link to a registered agent and returns its name.
-func (s *linkSet) take(ctx context.Context, i platform.Item) string {
+// take notes a registered agent and returns its name.
+func (s *linkSet) take(i platform.Item) string {
 	r, err := platform.ReadRegistration(i)
 	if err != nil {
 		s.acceptor.deps.Log.WithError(err).WithField("key", i.Key).Warn("registration passed over")
@@ -140,39 +177,75 @@
 			t.cancel()
 		}
 	}
-	s.targets[r.Agent] = &target{registration: r, listed: true}
-	s.link(ctx)
+	s.targets[r.Agent] = &target{registration: r, listed: true, rank: rankOf(s.acceptor.cfg.ID, r.Agent)}
+	s.dirty = true
 	return r.Agent
 }
 
-// reselect links more agents as others fail, until ctx ends.
+// reselect links more agents as others fail or the entry is short of room, and
+// fewer when it is not, until ctx ends.
 func (s *linkSet) reselect(ctx context.Context) {
 	// Tick ends with ctx and has no other error.
 	_ = announcer.Tick(ctx, s.acceptor.deps.Clock, reselectInterval, func() {
-		short := ask[bool](s.acceptor, shortQuestion{})
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if short && s.most < len(s.targets) {
-			s.most += linksStep
-			s.acceptor.deps.Log.WithField("links", s.most).Info("more agents linked")
-		}
-		s.link(ctx)
+		need := ask[scheduler.Need](s.acceptor, needQuestion{})
+		s.release(s.adjust(ctx, need))
 	})
 }
 
-// link opens links to the chosen agents. The caller holds mu.
+// adjust chooses the agents by the present need and returns the linked ones that
+// are not needed any more.
+func (s *linkSet) adjust(ctx context.Context, need scheduler.Need) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.budget.adjust(need, len(s.targets), s.acceptor.deps.Clock.Now()) {
+		s.dirty = true
+		s.acceptor.deps.Log.WithField("links", s.budget.most).WithField("short", need.Short).WithField("workers", need.Workers).Info("number of links changed")
+	}
+	s.link(ctx)
+	return slices.Clone(s.surplus)
+}
+
+// release ends the links to agents on which nothing depends.
+func (s *linkSet) release(names []string) {
+	if len(names) == 0 {
+		return
+	}
+	idle := ask[[]string](s.acceptor, releaseQuestion{agents: names})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range idle {
+		if t := s.targets[name]; t != nil && t.cancel != nil {
+			t.cancel()
+			t.cancel = nil
+			// Agents are chosen once more: it may have been chosen again meanwhile.
+			s.dirty = true
+		}
+	}
+}
+
+// link opens links to the chosen agents, if something has changed since they
+// were last chosen. The caller holds mu.
 func (s *linkSet) link(ctx context.Context) {
 	c, _ := s.acceptor.Configuration()
+	if !s.dirty && c.Revision == s.revision {
+		return
+	}
+	s.dirty = false
+	s.revision = c.Revision
 	list := make([]candidate, 0, len(s.targets))
 	for name, t := range s.targets {
 		dc := t.registration.DataCentre
+		reached := t.failures < failuresMost
 		list = append(list, candidate{
 			agent:      name,
 			dataCentre: dc,
-			usable:     t.failures < failuresMost && !c.Evacuated[dc],
+			rank:       t.rank,
+			reached:    reached,
+			usable:     reached && !c.Evacuated[dc],
 		})
 	}
-	for _, name := range choose(s.acceptor.cfg.ID, s.acceptor.cfg.DataCentre, list, s.most) {
+	wanted := s.wanted(list)
+	for name := range wanted {
 		t := s.targets[name]
 		if t.cancel != nil {
 			continue
@@ -181,6 +254,23 @@
 		inner, t.cancel = context.WithCancel(ctx)
 		go s.keep(inner, t.registration)
 	}
+	s.surplus = nil
+	for name, t := range s.targets {
+		if t.cancel != nil && !wanted[name] {
+			s.surplus = append(s.surplus, name)
+		}
+	}
+}
+
+// wanted returns the agents to link: those for the entry's tasks, and those at
+// which it meets the other entries.
+func (s *linkSet) wanted(list []candidate) map[string]bool {
+	id, dc := s.acceptor.cfg.ID, s.acceptor.cfg.DataCentre
+	out := make(map[string]bool)
+	for _, name := range slices.Concat(choose(dc, list, s.budget.most), meetingAgents(id, list)) {
+		out[name] = true
+	}
+	return out
 }
 
 // dialled notes the outcome of a dial.
@@ -191,9 +281,11 @@
 	switch {
 	case t == nil:
 	case good:
+		s.dirty = s.dirty || t.failures >= failuresMost
 		t.failures = 0
 	default:
 		t.failures++
+		s.dirty = s.dirty || t.failures == failuresMost
 	}
 }
 
@@ -227,6 +319,7 @@
 		return false
 	}
 	delete(s.targets, name)
+	s.dirty = true
 	return true
 }
 
@@ -252,7 +345,7 @@
 		}
 		pause := redialPause(failures)
 		failures++
-		a.deps.Clock.Sleep(pause/2 + time.Duration(rand.Int64N(int64(pause))))
+		a.deps.Clock.Sleep(jittered(pause))
 	}
 }
 
--- a/acceptor/linkset_test.go
+++ b/acceptor/linkset_test.go
@@ -1,10 +1,16 @@
 package acceptor
 
 import (
+	"context"
+	"fmt"
+	"io"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/platform"
+	"github.com/pomeloferry/pomeloferry/provider"
 )
 
 func TestRedialsComeOftenAtFirstAndSeldomInTheEnd(t *testing.T) {
@@ -18,3 +24,41 @@
 	require.Equal(t, redialMost, redialPause(100))
 	require.Equal(t, redialMost, redialPause(1_000_000))
 }
+
+// trickle is a store that tells of one more agent each time that it is asked.
+type trickle struct{ calls int }
+
+func (s *trickle) List(context.Context, string) ([]platform.Item, int64, error) {
+	return nil, 1, nil
+}
+
+func (s *trickle) Watch(_ context.Context, _ string, revision int64, _ time.Duration) ([]platform.Item, int64, error) {
+	s.calls++
+	value := fmt.Sprintf(`{"Agent":"agent-%d","DataCentre":"dc","Link":"127.0.0.1:1"}`, s.calls)
+	return []platform.Item{{Key: platform.AgentPrefix + "agent", Value: []byte(value)}}, revision + 1, nil
+}
+
+func TestAgentsThatRegisterTogetherDoNotCostTheStoreACallEach(t *testing.T) {
+	store := &trickle{}
+	a := &Acceptor{deps: provider.NewDeps(io.Discard), cfg: Config{ID: "entry", DataCentre: "dc"}, store: store}
+	s := newLinkSet(a)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	for revision := int64(1); ctx.Err() == nil; {
+		var err error
+		revision, err = s.watch(ctx, revision)
+		require.NoError(t, err)
+	}
+	// Hundreds of entries share the store's two thousand reads a second.
+	require.LessOrEqual(t, store.calls, 5)
+}
+
+func TestStoreThatTurnsAnEntryAwayIsAskedLessAndLess(t *testing.T) {
+	var span time.Duration
+	const tries = 10
+	for i := range tries {
+		span += storeBackoff(i + 1)
+	}
+	require.GreaterOrEqual(t, span, 5*time.Second)
+	require.LessOrEqual(t, storeBackoff(1_000_000), storePauseMost)
+}
--- a/acceptor/selection.go
+++ b/acceptor/selection.go
@@ -7,36 +7,34 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const (
-	// linksBase is the number of agents that an entry keeps in use. It bounds
-	// the messages of an entry and of an agent, whatever the fleet's size.
-	linksBase = 24
-	// linksStep is how many more an entry takes each time that it is short of
-	// room.
-	linksStep = 8
-	// localShare is the share of them that is in the entry's own data centre,
-	// if there are as many.
-	localShare = 0.6
-)
+// localShare is the share of an entry's links that is in its own data centre,
+// if there are as many agents.
+const localShare = 0.6
 
 // candidate is an agent that may be linked.
 type candidate struct {
 	agent      string
 	dataCentre string
-	// usable is whether it counts: it is reached, or has not failed to be, and
-	// its data centre is not evacuated.
+	// rank is the place of the agent among all for this entry; see rankOf.
+	rank uint64
+	// reached is whether the agent is linked, or has not failed to be.
+	reached bool
+	// usable is whether tasks may be placed there: it is reached and its data
+	// centre is not evacuated.
 	usable bool
 }
 
-// choose returns the agents that an entry keeps links to. Each entry ranks all
-// agents by a hash of both names, so that the entries share the agents out
-// evenly without a word between them. Agents that are not usable are passed
-// over in the count, so that others take their place; most is the count.
-func choose(entry, dataCentre string, list []candidate, most int) []string {
-	rank := func(c candidate) uint64 { return xxhash.Sum64String(entry + "/" + c.agent) }
+// rankOf ranks an agent for an entry by a hash of both names, so that the
+// entries share the agents out evenly without a word between them.
+func rankOf(entry, agent string) uint64 { return xxhash.Sum64String(entry + "/" + agent) }
+
+// choose returns the agents at which an entry has its tasks run: the first most
+// of its own ranking. Agents that are not usable are passed over in the count, so
+// that others take their place.
+func choose(dataCentre string, list []candidate, most int) []string {
 	sorted := slices.Clone(list)
 	slices.SortFunc(sorted, func(a, b candidate) int {
-		if c := cmp.Compare(rank(a), rank(b)); c != 0 {
+		if c := cmp.Compare(a.rank, b.rank); c != 0 {
 			return c
 		}
 		return cmp.Compare(a.agent, b.agent)
--- a/acceptor/selection_test.go
+++ b/acceptor/selection_test.go
@@ -7,21 +7,22 @@
 	"github.com/stretchr/testify/require"
 )
 
-func fleet(n int) []candidate {
+func fleet(entry string, n int) []candidate {
 	var list []candidate
 	for i := range n {
-		list = append(list, candidate{agent: fmt.Sprintf("agent-%d", i), dataCentre: fmt.Sprintf("dc-%d", i%3), usable: true})
+		agent := fmt.Sprintf("agent-%d", i)
+		list = append(list, candidate{agent: agent, dataCentre: fmt.Sprintf("dc-%d", i%3), rank: rankOf(entry, agent), reached: true, usable: true})
 	}
 	return list
 }
 
 func TestSmallFleetIsLinkedWhole(t *testing.T) {
-	require.Len(t, choose("entry-1", "dc-0", fleet(11), linksBase), 11)
+	require.Len(t, choose("dc-0", fleet("entry-1", 11), linksBase), 11)
 }
 
 func TestLinksAreBoundedAndMostlyLocal(t *testing.T) {
-	list := fleet(300)
-	chosen := choose("entry-1", "dc-0", list, linksBase)
+	list := fleet("entry-1", 300)
+	chosen := choose("dc-0", list, linksBase)
 	require.Len(t, chosen, linksBase)
 	local := 0
 	for _, name := range chosen {
@@ -36,10 +37,10 @@
 }
 
 func TestEveryAgentOfAGrownFleetIsLinked(t *testing.T) {
-	list := fleet(68)
 	links := make(map[string]int)
 	for e := range 12 {
-		for _, name := range choose(fmt.Sprintf("entry-%d", e), fmt.Sprintf("dc-%d", e%3), list, linksBase) {
+		list := fleet(fmt.Sprintf("entry-%d", e), 68)
+		for _, name := range choose(fmt.Sprintf("dc-%d", e%3), list, linksBase) {
 			links[name]++
 		}
 	}
@@ -47,12 +48,12 @@
 }
 
 func TestAgentsThatAreNotUsableAreReplaced(t *testing.T) {
-	list := fleet(68)
-	before := choose("entry-1", "dc-0", list, linksBase)
+	list := fleet("entry-1", 68)
+	before := choose("dc-0", list, linksBase)
 	for i := range list {
 		list[i].usable = list[i].dataCentre != "dc-0"
 	}
-	after := choose("entry-1", "dc-0", list, linksBase)
+	after := choose("dc-0", list, linksBase)
 	usable := 0
 	for _, name := range after {
 		for _, c := range list {
@@ -66,9 +67,9 @@
 }
 
 func TestEntryShortOfRoomLinksMoreAgentsAndKeepsThoseThatItHas(t *testing.T) {
-	list := fleet(68)
-	before := choose("entry-1", "dc-0", list, linksBase)
-	after := choose("entry-1", "dc-0", list, linksBase+linksStep)
+	list := fleet("entry-1", 68)
+	before := choose("dc-0", list, linksBase)
+	after := choose("dc-0", list, linksBase+linksStep)
 	require.Len(t, after, linksBase+linksStep)
 	require.Subset(t, after, before)
 }
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -26,9 +26,11 @@
 	complete bool
 	// upstream is whether the entry has had what is known of the worker.
 	upstream bool
-	// changed is whether the entry has not heard of the present room.
-	changed bool
-	toldAt  time.Time
+	// changed is whether the entry has not heard of the present state, and
+	// roomChanged whether that is of the room alone.
+	changed     bool
+	roomChanged bool
+	toldAt      time.Time
 	// told is the room that the entry was last told of.
 	told messenger.Demand
 	// want is what waits there, and share the room that it has had in
@@ -189,13 +191,20 @@
 	r.mustEnd = now.Add(stopPatience)
 }
 
-// changed marks that entries have not heard of the present room.
+// changed marks that entries have not heard of the present state.
 func (x *Executor) changed() {
 	for _, e := range x.entries {
 		e.changed = true
 	}
 }
 
+// changeRoom marks that entries have not heard of the present room.
+func (x *Executor) changeRoom() {
+	for _, e := range x.entries {
+		e.roomChanged = true
+	}
+}
+
 // upstreamChanged marks that entries have not heard of the present worker.
 func (x *Executor) upstreamChanged() {
 	for _, e := range x.entries {
@@ -208,14 +217,16 @@
 func (x *Executor) tellChanged() {
 	now := x.clock.Now()
 	x.nextTurn(now)
-	interval := roomInterval * time.Duration(len(x.order))
+	interval := roomInterval * time.Duration(x.inTouch())
 	for _, e := range x.order {
 		if !e.open {
 			continue
 		}
+		since := now.Sub(e.toldAt)
 		urgent := e.outcomes.waiting() || (x.turns.contended && x.offer(e) != e.told)
-		if urgent || (e.changed && now.Sub(e.toldAt) >= interval) {
-			x.tell(e, now, false)
+		changed := e.changed || (e.roomChanged && e.want.Tasks > 0)
+		if urgent || (changed && since >= interval) || (e.roomChanged && since >= max(interval, calmInterval)) {
+			x.tell(e, now, now.Sub(e.beatAt) >= beatEarly)
 		}
 	}
 }
@@ -271,6 +282,7 @@
 		x.emit(Note{Owner: e.name, Worker: x.upstream.ID, What: "list of runs sent", Why: fmt.Sprintf("%d runs", len(r.Runs)), Age: x.clock.Since(x.look.openAt)})
 	}
 	e.changed = false
+	e.roomChanged = false
 	e.told = r.Free
 	e.toldAt = now
 	x.emit(Tell{Entry: e.name, Report: r})
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -52,6 +52,12 @@
 	// roomInterval, times the number of entries, is the least time between two
 	// reports of changed room to one entry. It bounds what an agent sends.
 	roomInterval = 4 * time.Millisecond
+	// calmInterval is the same for an entry at which nothing waits. It asks when
+	// something does.
+	calmInterval = messenger.BeatInterval / 2
+	// beatEarly is the time after a heartbeat from which a report that is sent
+	// anyhow serves as the next one.
+	beatEarly = messenger.BeatInterval / 2
 	// tokenStep is the least step of the fencing token when the worker has
 	// seen a higher one.
 	tokenStep = 1_000_000
--- a/executor/run.go
+++ b/executor/run.go
@@ -86,7 +86,7 @@
 	if x.byTask[r.Task.Task] == r {
 		delete(x.byTask, r.Task.Task)
 	}
-	x.changed()
+	x.changeRoom()
 }
 
 // settle notes the end of a run.
--- a/executor/start.go
+++ b/executor/start.go
@@ -64,7 +64,7 @@
 		taken++
 	}
 	x.charge(e, taken)
-	x.changed()
+	x.changeRoom()
 	x.pump()
 }
 
--- a/executor/turn.go
+++ b/executor/turn.go
@@ -36,6 +36,7 @@
 // wants notes what waits at an entry.
 func (x *Executor) wants(e *entry, w messenger.Want) {
 	if e.want.Tasks == 0 && w.Tasks > 0 {
+		e.changed = true
 		// What it did not ask for before is not made up for.
 		e.share = max(e.share, x.turns.level)
 	}
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -16,6 +17,9 @@
 	// nothing for lack of room: its links to the agents are still being opened,
 	// so it does not know the room yet.
 	settleTime = 150 * time.Millisecond
+	// shortAfter is how long a job waits before its entry counts as short of
+	// room. One that waits for less has met with a race for room.
+	shortAfter = 30 * time.Millisecond
 	// backLeast and backMost bound the time after which callers are asked to
 	// come back.
 	backLeast = time.Second
@@ -146,12 +150,37 @@
 	return h.faded(now) / 1000 * math.Ln2 / throughputLife.Seconds()
 }
 
-// Short reports whether jobs wait that more workers could run, or were refused
-// for lack of room since the last call.
-func (s *Scheduler) Short() bool {
-	short := s.short || len(s.queue) > 0
+// Need is what an entry needs of room, and of links to agents for it.
+type Need struct {
+	// Short means that jobs have waited long for room, or were refused for lack of
+	// it since the last call.
+	Short bool
+	// Workers is how many workers the work done lately would keep busy.
+	Workers float64
+}
+
+// Need returns the present need.
+func (s *Scheduler) Need() Need {
+	now := s.clock.Now()
+	waited := slices.ContainsFunc(s.queue, func(j *job) bool { return now.Sub(j.arrived) > shortAfter })
+	n := Need{Short: s.short || waited}
 	s.short = false
-	return short
+	if cores := s.meanCapacity(); cores > 0 {
+		n.Workers = s.throughput.perSecond(now) / cores
+	}
+	return n
+}
+
+// meanCapacity returns the mean number of cores of the workers in touch.
+func (s *Scheduler) meanCapacity() float64 {
+	var sum, n float64
+	for _, a := range s.byName {
+		if a.open {
+			sum += float64(a.upstream.Capacity.CPU) / 1000
+			n++
+		}
+	}
+	return sum / max(n, 1)
 }
 
 // backIn is when a refused caller had better come back: after the queue has
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -75,6 +75,9 @@
 	return s.want
 }
 
+// Waits reports whether a job waits for room.
+func (s *Scheduler) Waits() bool { return len(s.queue) > 0 }
+
 // dropPlaced drops the jobs from the queue that have no task to place.
 func (s *Scheduler) dropPlaced() {
 	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,7 +55,7 @@
 	// want is what waited for room when it was last counted, less what has been
 	// placed since.
 	want messenger.Want
-	// throughput is the work done lately; short is for Short.
+	// throughput is the work done lately; short is for Need.
 	throughput throughput
 	short      bool
 	// echoed is when the last heartbeat was sent that an agent has echoed.
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -135,6 +135,7 @@
 // beat sends heartbeats and closes links that have been silent.
 func (e *simEntry) beat() {
 	now := e.w.clock.Now()
+	ask := e.asks(now)
 	for _, a := range e.w.agents {
 		l := e.links[a.name]
 		if l == nil || !l.open {
@@ -144,13 +145,27 @@
 			l.close()
 			continue
 		}
-		if now.Sub(l.beatAt) >= messenger.BeatInterval {
+		if ask || now.Sub(l.beatAt) >= messenger.BeatInterval {
 			l.beatAt = now
 			l.toAgent(messenger.Beat{Stamp: now.Sub(l.opened), Echo: l.echo, Want: e.core.Want(), Heard: e.core.Heard(a.name), Held: e.core.Held()})
 		}
 	}
 }
 
+// asks reports whether all agents are to be told now that jobs wait.
+func (e *simEntry) asks(now time.Time) bool {
+	if !e.core.Waits() {
+		e.asked = false
+		return false
+	}
+	if e.asked || now.Sub(e.askedAt) < messenger.AskInterval {
+		return false
+	}
+	e.asked = true
+	e.askedAt = now
+	return true
+}
+
 // toAgent carries a message to the agent.
 func (l *simLink) toAgent(msg any) {
 	if !l.open {
