--- a/acceptor/core.go
+++ b/acceptor/core.go
@@ -60,10 +60,6 @@
 	replies   map[uint64]chan scheduler.Answer
 	links     map[string]*link
 	names     map[*messenger.Link]string
-	// asked is whether the agents have been told that jobs wait, and askedAt when
-	// they were last told so before a heartbeat was due.
-	asked   bool
-	askedAt time.Time
 	// at is when the last message was taken in or had been dealt with.
 	at time.Time
 }
--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -29,7 +29,7 @@
 // beat sends heartbeats that are due.
 func (c *core) beat() {
 	now := c.acceptor.deps.Clock.Now()
-	ask := c.asks(now)
+	ask := c.scheduler.Asks()
 	var due []*link
 	for _, l := range c.links {
 		if ask || now.Sub(l.beatAt) >= messenger.BeatInterval {
@@ -59,21 +59,6 @@
 	}
 }
 
-// asks reports whether all agents are to be told now that jobs wait. Without
-// that they tell of room that falls free only now and then.
-func (c *core) asks(now time.Time) bool {
-	if !c.scheduler.Waits() {
-		c.asked = false
-		return false
-	}
-	if c.asked || now.Sub(c.askedAt) < messenger.AskInterval {
-		return false
-	}
-	c.asked = true
-	c.askedAt = now
-	return true
-}
-
 func (c *core) opened(m linkOpened) {
 	if old := c.links[m.agent]; old != nil {
 		c.closed(old.Link)
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -8,9 +8,6 @@
 const (
 	// BeatInterval is the time between two heartbeats on a link.
 	BeatInterval = 120 * time.Millisecond
-	// AskInterval is the least time between two heartbeats that an entry sends
-	// to ask for room as soon as a job waits.
-	AskInterval = BeatInterval / 4
 	// SilenceLimit ends a link on which nothing arrived for so long.
 	SilenceLimit = 400 * time.Millisecond
 	// HeldFor is how long agents tell of the jobs in an entry's last heartbeat.
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -11,6 +11,9 @@
 	// roomPatience is how long a run waits at an agent whose room another
 	// entry has just taken.
 	roomPatience = 12 * time.Millisecond
+	// askInterval is the least time between two rounds of heartbeats that are sent
+	// to ask for room before they are due.
+	askInterval = messenger.BeatInterval / 4
 )
 
 // pass places what waits, in order, and refuses what has waited too long.
@@ -75,8 +78,21 @@
 	return s.want
 }
 
-// Waits reports whether a job waits for room.
-func (s *Scheduler) Waits() bool { return len(s.queue) > 0 }
+// Asks reports whether all agents are to hear now that jobs wait: one has begun
+// to. Without that they tell of room that falls free only now and then.
+func (s *Scheduler) Asks() bool {
+	if len(s.queue) == 0 {
+		s.asked = false
+		return false
+	}
+	now := s.clock.Now()
+	if s.asked || now.Sub(s.askedAt) < askInterval {
+		return false
+	}
+	s.asked = true
+	s.askedAt = now
+	return true
+}
 
 // dropPlaced drops the jobs from the queue that have no task to place.
 func (s *Scheduler) dropPlaced() {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,6 +55,10 @@
 	// want is what waited for room when it was last counted, less what has been
 	// placed since.
 	want messenger.Want
+	// asked is whether the agents have been told that jobs wait, and askedAt when
+	// they were last told so before a heartbeat was due.
+	asked   bool
+	askedAt time.Time
 	// throughput is the work done lately; short is for Need.
 	throughput throughput
 	short      bool
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -135,7 +135,7 @@
 // beat sends heartbeats and closes links that have been silent.
 func (e *simEntry) beat() {
 	now := e.w.clock.Now()
-	ask := e.asks(now)
+	ask := e.core.Asks()
 	for _, a := range e.w.agents {
 		l := e.links[a.name]
 		if l == nil || !l.open {
@@ -152,20 +152,6 @@
 	}
 }
 
-// asks reports whether all agents are to be told now that jobs wait.
-func (e *simEntry) asks(now time.Time) bool {
-	if !e.core.Waits() {
-		e.asked = false
-		return false
-	}
-	if e.asked || now.Sub(e.askedAt) < messenger.AskInterval {
-		return false
-	}
-	e.asked = true
-	e.askedAt = now
-	return true
-}
-
 // toAgent carries a message to the agent.
 func (l *simLink) toAgent(msg any) {
 	if !l.open {
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -114,9 +114,6 @@
 	frozenUntil time.Time
 	// at is when the entry last did something.
 	at time.Time
-	// asked is whether agents have been told that jobs wait, last at askedAt.
-	asked   bool
-	askedAt time.Time
 }
 
 // simAgent is an agent process with its worker.
