announcer, attendant, executor: Keep goroutines, sort only runs that matter

One goroutine for each actor is kept now, and up to eight for calls. An agent sorted its runs four times a tick to find the few that are due.

Decisions are unchanged.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -116,6 +116,7 @@
 	a.pid = a.system.Root.Spawn(actor.PropsFromProducer(
 		func() actor.Actor { return newCore(a) },
 		actor.WithMailbox(actor.Bounded(mailboxSize)),
+		actor.WithDispatcher(announcer.NewDispatcher(inner)),
 	))
 	defer a.system.Shutdown()
 	front := announcer.NewFront(a.deps.Clock, &http.Server{
--- a/attendant/attendant.go
+++ b/attendant/attendant.go
@@ -124,6 +124,7 @@
 	a.pid = a.system.Root.Spawn(actor.PropsFromProducer(
 		func() actor.Actor { return newCore(a) },
 		actor.WithMailbox(actor.Bounded(mailboxSize)),
+		actor.WithDispatcher(announcer.NewDispatcher(inner)),
 	))
 	defer a.system.Shutdown()
 	control := &http.Server{Handler: platform.NewHeartbeatServer(a), ReadHeaderTimeout: time.Second}
--- a/attendant/core.go
+++ b/attendant/core.go
@@ -53,6 +53,7 @@
 	names map[*messenger.Link]string
 	// last is the last heartbeat that was taken in.
 	last   platform.Heartbeat
+	calls  *calls
 	meters meters
 }
 
@@ -64,6 +65,7 @@
 		}),
 		links:  make(map[string]*messenger.Link),
 		names:  make(map[*messenger.Link]string),
+		calls:  newCalls(a.ctx),
 		meters: newMeters(a.deps.Metrics),
 	}
 }
@@ -189,13 +191,13 @@
 		switch e := e.(type) {
 		case executor.Start:
 			c.meters.starts.Inc()
-			go a.start(e)
+			c.calls.do(func() { a.start(e) })
 		case executor.Stop:
 			c.meters.stops.Inc()
-			go a.stop(e)
+			c.calls.do(func() { a.stop(e) })
 		case executor.Look:
 			c.meters.looks.Inc()
-			go a.look(e)
+			c.calls.do(func() { a.look(e) })
 		case executor.Tell:
 			c.meters.reports.Inc()
 			if l := c.links[e.Entry]; l != nil {
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -171,19 +171,16 @@
 			x.order = slices.DeleteFunc(x.order, func(o *entry) bool { return o == e })
 		}
 	}
-	for _, r := range x.sorted() {
-		if r.owner == "" && !r.dropped && now.After(r.expires) {
-			x.abandon(r, now)
-		}
+	unclaimed := func(r *run) bool { return r.owner == "" && !r.dropped && now.After(r.expires) }
+	for _, r := range x.runsThat(unclaimed) {
+		x.abandon(r, now)
 	}
 }
 
 func (x *Executor) dropOwned(owner string) {
-	for _, r := range x.sorted() {
-		if r.owner == owner && !r.dropped {
-			x.emit(Note{Run: r.Run, Owner: owner, What: "run dropped", Why: "entry silent or restarted"})
-			x.abandon(r, x.clock.Now())
-		}
+	for _, r := range x.runsThat(func(r *run) bool { return r.owner == owner && !r.dropped }) {
+		x.emit(Note{Run: r.Run, Owner: owner, What: "run dropped", Why: "entry silent or restarted"})
+		x.abandon(r, x.clock.Now())
 	}
 }
 
--- a/executor/run.go
+++ b/executor/run.go
@@ -143,21 +143,16 @@
 
 // lapseAt ends every run of a worker that is certainly gone.
 func (x *Executor) lapseAt(worker string) {
-	for _, r := range x.sorted() {
-		if r.phase != waiting && r.worker == worker {
-			x.emit(Note{Run: r.Run, Owner: r.owner, Worker: worker, What: "run lost", Why: "another worker answers at its address"})
-			x.settle(r, messenger.Lapsed)
-		}
+	for _, r := range x.runsThat(func(r *run) bool { return r.phase != waiting && r.worker == worker }) {
+		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: worker, What: "run lost", Why: "another worker answers at its address"})
+		x.settle(r, messenger.Lapsed)
 	}
 }
 
 // detachAll holds every run for one that goes on at the last worker until its
 // lease is over for certain.
 func (x *Executor) detachAll(why string) {
-	for _, r := range x.sorted() {
-		if !r.here() {
-			continue
-		}
+	for _, r := range x.runsThat((*run).here) {
 		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run detached", Why: why, Age: x.clock.Since(x.leasedAt)})
 		x.used = x.used.Minus(r.Demand)
 		r.phase = detached
@@ -179,10 +174,7 @@
 // in the last one.
 func (x *Executor) doubtAll(why string) {
 	x.token++
-	for _, r := range x.sorted() {
-		if !r.here() {
-			continue
-		}
+	for _, r := range x.runsThat((*run).here) {
 		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run in doubt", Why: why})
 		r.phase = doubtful
 		r.token = x.token
@@ -195,10 +187,12 @@
 
 // lapseSure ends the runs whose leases have run out for certain.
 func (x *Executor) lapseSure(now time.Time) {
-	for _, r := range x.sorted() {
-		if (r.phase == detached && now.After(r.over)) || (r.here() && now.After(leaseEnd(x.leasedAt))) {
-			x.settle(r, messenger.Lapsed)
-		}
+	renewed := leaseEnd(x.leasedAt)
+	over := func(r *run) bool {
+		return (r.phase == detached && now.After(r.over)) || (r.here() && now.After(renewed))
+	}
+	for _, r := range x.runsThat(over) {
+		x.settle(r, messenger.Lapsed)
 	}
 }
 
@@ -213,10 +207,15 @@
 }
 
 // sorted returns the runs in a fixed order.
-func (x *Executor) sorted() []*run {
-	out := make([]*run, 0, len(x.runs))
+func (x *Executor) sorted() []*run { return x.runsThat(func(*run) bool { return true }) }
+
+// runsThat returns the runs of which suits is true, in a fixed order.
+func (x *Executor) runsThat(suits func(r *run) bool) []*run {
+	var out []*run
 	for _, r := range x.runs {
-		out = append(out, r)
+		if suits(r) {
+			out = append(out, r)
+		}
 	}
 	slices.SortFunc(out, func(a, b *run) int { return compareRuns(a.Run, b.Run) })
 	return out
--- a/executor/start.go
+++ b/executor/start.go
@@ -283,10 +283,9 @@
 
 // stopAgain repeats stops whose end has not been listed.
 func (x *Executor) stopAgain(now time.Time) {
-	for _, r := range x.sorted() {
-		if r.phase == stopping && now.Sub(r.stopAt) >= stopAgain {
-			x.stop(r)
-		}
+	due := func(r *run) bool { return r.phase == stopping && now.Sub(r.stopAt) >= stopAgain }
+	for _, r := range x.runsThat(due) {
+		x.stop(r)
 	}
 }
 
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -90,7 +90,8 @@
 	switch {
 	case a.report.FailedJobs >= ejectAfter:
 		s.eject(a, "fails what it starts")
-	case a.report.PacedJobs >= paceJobs && a.report.Pace < slowShare*s.usualPace():
+	case a.report.PacedJobs >= paceJobs && a.report.Pace < slowShare && a.report.Pace < slowShare*s.usualPace():
+		// The usual pace is 1 at most, and costs a look at all workers.
 		s.eject(a, "slow")
 	}
 }
