--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -63,9 +63,11 @@
 // Idle reports whether no run of the entry's depends on the link to an agent.
 func (s *Scheduler) Idle(name string) bool {
 	a := s.agents[name]
-	return a == nil || (len(a.tasks) == 0 && len(a.withdrawn) == 0)
+	return a == nil || a.idle()
 }
 
+func (a *agent) idle() bool { return len(a.tasks) == 0 && len(a.withdrawn) == 0 }
+
 // free returns the room that can be counted on.
 func (a *agent) free() messenger.Demand {
 	d := a.report.Free
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -202,7 +202,7 @@
 func (s *Scheduler) Tick() {
 	now := s.clock.Now()
 	for _, a := range s.byName {
-		if !a.open && now.Sub(a.reportedAt) > LossAfter {
+		if !a.open && !a.idle() && now.Sub(a.reportedAt) > LossAfter {
 			s.lose(a)
 		}
 	}
