--- a/commander/commander.go
+++ b/commander/commander.go
@@ -47,10 +47,10 @@
 
 // Main runs the command line in args and returns the exit status.
 func Main(args []string, stdout, stderr io.Writer) int {
-	// Caught before all else: a hang-up in the first moments of a process that
-	// reloads its settings on it would end the process.
+	// Processes that serve reload their settings on a hang-up; it ends the others.
 	hangups := make(chan os.Signal, 1)
-	if len(args) > 0 && args[0] == "serve" {
+	serves := len(args) > 0 && args[0] == "serve"
+	if serves {
 		signal.Notify(hangups, syscall.SIGHUP)
 		defer signal.Stop(hangups)
 	}
@@ -79,7 +79,11 @@
 	if err == nil {
 		deps.Log.Logger.SetLevel(level)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ends := []os.Signal{syscall.SIGINT, syscall.SIGTERM}
+	if !serves {
+		ends = append(ends, syscall.SIGHUP)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), ends...)
 	defer stop()
 	if err := kctx.Run(&environment{ctx: ctx, deps: deps, out: stdout, hangups: hangups}); err != nil {
 		fmt.Fprintln(stderr, "pomeloferry:", err)
