acceptor, executor: Say once how a failed store call is retried and a heartbeat is due

Read again as a whole, the change had: the count of failed store calls and the pause after them twice (directives.go, linkset.go), now storeRetry; a loop over an entry's links that changed its own bound, now due and quietFor; the hash of the entry's name worked out for each agent when the grid is laid, now once; the count of entries in touch, taken at each message, over a map where the list of the same entries stands.

Result: behaviour is the same, no test was changed.

--- a/acceptor/directives.go
+++ b/acceptor/directives.go
@@ -35,7 +35,7 @@
 func (d *directives) follow(ctx context.Context) error {
 	a := d.acceptor
 	var first sync.Once
-	failures := 0
+	retry := storeRetry{clock: a.deps.Clock}
 	for ctx.Err() == nil {
 		err := d.next(ctx)
 		first.Do(func() { close(a.read) })
@@ -43,13 +43,10 @@
 			return nil
 		}
 		d.last = announcer.Dependency(a.deps, "store", d.last, err)
-		if err == nil {
-			failures = 0
-			continue
+		if err != nil {
+			d.revision = 0
 		}
-		failures++
-		d.revision = 0
-		a.deps.Clock.Sleep(jittered(storeBackoff(failures)))
+		retry.after(err)
 	}
 	return nil
 }
--- a/acceptor/grid.go
+++ b/acceptor/grid.go
@@ -38,11 +38,12 @@
 // entries may reach them.
 func meetingAgents(entry string, list []candidate) []string {
 	side := gridSide(len(list))
+	row, column := crossOf(entry, side)
 	cells := make(map[int][]string)
 	reached := make(map[string]bool, len(list))
 	for _, c := range list {
 		cell := int(xxhash.Sum64String(c.agent) % uint64(side*side))
-		if inCross(entry, cell, side) {
+		if cell/side == row || cell%side == column {
 			cells[cell] = append(cells[cell], c.agent)
 			reached[c.agent] = c.reached
 		}
@@ -62,9 +63,8 @@
 	return out
 }
 
-// inCross reports whether a cell is in the row or the column of an entry.
-func inCross(entry string, cell, side int) bool {
+// crossOf returns the row and the column of an entry.
+func crossOf(entry string, side int) (row, column int) {
 	h := xxhash.Sum64String(entry)
-	row, column := int(h%uint64(side)), int(h/uint64(side)%uint64(side))
-	return cell/side == row || cell%side == column
+	return int(h % uint64(side)), int(h / uint64(side) % uint64(side))
 }
--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -30,25 +30,9 @@
 	l.echo = stamp
 }
 
-// beat sends heartbeats that are due. Those that will be due soon go with them, so
-// that the agents answer together and the entry wakes for all of them at once.
+// beat sends heartbeats that are due.
 func (c *core) beat() {
-	now := c.acceptor.deps.Clock.Now()
-	least := messenger.BeatInterval
-	if c.scheduler.Asks() {
-		least = 0
-	}
-	var due []*link
-	for _, l := range c.links {
-		if now.Sub(l.beatAt) >= least {
-			least = min(least, beatTogether)
-		}
-	}
-	for _, l := range c.links {
-		if now.Sub(l.beatAt) >= least {
-			due = append(due, l)
-		}
-	}
+	due := c.due(c.acceptor.deps.Clock.Now())
 	if len(due) == 0 {
 		return
 	}
@@ -57,7 +41,7 @@
 	want := c.scheduler.Want()
 	held := c.scheduler.Held()
 	// What has been named counts from before the stamp on.
-	now = c.acceptor.deps.Clock.Now()
+	now := c.acceptor.deps.Clock.Now()
 	for _, l := range due {
 		l.beatAt = now
 		l.Send(messenger.Beat{
@@ -72,6 +56,30 @@
 	}
 }
 
+// due returns the links whose heartbeat is due: all when the entry asks for room.
+// With one that is due go those that will be soon, so that the agents answer
+// together and the entry wakes for all of them at once.
+func (c *core) due(now time.Time) []*link {
+	if c.scheduler.Asks() {
+		return c.quietFor(0, now)
+	}
+	if len(c.quietFor(messenger.BeatInterval, now)) == 0 {
+		return nil
+	}
+	return c.quietFor(beatTogether, now)
+}
+
+// quietFor returns the links on which no heartbeat went out for a time.
+func (c *core) quietFor(d time.Duration, now time.Time) []*link {
+	var out []*link
+	for _, l := range c.links {
+		if now.Sub(l.beatAt) >= d {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
 func (c *core) opened(m linkOpened) {
 	if old := c.links[m.agent]; old != nil {
 		c.closed(old.Link)
--- a/acceptor/linkset.go
+++ b/acceptor/linkset.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/pomeloferry/pomeloferry/announcer"
 	"github.com/pomeloferry/pomeloferry/messenger"
 	"github.com/pomeloferry/pomeloferry/platform"
@@ -79,7 +81,7 @@
 	last := ""
 	go s.reselect(ctx)
 	revision := int64(0)
-	failures := 0
+	retry := storeRetry{clock: a.deps.Clock}
 	for ctx.Err() == nil {
 		var err error
 		if revision == 0 {
@@ -91,16 +93,28 @@
 			return nil
 		}
 		last = announcer.Dependency(a.deps, "directory", last, err)
-		if err == nil {
-			failures = 0
-			continue
-		}
-		failures++
-		a.deps.Clock.Sleep(jittered(storeBackoff(failures)))
+		retry.after(err)
 	}
 	return nil
 }
 
+// storeRetry spaces the calls to the store that follow failed ones.
+type storeRetry struct {
+	clock clockwork.Clock
+	// failures counts the calls in a row that failed.
+	failures int
+}
+
+// after waits after a call that failed.
+func (r *storeRetry) after(err error) {
+	if err == nil {
+		r.failures = 0
+		return
+	}
+	r.failures++
+	r.clock.Sleep(jittered(storeBackoff(r.failures)))
+}
+
 // storeBackoff is the pause after some calls to the store that failed in a row,
 // without jitter.
 func storeBackoff(failures int) time.Duration {
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -303,7 +303,7 @@
 // inTouch counts the entries with an open link.
 func (x *Executor) inTouch() int {
 	n := 0
-	for _, e := range x.entries {
+	for _, e := range x.order {
 		if e.open {
 			n++
 		}
