executor: Let a turn last as long as its entry takes to answer

Cause: a turn at scarce room lasted 3 ms, less than the way to another data centre and back at 1.4 ms one way, so that room was told to two entries and one of them was refused. Change: a turn lasts 1.5 times the mean time in which the entry has used the room that it was told of, from 3 to 12 ms.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -39,6 +39,10 @@
 	// proportion to that.
 	want  messenger.Want
 	share float64
+	// offered is the stamp of the report that began its last turn, zero once it
+	// has been answered, and reaction the mean time that it takes to answer.
+	offered  time.Duration
+	reaction time.Duration
 	// beatAt is when the progress of runs was last told.
 	beatAt   time.Time
 	outcomes outcomes
--- a/executor/start.go
+++ b/executor/start.go
@@ -45,6 +45,7 @@
 	e.placedAt = now
 	stale := x.stamp()-p.Echo > placeAge
 	x.wants(e, p.Want)
+	x.reacted(e, p.Echo)
 	taken := 0
 	for _, t := range p.Tasks {
 		if known := x.byTask[t.Task]; known != nil {
--- a/executor/turn.go
+++ b/executor/turn.go
@@ -7,9 +7,15 @@
 )
 
 const (
-	// turnSpan is how long an entry may take to use the room that it alone has
-	// been told of. It covers the way there and back and a busy entry.
-	turnSpan = 3 * time.Millisecond
+	// turnLeast and turnMost bound how long an entry may take to use the room
+	// that it alone has been told of. It covers the way there and back, which
+	// differs between data centres, and a busy entry.
+	turnLeast = 3 * time.Millisecond
+	turnMost  = 12 * time.Millisecond
+	// turnMargin is how much longer than its usual reaction an entry's turn is.
+	turnMargin = 1.5
+	// reactionWeight is the weight of a new sample in the mean reaction time.
+	reactionWeight = 0.25
 	// turnRest is how long a turn goes on after its entry has placed a run, for
 	// the other runs of the same moment.
 	turnRest = time.Millisecond
@@ -78,9 +84,35 @@
 	}
 	if t.holder != nil {
 		t.level = t.holder.share
-		t.until = now.Add(turnSpan)
+		span := t.holder.turnSpan()
+		t.until = now.Add(span)
 		t.used = false
-		x.emit(Wake{After: turnSpan})
+		t.holder.offered = x.stamp()
+		x.emit(Wake{After: span})
+	}
+}
+
+// turnSpan returns how long a turn of the entry lasts.
+func (e *entry) turnSpan() time.Duration {
+	span := time.Duration(turnMargin * float64(e.reaction))
+	return min(max(span, turnLeast), turnMost)
+}
+
+// reacted notes how long an entry took to use the room that it was told of when
+// its turn began. Echo is the stamp of the last report that it had seen. A placement
+// that comes much later was not prompted by the turn.
+func (x *Executor) reacted(e *entry, echo time.Duration) {
+	if e.offered == 0 || echo < e.offered {
+		return
+	}
+	took := x.stamp() - e.offered
+	e.offered = 0
+	switch {
+	case took > turnMost:
+	case e.reaction == 0:
+		e.reaction = took
+	default:
+		e.reaction += time.Duration(reactionWeight * float64(took-e.reaction))
 	}
 }
 
--- a/executor/turn_test.go
+++ b/executor/turn_test.go
@@ -123,6 +123,31 @@
 	require.NotEqual(t, first, second, "a turn that is not used passes on")
 }
 
+// TestTurnLastsAsLongAsItsEntryTakesToAnswer guards against turns that end before an
+// answer from another data centre can arrive, so that the same room is told twice.
+func TestTurnLastsAsLongAsItsEntryTakesToAnswer(t *testing.T) {
+	const answerTime = 5 * time.Millisecond
+	c := newCrowd(t, 2)
+	met := 0
+	for range 12 {
+		c.want("entry-0", 15)
+		c.want("entry-1", 15)
+		c.pass(time.Millisecond)
+		first := c.holders()
+		require.Len(t, first, 1)
+		stamp := c.stamp
+		c.pass(answerTime)
+		if now := c.holders(); len(now) == 1 && now[0] == first[0] {
+			met++
+		}
+		c.stamp = stamp
+		c.use(first[0], 15)
+		c.freeOldest()
+		c.pass(20 * time.Millisecond)
+	}
+	require.GreaterOrEqual(t, met, 9, "turns in which the answer came in time")
+}
+
 func TestRoomIsSharedInProportionToWhatWaits(t *testing.T) {
 	c := newCrowd(t, 3)
 	used := make(map[string]int)
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -158,7 +158,7 @@
 		return
 	}
 	core := l.agent.core
-	l.agent.w.after(linkDelay, func() {
+	l.agent.w.after(l.agent.w.linkDelay, func() {
 		if !l.open || l.cut || l.agent.core != core {
 			return
 		}
@@ -183,7 +183,7 @@
 // toEntry carries a report to the entry.
 func (l *simLink) toEntry(r messenger.Report) {
 	core := l.entry.core
-	l.entry.w.after(linkDelay, func() {
+	l.entry.w.after(l.entry.w.linkDelay, func() {
 		if !l.open || l.cut || l.entry.core != core || l.agent.links[l.entry.name] != l {
 			return
 		}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -42,7 +42,7 @@
 }
 
 const (
-	// linkDelay is the way of a message between machines, localDelay that to
+	// linkDelay is the usual way of a message between machines, localDelay that to
 	// the worker.
 	linkDelay  = time.Millisecond
 	localDelay = 300 * time.Microsecond
@@ -93,6 +93,8 @@
 	done     map[string]bool
 	repeated []string
 	jobs     int
+	// linkDelay is the way of a message between an entry and an agent.
+	linkDelay time.Duration
 }
 
 // simEntry is an entry process.
@@ -151,6 +153,7 @@
 		results:   make(map[string]*result),
 		runningAt: make(map[string]int),
 		done:      make(map[string]bool),
+		linkDelay: linkDelay,
 	}
 	for i := range agents {
 		a := &simAgent{w: w, name: fmt.Sprintf("agent-%02d", i), links: make(map[string]*simLink), dataCentre: fmt.Sprintf("dc-%d", i%3)}
