--- a/messenger/link.go
+++ b/messenger/link.go
@@ -30,6 +30,7 @@
 	reflect.TypeFor[Place](),
 	reflect.TypeFor[Withdraw](),
 	reflect.TypeFor[Report](),
+	reflect.TypeFor[Reserve](),
 }
 
 // Handler receives what arrives on a link. Its methods are called from one
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -148,6 +148,16 @@
 	Runs []Run `cbor:"1,keyasint,omitempty"`
 }
 
+// Reserve asks an agent to keep room for a large task of the entry's. The agent
+// keeps one reservation at a time; nothing is started for it.
+type Reserve struct {
+	// Number counts the Reserve messages of a link.
+	Number uint64 `cbor:"1,keyasint,omitempty"`
+	Demand Demand `cbor:"2,keyasint,omitempty"`
+	// For is how long the room is kept at most. Zero ends the reservation.
+	For time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
 // Upstream describes the worker beside an agent.
 type Upstream struct {
 	ID string `cbor:"1,keyasint,omitempty"`
@@ -256,4 +266,23 @@
 	// Held are the jobs of the other entries, as of their last heartbeats; nil
 	// means as in the last report on the link.
 	Held *Held `cbor:"20,keyasint,omitempty"`
+	// Speed is estimated over taken time of the runs that have ended lately, and
+	// SpeedJobs the weight behind it in jobs. Unlike Pace it covers seconds.
+	Speed     float64 `cbor:"21,keyasint,omitempty"`
+	SpeedJobs int     `cbor:"22,keyasint,omitempty"`
+	// Ahead is the room, beside Free, that is expected to have fallen free after
+	// each of AheadSpans. It is told while tasks wait at the entry.
+	Ahead []Demand `cbor:"23,keyasint,omitempty"`
+	// Reserved is the number of the entry's Reserve that the agent keeps; zero
+	// means none.
+	Reserved uint64 `cbor:"24,keyasint,omitempty"`
+}
+
+// AheadSpans are the times that the items of Report.Ahead stand for.
+var AheadSpans = [...]time.Duration{
+	25 * time.Millisecond,
+	50 * time.Millisecond,
+	100 * time.Millisecond,
+	200 * time.Millisecond,
+	400 * time.Millisecond,
 }
