--- a/acceptor/jobs.go
+++ b/acceptor/jobs.go
@@ -57,9 +57,14 @@
 		a.post(left{ticket: ticket})
 		answer = scheduler.Answer{Outcome: scheduler.Cancelled, Why: "caller left"}
 	}
-	took := a.deps.Clock.Since(began)
+	a.answered(j, answer, began, a.deps.Clock.Since(began))
+	return answer
+}
+
+// answered writes the log line and the metrics of an answer.
+func (a *Acceptor) answered(j scheduler.Job, answer scheduler.Answer, began time.Time, took time.Duration) {
 	a.meters.answered(answer.Outcome, took.Seconds())
-	a.deps.Log.WithFields(logrus.Fields{
+	line := a.deps.Log.WithFields(logrus.Fields{
 		"job":      j.ID,
 		"queue":    j.Queue.Name,
 		"outcome":  answer.Outcome,
@@ -70,8 +75,18 @@
 		"cpu":      j.FirstStep().Demand.CPU,
 		"patience": j.Deadline.Sub(began).Milliseconds(),
 		"took_ms":  took.Milliseconds(),
-	}).Info("job answered")
-	return answer
+	})
+	if r := answer.Refusal; r.Point != "" {
+		a.meters.refused(j.Queue.Name, r.Point)
+		line = line.WithFields(logrus.Fields{
+			"refused":          r.Point,
+			"expected_wait_ms": r.Wait.Milliseconds(),
+			"jobs_before":      r.Before,
+			"started_a_second": r.Rate,
+			"retry_after_ms":   answer.RetryAfter.Milliseconds(),
+		})
+	}
+	line.Info("job answered")
 }
 
 // endsTooLate reports whether a planned stop would cut a job off.
--- a/acceptor/metrics.go
+++ b/acceptor/metrics.go
@@ -33,3 +33,8 @@
 func (m meters) decided(what string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("pomeloferry_entry_decisions_total{what=%q}", what)).Inc()
 }
+
+// refused counts a refusal for lack of room by its queue and point.
+func (m meters) refused(queue string, point scheduler.RefusalPoint) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("pomeloferry_entry_refusals_total{queue=%q,point=%q}", queue, point)).Inc()
+}
