--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -22,8 +22,7 @@
 		entries = 9
 		agents  = 44
 		seeds   = 3
-		// servedLeast bounds what refusals at once may cost in callers served in time:
-		// a shorter queue misses some room.
+		// servedLeast bounds what refusals at once may cost in callers served in time.
 		servedLeast = 0.98
 	)
 	tests := []struct {
