executor: Tell entries with waiting tasks what room will fall free

Entries knew only the room that was free, and could not tell whether waiting for a worker is worth it.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -274,6 +274,9 @@
 	}
 	r.Ended, r.Refused, r.Outcomes = e.outcomes.tell()
 	r.Pace, r.PacedJobs = x.paces.median(now)
+	if e.want.Tasks > 0 {
+		r.Ahead = x.ahead(now)
+	}
 	if !e.upstream {
 		up := x.usable()
 		r.Upstream = &up
