platform, acceptor, scheduler: Read bounds.far_x

The factor by which tasks take longer away from their data is part of the settings file and was passed over.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -58,6 +58,9 @@
 	// Resend is the least time after which a caller that got no answer sends
 	// its job again.
 	Resend time.Duration
+	// FarFactor is how many times as long a task takes away from its data; 0 or 1
+	// means that this makes no difference.
+	FarFactor float64
 }
 
 // Acceptor is one entry process.
--- a/acceptor/directives.go
+++ b/acceptor/directives.go
@@ -94,8 +94,8 @@
 	if !d.known {
 		return
 	}
-	next := d.current.WithEvacuated(maps.Clone(d.evacuated), d.revision)
 	a := d.acceptor
+	next := d.current.WithEvacuated(maps.Clone(d.evacuated), d.revision).WithFarFactor(a.cfg.FarFactor)
 	a.configuration.Store(&next)
 	a.deps.BundleVersion.Store(next.Version)
 	a.post(configured{configuration: next})
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -73,6 +73,7 @@
 		Metrics:    portAt(s.IP, s.LastPort),
 		Grace:      s.Grace,
 		Resend:     s.Resend,
+		FarFactor:  s.FarFactor,
 	}, platform.NewStore(s.Store))
 	if err != nil {
 		return errors.Wrapf(err, "entry %s", s.Node)
--- a/scheduler/configuration.go
+++ b/scheduler/configuration.go
@@ -16,6 +16,9 @@
 	Revision int64
 	// BodyLimit bounds a request's body, in bytes.
 	BodyLimit int64
+	// FarFactor is how many times as long a task takes away from its data. It comes
+	// from the entry's settings; 0 or 1 means that this makes no difference.
+	FarFactor float64
 }
 
 // WithEvacuated returns a copy of c with the evacuated data centres as of a
@@ -26,6 +29,12 @@
 	return c
 }
 
+// WithFarFactor returns a copy of c with a far factor.
+func (c Configuration) WithFarFactor(f float64) Configuration {
+	c.FarFactor = f
+	return c
+}
+
 // Queue takes jobs of one kind.
 type Queue struct {
 	Name string
