scheduler: Choose between near now, near soon and far

A task whose data is on a rack went far at once when no near worker had room. Far work takes the far factor times as long: at a factor of 3 a short job is late and takes three times the room from others, and its worker counts as slow, since the placement carried the estimate of near work.

An entry now holds tasks for near workers if by the agents' forecast these have room before far work would end, or, while others find no room, while the job is in time near. What waits for the rack already is taken off the forecast, and a job is held no longer than its patience. Placements away from the data carry the far factor times the estimate. Held tasks do not count in the expected wait of new jobs, which were refused behind them while far workers had room. Without a far factor above 1 everything is as before.

--- a/scheduler/fit.go
+++ b/scheduler/fit.go
@@ -4,7 +4,8 @@
 
 // choose returns the one of the agents for the first of the tasks, and how many
 // of them it can take. An agent that can take all comes first, the fullest of these;
-// else the one that can take most.
+// else the one that can take most. Tasks that are held for a near worker are not
+// counted.
 func (s *Scheduler) choose(agents []*agent, j *job, step int, todo []*task, now time.Time) (*agent, int) {
 	var best *agent
 	var bestFit fit
@@ -27,7 +28,14 @@
 			bestFit = f
 		}
 	}
-	return best, bestFit.tasks
+	if best == nil {
+		return nil, 0
+	}
+	n := s.locate(best, bestFit.tasks, j, step, todo, now)
+	if n == 0 {
+		return nil, 0
+	}
+	return best, n
 }
 
 // fit is how well an agent suits the tasks that wait.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -126,6 +126,11 @@
 	age     time.Duration
 	// moving means that the last run is being stopped to run it elsewhere.
 	moving bool
+	// farFactor is how many times as long the last run takes for being away from
+	// its data; 0 counts as 1.
+	farFactor float64
+	// held means that the task waits for a near worker although a far one had room.
+	held bool
 }
 
 func (t *task) demand() messenger.Demand { return t.job.Steps[t.step].Demand }
@@ -250,12 +255,12 @@
 	return n
 }
 
-// queued returns the estimated work of the tasks that wait, in
-// core-milliseconds.
+// queued returns the estimated work of the tasks that wait, in core-milliseconds.
+// Tasks held for a near worker are left out: they keep no room from other jobs.
 func (j *job) queued() float64 {
 	var sum float64
 	for _, t := range j.tasks {
-		if t.state == ready {
+		if t.state == ready && !t.held {
 			sum += t.work()
 		}
 	}
--- /dev/null
+++ b/scheduler/locality.go
@@ -0,0 +1,245 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pomeloferry/pomeloferry/messenger"
+)
+
+// locality is what a pass has found to wait, so far. Jobs are looked at in the
+// order in which they get room, so that all of it comes before the next one.
+type locality struct {
+	// waits counts the tasks that wait and whose data is on a rack, by the rack, and
+	// loose those that may run anywhere.
+	waits map[string]int
+	loose int
+	// barred counts the tasks that would go to any worker with room and found none.
+	barred int
+}
+
+// note counts tasks of a step that a pass has left waiting.
+func (l *locality) note(st Step, left []*task) {
+	if len(left) == 0 {
+		return
+	}
+	if l.waits == nil {
+		l.waits = make(map[string]int)
+	}
+	if st.Rack == "" {
+		l.loose += len(left)
+	} else {
+		l.waits[st.Rack] += len(left)
+	}
+	for _, t := range left {
+		if !t.held {
+			l.barred++
+		}
+	}
+}
+
+// farFactor returns how many times as long a step takes on an agent's worker as it
+// does where its data is.
+func (c Configuration) farFactor(a *agent, st Step) float64 {
+	if c.FarFactor <= 1 || a.near(st) {
+		return 1
+	}
+	return c.FarFactor
+}
+
+// estimate returns about how long the task takes where it was last placed.
+func (t *task) estimate() time.Duration {
+	return stretched(t.job.Steps[t.step].Estimate, t.farFactor)
+}
+
+// stretched returns d times a factor of 1 or more.
+func stretched(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * max(factor, 1))
+}
+
+// locate decides between near and far for tasks of which an agent can take the
+// first n. It returns how many of them the agent gets.
+func (s *Scheduler) locate(a *agent, n int, j *job, step int, todo []*task, now time.Time) int {
+	st := j.Steps[step]
+	if st.Rack == "" || s.config.FarFactor <= 1 {
+		return n
+	}
+	if a.near(st) {
+		s.located(j, a, "near now", fmt.Sprintf("room for %d of %d tasks", n, len(todo)), now)
+		return n
+	}
+	w := s.weigh(j, step, todo, now)
+	held := min(w.holds(), len(todo))
+	n = min(n, len(todo)-held)
+	s.hold(j, todo, held, w, now)
+	if n > 0 {
+		s.located(j, a, "far", fmt.Sprintf("%d of %d tasks, %v", n, len(todo), w), now)
+	}
+	return n
+}
+
+// hold marks the last of the tasks as held for a near worker, and the others as
+// not held.
+func (s *Scheduler) hold(j *job, todo []*task, held int, w weighing, now time.Time) {
+	fresh := 0
+	for i, t := range todo {
+		was := t.held
+		t.held = i >= len(todo)-held
+		if t.held && !was {
+			fresh++
+		}
+	}
+	if fresh > 0 {
+		s.located(j, nil, "near soon", fmt.Sprintf("%d of %d tasks, %v", fresh, len(todo), w), now)
+	}
+}
+
+// located emits the line on a decision. No agent is known for near soon.
+func (s *Scheduler) located(j *job, a *agent, what, why string, now time.Time) {
+	n := Note{Job: j.ID, Queue: j.Queue.Name, What: what, Why: why, Age: now.Sub(j.arrived)}
+	if a != nil {
+		n.Agent = a.name
+	}
+	s.emit(n)
+}
+
+// weighing is what decides between a near worker soon and a far one now.
+type weighing struct {
+	// wait is how long a task may wait for a near worker; not above 0 means that it
+	// goes far at once.
+	wait time.Duration
+	// room is how many tasks near workers are expected to take within wait, and
+	// before how many come first.
+	room   int
+	before int
+	// farInTime is whether a far worker would bring the job in time now, and scarce
+	// whether others find no room.
+	farInTime bool
+	scarce    bool
+}
+
+// holds returns how many tasks are held for near workers.
+func (w weighing) holds() int { return max(w.room-w.before, 0) }
+
+// String implements fmt.Stringer.
+func (w weighing) String() string {
+	return fmt.Sprintf("room near for %d within %v, %d come first, far in time: %t, room scarce: %t",
+		w.room, max(w.wait, 0), w.before, w.farInTime, w.scarce)
+}
+
+// weigh compares what near and far cost a job's tasks, and the others.
+func (s *Scheduler) weigh(j *job, step int, todo []*task, now time.Time) weighing {
+	far := stretched(j.Steps[step].Estimate, s.config.FarFactor)
+	w := weighing{
+		wait:      s.nearWait(j, step, now),
+		farInTime: !now.Add(far).After(j.due(step)),
+		scarce:    s.scarce,
+	}
+	if w.wait <= 0 {
+		return w
+	}
+	near := s.nearAgents(j, step, todo[0], now)
+	w.before = s.comesFirst(j.Steps[step].Rack, len(near))
+	var room float64
+	for _, a := range near {
+		// Other entries count on the same room. A job that would be late far has less
+		// to lose, and counts on all of it.
+		sharers := 1
+		if w.farInTime {
+			sharers = max(a.report.Entries, 1)
+		}
+		most := sharers * (w.before + len(todo))
+		room += a.roomFor(j, step, most, w.wait, now) / float64(sharers)
+	}
+	w.room = int(room)
+	return w
+}
+
+// nearWait returns how long a task of a step may wait for a near worker. It waits
+// for as long as it ends no later than far; while others find no room, also for as
+// long as it is in time, since far work keeps room from them for longer. A job
+// whose patience is over goes far: pass places before it refuses.
+func (s *Scheduler) nearWait(j *job, step int, now time.Time) time.Duration {
+	estimate := j.Steps[step].Estimate
+	wait := stretched(estimate, s.config.FarFactor) - estimate
+	slack := j.due(step).Sub(now) - estimate
+	if s.scarce {
+		wait = max(wait, slack)
+	}
+	if len(j.Steps[step].After) > 0 {
+		// Patience is for the first task of the job; the others wait out of its slack.
+		return min(wait, time.Duration(admitShare*float64(slack)))
+	}
+	return min(wait, s.patience(j)-now.Sub(j.arrived))
+}
+
+// due returns when a step must be done for the job to be in time.
+func (j *job) due(step int) time.Time {
+	return j.arrived.Add(j.objective() - j.chainAfter(step))
+}
+
+// chainAfter returns the longest chain of estimated work that follows a step.
+func (j Job) chainAfter(step int) time.Duration {
+	var longest time.Duration
+	for i := step + 1; i < len(j.Steps); i++ {
+		for _, a := range j.Steps[i].After {
+			if a == step {
+				longest = max(longest, j.Steps[i].Estimate+j.chainAfter(i))
+			}
+		}
+	}
+	return longest
+}
+
+// nearAgents returns the agents at which a task may start where its data is.
+func (s *Scheduler) nearAgents(j *job, step int, t *task, now time.Time) []*agent {
+	st := j.Steps[step]
+	var out []*agent
+	for _, a := range s.byName {
+		if a.near(st) && a.suits(st) && a.serves(j.Queue, s.config, now, s.woke) &&
+			a.sound(now) && !a.health.ejected && !now.Before(t.avoid[a.name]) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// comesFirst returns how many of the tasks that wait get room near before the next
+// one: those for the rack, and as many of those that run anywhere as fall to near
+// workers by their number.
+func (s *Scheduler) comesFirst(rack string, near int) int {
+	return s.locality.waits[rack] + s.locality.loose*near/max(len(s.byName), 1)
+}
+
+// roomFor returns how many tasks of a step, up to most, the agent is expected to
+// have room for after a while. Between two spans of its forecast the number rises
+// evenly, so that it may be a fraction. The spans count from its report.
+func (a *agent) roomFor(j *job, step, most int, after time.Duration, now time.Time) float64 {
+	st := j.Steps[step]
+	if st.Spread > 0 {
+		most = min(most, st.Spread-a.of(j, step))
+	}
+	after += now.Sub(a.reportedAt)
+	at := time.Duration(0)
+	n := float64(st.fitting(a.free(), most))
+	for i, d := range a.report.Ahead[:min(len(a.report.Ahead), len(messenger.AheadSpans))] {
+		next := messenger.AheadSpans[i]
+		then := float64(st.fitting(a.free().Plus(d), most))
+		if after < next {
+			return n + (then-n)*float64(after-at)/float64(next-at)
+		}
+		at = next
+		n = then
+	}
+	return n
+}
+
+// fitting counts the step's tasks, up to most, that room is enough for.
+func (st Step) fitting(room messenger.Demand, most int) int {
+	n := 0
+	for n < most && st.Demand.Fits(room) {
+		room = room.Minus(st.Demand)
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/scheduler/locality_test.go
@@ -0,0 +1,357 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/messenger"
+	"github.com/pomeloferry/pomeloferry/scheduler"
+)
+
+// rackBench is a bench with an agent "near" on the rack and an agent "far" beside
+// it. Rooms are counted in tasks.
+type rackBench struct {
+	*bench
+	// places are the placements of the last effects, by agent, and notes the
+	// decisions in them.
+	places map[string][]messenger.Place
+	notes  []scheduler.Note
+	// entries is how many entries the agents report.
+	entries int
+	// seen is the number of the last Place to an agent, and listed whether the agent
+	// has sent its complete list.
+	seen   map[string]uint64
+	listed map[string]bool
+}
+
+func newRackBench(t *testing.T, far float64) *rackBench {
+	b := &rackBench{bench: newBench(t), entries: 1, seen: make(map[string]uint64), listed: make(map[string]bool)}
+	b.s.Configure(configuration().WithFarFactor(far))
+	for _, name := range []string{"far", "near"} {
+		b.s.Opened(name)
+		b.tell(name, 0, nil)
+	}
+	b.drain()
+	return b
+}
+
+// tell has an agent report its room, and the room ahead after each span.
+func (b *rackBench) tell(name string, free int, ahead []int) {
+	r := report(name, b.seen[name])
+	r.Complete = !b.listed[name]
+	b.listed[name] = true
+	r.Entries = b.entries
+	r.Free = room(free)
+	for _, n := range ahead {
+		r.Ahead = append(r.Ahead, room(n))
+	}
+	if name == "near" {
+		r.Upstream.Labels = []string{rackLabel}
+	}
+	b.s.Report(r)
+}
+
+func room(tasks int) messenger.Demand {
+	return messenger.Demand{CPU: 3100 * tasks, Memory: 64_000}
+}
+
+func (b *rackBench) drain() {
+	b.places = make(map[string][]messenger.Place)
+	b.notes = nil
+	for _, e := range b.s.Drain() {
+		switch e := e.(type) {
+		case scheduler.Reply:
+			b.replies[e.Ticket] = e.Answer
+		case scheduler.Note:
+			b.notes = append(b.notes, e)
+		case scheduler.Send:
+			if p, ok := e.Message.(messenger.Place); ok {
+				b.places[e.Agent] = append(b.places[e.Agent], p)
+				b.seen[e.Agent] = p.Number
+			}
+		}
+	}
+}
+
+// at counts the tasks that the last effects place at an agent.
+func (b *rackBench) at(name string) int {
+	n := 0
+	for _, p := range b.places[name] {
+		n += len(p.Tasks)
+	}
+	return n
+}
+
+// noted counts the decisions of a name in the last effects.
+func (b *rackBench) noted(what string) int {
+	n := 0
+	for _, m := range b.notes {
+		if m.What == what {
+			n++
+		}
+	}
+	return n
+}
+
+// onRack returns a job of tasks whose data is on the rack.
+func (b *rackBench) onRack(number, tasks int, estimate time.Duration) scheduler.Job {
+	j := b.job(fmt.Sprintf("%016x", number), tasks)
+	j.Steps[0].Rack = rackLabel
+	j.Steps[0].Estimate = estimate
+	return j
+}
+
+// submit hands a job in.
+func (b *rackBench) submit(j scheduler.Job) {
+	b.s.Submit(uint64(len(b.replies)+100), j)
+	b.drain()
+}
+
+// TestNearNowNearSoonOrFar guards against far work that costs the caller its
+// objective or others their room when a near worker is about to have room, and
+// against waiting near when that makes a job late.
+func TestNearNowNearSoonOrFar(t *testing.T) {
+	const short = 60 * time.Millisecond
+	tests := []struct {
+		name     string
+		factor   float64
+		tasks    int
+		estimate time.Duration
+		entries  int
+		near     int
+		ahead    []int
+		// barred has a job wait that finds no room anywhere.
+		barred bool
+		// atNear and atFar are the tasks placed; the others wait.
+		atNear, atFar int
+	}{
+		{"room near", 2, 4, short, 1, 5, nil, false, 4, 0},
+		{"room near for some, none ahead", 2, 4, short, 1, 3, nil, false, 3, 1},
+		{"room near for some, more soon", 2, 4, short, 1, 3, []int{1, 1, 1, 1, 1}, false, 3, 0},
+		{"no room near", 2, 4, short, 1, 0, nil, false, 0, 4},
+		{"room near soon", 2, 4, short, 1, 0, []int{0, 4, 4, 4, 4}, false, 0, 0},
+		{"room near soon for some", 2, 4, short, 1, 0, []int{3, 3, 3, 3, 3}, false, 0, 1},
+		{"room near after far work would end", 2, 4, short, 1, 0, []int{0, 0, 0, 4, 4}, false, 0, 4},
+		{"room near soon, shared with another entry", 2, 4, short, 2, 0, []int{4, 4, 4, 4, 4}, false, 0, 2},
+		{"the same when far is late anyway", 3, 4, short, 2, 0, []int{4, 4, 4, 4, 4}, false, 0, 0},
+		{"little slower far", 1.2, 1, 200 * time.Millisecond, 1, 0, []int{0, 0, 1, 1, 1}, false, 0, 1},
+		{"little slower far, others find no room", 1.2, 1, 200 * time.Millisecond, 1, 0, []int{0, 0, 1, 1, 1}, true, 0, 0},
+		{"choice off", 1, 4, short, 1, 0, []int{4, 4, 4, 4, 4}, false, 0, 4},
+		{"no factor", 0, 4, short, 1, 0, []int{4, 4, 4, 4, 4}, false, 0, 4},
+		{"choice off, room near", 0, 4, short, 1, 2, nil, false, 2, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newRackBench(t, tt.factor)
+			b.entries = tt.entries
+			if tt.barred {
+				large := b.job("00000000000000ff", 1)
+				large.Steps[0].Demand = messenger.Demand{CPU: 31_000}
+				large.Steps[0].Estimate = 2 * tt.estimate
+				b.submit(large)
+			}
+			b.tell("near", tt.near, tt.ahead)
+			b.tell("far", 5, nil)
+			b.drain()
+			b.submit(b.onRack(1, tt.tasks, tt.estimate))
+			require.Equal(t, tt.atNear, b.at("near"), "near")
+			require.Equal(t, tt.atFar, b.at("far"), "far")
+			if tt.factor <= 1 {
+				require.Zero(t, b.noted("near now")+b.noted("near soon")+b.noted("far"))
+				return
+			}
+			require.Equal(t, min(tt.atNear, 1), b.noted("near now"))
+			require.Equal(t, min(tt.atFar, 1), b.noted("far"))
+			require.Equal(t, min(tt.tasks-tt.atNear-tt.atFar, 1), b.noted("near soon"))
+		})
+	}
+}
+
+// TestFarTaskIsExpectedToTakeLonger guards against far workers that are taken for
+// slow, and against forecasts that count on their room too soon.
+func TestFarTaskIsExpectedToTakeLonger(t *testing.T) {
+	tests := []struct {
+		factor    float64
+		near, far time.Duration
+	}{
+		{0, 60 * time.Millisecond, 60 * time.Millisecond},
+		{1, 60 * time.Millisecond, 60 * time.Millisecond},
+		{2.5, 60 * time.Millisecond, 150 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.factor), func(t *testing.T) {
+			b := newRackBench(t, tt.factor)
+			b.tell("near", 1, nil)
+			b.tell("far", 1, nil)
+			b.drain()
+			b.submit(b.onRack(1, 2, 60*time.Millisecond))
+			require.Equal(t, tt.near, b.places["near"][0].Tasks[0].Estimate)
+			require.Equal(t, tt.far, b.places["far"][0].Tasks[0].Estimate)
+		})
+	}
+}
+
+// TestJobsDoNotPileUpForASaturatedRack guards against jobs that are all held for
+// the same room, of which most would be late.
+func TestJobsDoNotPileUpForASaturatedRack(t *testing.T) {
+	b := newRackBench(t, 2)
+	b.tell("near", 0, []int{6, 6, 6, 6, 6})
+	b.tell("far", 10, nil)
+	b.drain()
+	far := 0
+	for i := range 4 {
+		b.submit(b.onRack(i+1, 3, 60*time.Millisecond))
+		far += b.at("far")
+	}
+	require.Equal(t, 6, far, "6 of 12 tasks are held, as many as the rack will have room for")
+}
+
+// TestHeldJobGoesFarInTheEnd guards against a job that is refused although a far
+// worker has room, since the room that it waits for near does not fall free.
+func TestHeldJobGoesFarInTheEnd(t *testing.T) {
+	const tick = 10 * time.Millisecond
+	// patience is 0.6 times the slack of 96 ms.
+	const patience = 58 * time.Millisecond
+	tests := []struct {
+		name string
+		// each plays what the near agent says at each tick.
+		each func(b *rackBench)
+		// most is how long the job may wait.
+		most time.Duration
+	}{
+		{"forecast is never kept", func(b *rackBench) { b.tell("near", 0, []int{9, 9, 9, 9, 9}) }, patience + tick},
+		{"near agent says nothing more", func(*rackBench) {}, patience + tick},
+		{"near agent is gone", func(b *rackBench) { b.s.Closed("near") }, tick},
+		{"forecast is taken back", func(b *rackBench) { b.tell("near", 0, nil) }, tick},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newRackBench(t, 3)
+			b.tell("near", 0, []int{9, 9, 9, 9, 9})
+			b.tell("far", 10, nil)
+			b.drain()
+			b.submit(b.onRack(1, 4, 60*time.Millisecond))
+			require.Zero(t, b.at("far"))
+			for at := tick; at <= tt.most; at += tick {
+				b.clock.Advance(tick)
+				tt.each(b)
+				b.tell("far", 10, nil)
+				b.s.Tick()
+				b.drain()
+				if b.at("far") > 0 {
+					require.Equal(t, 4, b.at("far"))
+					return
+				}
+			}
+			t.Fatalf("not placed within %v: %+v", tt.most, b.replies)
+		})
+	}
+}
+
+// TestForecastThatIsTooOldHoldsNothing guards against jobs that wait for an agent
+// which nothing has been heard of for longer than placements allow.
+func TestForecastThatIsTooOldHoldsNothing(t *testing.T) {
+	b := newRackBench(t, 2)
+	b.tell("near", 0, []int{9, 9, 9, 9, 9})
+	b.clock.Advance(251 * time.Millisecond)
+	b.tell("far", 10, nil)
+	b.drain()
+	b.submit(b.onRack(1, 4, 60*time.Millisecond))
+	require.Equal(t, 4, b.at("far"))
+}
+
+// TestLaterStepWaitsOutOfItsSlack guards against later steps that never wait near,
+// since the patience of their job is for its first task.
+func TestLaterStepWaitsOutOfItsSlack(t *testing.T) {
+	tests := []struct {
+		name  string
+		ahead []int
+		far   int
+	}{
+		{"room near soon", []int{1, 1, 1, 1, 1}, 0},
+		{"room near too late", []int{0, 0, 0, 0, 1}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newRackBench(t, 2)
+			b.tell("far", 5, nil)
+			b.drain()
+			j := b.onRack(1, 1, 60*time.Millisecond)
+			first := j.Steps[0]
+			first.Rack = ""
+			second := j.Steps[0]
+			second.After = []int{0}
+			j.Steps = []scheduler.Step{first, second}
+			b.submit(j)
+			require.Equal(t, 1, b.at("far"))
+			run := b.places["far"][0].Tasks[0].Run
+			b.clock.Advance(60 * time.Millisecond)
+			b.tell("near", 0, tt.ahead)
+			r := report("far", b.seen["far"])
+			r.Ended = []messenger.End{{Run: run, How: messenger.Done}}
+			b.s.Report(r)
+			b.drain()
+			require.Equal(t, tt.far, b.at("far"))
+		})
+	}
+}
+
+// TestNoMoreTasksAreHeldThanTheRackWillHaveRoomFor checks, for random rooms and
+// jobs, that the room ahead is counted on once, and that no job is refused or left
+// waiting past its patience while a far worker has room.
+func TestNoMoreTasksAreHeldThanTheRackWillHaveRoomFor(t *testing.T) {
+	const most = 10
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		b := newRackBench(t, 1.2+2*rng.Float64())
+		b.entries = 1 + rng.IntN(4)
+		ahead := make([]int, len(messenger.AheadSpans))
+		for i := range ahead {
+			ahead[i] = rng.IntN(4)
+			if i > 0 {
+				ahead[i] += ahead[i-1]
+			}
+		}
+		b.tell("near", 0, ahead)
+		tasks, far := 0, 0
+		for i := range 1 + rng.IntN(4) {
+			b.tell("far", most, nil)
+			b.drain()
+			n := 1 + rng.IntN(4)
+			b.submit(b.onRack(i+1, n, time.Duration(20+rng.IntN(300))*time.Millisecond))
+			tasks += n
+			far += b.at("far")
+		}
+		require.LessOrEqual(t, tasks-far, ahead[len(ahead)-1], "seed %d", seed)
+		for waited := time.Duration(0); waited < 360*time.Millisecond; waited += 10 * time.Millisecond {
+			b.clock.Advance(10 * time.Millisecond)
+			b.tell("near", 0, ahead)
+			b.tell("far", most, nil)
+			b.s.Tick()
+			b.drain()
+			far += b.at("far")
+		}
+		require.Equal(t, tasks, far, "seed %d %+v", seed, b.replies)
+		require.Empty(t, b.replies, "seed %d", seed)
+	}
+}
+
+// TestHeldTasksKeepNoJobOut guards against jobs that are refused for the wait behind
+// tasks that are held for a near worker, while other workers have room.
+func TestHeldTasksKeepNoJobOut(t *testing.T) {
+	b := newRackBench(t, 3)
+	b.tell("near", 0, []int{9, 9, 9, 9, 9})
+	b.tell("far", 10, nil)
+	b.drain()
+	b.submit(b.onRack(1, 9, 800*time.Millisecond))
+	require.Equal(t, 1, b.noted("near soon"))
+	later := b.onRack(2, 4, 800*time.Millisecond)
+	later.Steps[0].Rack = ""
+	b.submit(later)
+	require.Equal(t, 4, b.at("far"))
+	require.Empty(t, b.replies)
+}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -20,15 +20,18 @@
 func (s *Scheduler) pass() {
 	if len(s.queue) == 0 {
 		s.want = messenger.Want{}
+		s.scarce = false
 		return
 	}
 	s.dropPlaced()
 	now := s.clock.Now()
 	s.want = s.waitingWork()
 	s.sortQueue(now)
+	s.locality = locality{}
 	for _, j := range slices.Clone(s.queue) {
 		s.placeJob(j, s.byName, now)
 	}
+	s.scarce = s.locality.barred > 0
 	for _, j := range slices.Clone(s.queue) {
 		if s.hopeless(j, now) {
 			s.giveUp(j, "no room in time")
@@ -47,6 +50,7 @@
 	now := s.clock.Now()
 	only := []*agent{a}
 	s.want = s.waitingWork()
+	s.locality = locality{}
 	for _, j := range s.queue {
 		if s.hopeless(j, now) {
 			continue
@@ -136,6 +140,7 @@
 			s.send(a, j, todo[:n])
 			todo = todo[n:]
 		}
+		s.locality.note(j.Steps[step], todo)
 	}
 }
 
@@ -161,6 +166,8 @@
 			t.state = placed
 			t.placedAt = now
 			t.agent = a
+			t.held = false
+			t.farFactor = s.config.farFactor(a, j.Steps[t.step])
 			a.tasks[t.current()] = t
 			sum = sum.Plus(t.demand())
 		}
@@ -169,7 +176,7 @@
 		p.Tasks = append(p.Tasks, messenger.Task{
 			Run:      t.current(),
 			Demand:   t.demand(),
-			Estimate: j.Steps[t.step].Estimate,
+			Estimate: t.estimate(),
 		})
 	}
 	s.want = s.want.Without(fresh, sum)
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -155,7 +155,7 @@
 
 // pace returns the work done over the work expected by now.
 func (t *task) pace() float64 {
-	estimate := t.job.Steps[t.step].Estimate
+	estimate := t.estimate()
 	if t.age <= 0 || estimate <= 0 {
 		return 1
 	}
@@ -186,7 +186,7 @@
 func (s *Scheduler) finish(a *agent, t *task) {
 	s.throughput.add(t.work(), s.clock.Now())
 	took := s.clock.Since(t.placedAt)
-	a.health.succeeded(t.current(), float64(t.job.Steps[t.step].Estimate)/float64(max(took, time.Millisecond)))
+	a.health.succeeded(t.current(), float64(t.estimate())/float64(max(took, time.Millisecond)))
 	t.unplace()
 	s.done(t)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -59,6 +59,10 @@
 	// they were last told so before a heartbeat was due.
 	asked   bool
 	askedAt time.Time
+	// locality is what the last pass has found to wait, and scarce whether tasks
+	// that would run anywhere had found no room when all agents were last looked at.
+	locality locality
+	scarce   bool
 	// throughput is the work done lately; short is for Need.
 	throughput throughput
 	short      bool
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -20,7 +20,7 @@
 	e.down = false
 	e.at = e.w.clock.Now()
 	core := e.core
-	core.Configure(configuration())
+	core.Configure(e.w.configuration())
 	for _, a := range e.w.agents {
 		e.connect(a, core)
 	}
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -80,6 +80,9 @@
 	if v.slow > 0 {
 		work = time.Duration(float64(work) * v.slow)
 	}
+	if t.rack != "" && !slices.Contains(v.up.Labels, t.rack) {
+		work = time.Duration(float64(work) * max(v.w.far, 1))
+	}
 	r := &simRun{run: s.Run, began: now, work: work, fails: v.failsAll || t.fails, demand: t.demand}
 	v.running[s.Run.Task] = r
 	if v.failsAll {
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -61,6 +61,8 @@
 	work   time.Duration
 	demand messenger.Demand
 	fails  bool
+	// rack is where the task's data is; empty means anywhere.
+	rack string
 }
 
 // result is what a caller got.
@@ -95,6 +97,10 @@
 	jobs     int
 	// linkDelay is the way of a message between an entry and an agent.
 	linkDelay time.Duration
+	// far is how many times as long a task takes away from its data; 0 counts as 1.
+	// The entries know it if aware.
+	far   float64
+	aware bool
 }
 
 // simEntry is an entry process.
@@ -233,12 +239,22 @@
 	return scheduler.Queue{Name: "quotes", Host: "q.example", Prefix: "/q/", Service: "quotes", MaxAttempts: 3, Stretch: 1.6, Slack: 60 * time.Millisecond, Timeout: 1500 * time.Millisecond}
 }
 
+// configuration returns the one of the world's entries.
+func (w *world) configuration() scheduler.Configuration {
+	if !w.aware {
+		return configuration()
+	}
+	return configuration().WithFarFactor(w.far)
+}
+
 // kind describes a kind of job as the workloads have them.
 type kind struct {
 	tasks    int
 	work     time.Duration
 	cpu      int
 	priority int
+	// rack is where the data of the tasks is; empty means anywhere.
+	rack string
 }
 
 // kinds are those of the price service: quotes, indices and alerts.
@@ -259,12 +275,13 @@
 	q.Priority = k.priority
 	j := scheduler.Job{
 		ID: id, Queue: q, Spec: "spec", Deadline: w.clock.Now().Add(max(1500*time.Millisecond, 3*work)),
-		Steps: []scheduler.Step{{Count: k.tasks, Demand: messenger.Demand{CPU: k.cpu, Memory: 64}, Estimate: estimate}},
+		Steps: []scheduler.Step{{Count: k.tasks, Demand: messenger.Demand{CPU: k.cpu, Memory: 64}, Estimate: estimate, Rack: k.rack}},
 	}
 	for i := range k.tasks {
 		w.tasks[fmt.Sprintf("%s.0.0.%d", id, i)] = simTask{
 			work:   time.Duration(float64(work) * (0.9 + 0.2*w.rng.Float64())),
 			demand: j.Steps[0].Demand,
+			rack:   k.rack,
 		}
 	}
 	w.results[id] = &result{job: j, sent: w.clock.Now()}
