executor, scheduler: Tell a refusal for lack of room when it is due, and wait 5 ms for room

Cause: a run without room was to be refused after 12 ms, and was at the next tick, up to 20 ms later. Change: the agent wakes when a refusal is due; a run waits for 5 ms, since room that one entry has been told of is seldom taken by another.

--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -219,6 +219,29 @@
 	require.Equal(t, []messenger.Refusal{{Run: run3, Reason: messenger.NoRoom}}, b.refused())
 }
 
+// TestRefusalForLackOfRoomIsToldWhenItIsDue guards against a run that waits for the
+// next tick to be refused, up to 20 ms in which its entry could place it elsewhere.
+func TestRefusalForLackOfRoomIsToldWhenItIsDue(t *testing.T) {
+	const patience = 5 * time.Millisecond
+	b := newBench(t)
+	b.place(run1, 6000)
+	b.x.Place("e", messenger.Place{
+		Number: 2, Job: "j", Service: "quotes", Patience: patience, Echo: b.stamp,
+		Tasks: []messenger.Task{{Run: messenger.Run{Task: "j.0.0.1", Number: 1}, Demand: messenger.Demand{CPU: 6000}}},
+	})
+	var wake time.Duration
+	for _, e := range b.x.Drain() {
+		if w, ok := e.(executor.Wake); ok {
+			wake = w.After
+		}
+	}
+	require.Greater(t, wake, patience)
+	b.clock.Advance(wake)
+	b.x.Tick()
+	b.drain()
+	require.Len(t, b.refused(), 1)
+}
+
 func TestRunFoundAtTheWorkerIsStoppedUnlessItsOwnerClaimsIt(t *testing.T) {
 	found := []messenger.Progress{{Run: run1, Percent: 10}}
 	for _, claimed := range []bool{true, false} {
--- a/executor/start.go
+++ b/executor/start.go
@@ -68,6 +68,10 @@
 	x.charge(e, taken)
 	x.changeRoom()
 	x.pump()
+	if len(x.waiting) > 0 {
+		// The entry can use the time if it hears of the refusal when it is due.
+		x.emit(Wake{After: p.Patience + time.Millisecond})
+	}
 }
 
 // meet takes in the placement of a task that has a run here: the entry gets
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -10,7 +10,7 @@
 const (
 	// roomPatience is how long a run waits at an agent whose room another
 	// entry has just taken.
-	roomPatience = 12 * time.Millisecond
+	roomPatience = 5 * time.Millisecond
 	// askInterval is the least time between two rounds of heartbeats that are sent
 	// to ask for room before they are due.
 	askInterval = messenger.BeatInterval / 2
