approver, configurer: List faults with their keys

Cause: a check of a file needs the key of each fault, to find its line. Change: Faults returns them as typed values, Decode reads without checking; the errors of Parse and Check are made of them and read as before. Keys of Trust are checked in the order of their names, so that the list is the same each time.

--- a/approver/approver.go
+++ b/approver/approver.go
@@ -208,14 +208,23 @@
 
 // Parse reads a bundle and checks it as a whole.
 func Parse(raw []byte) (Bundle, error) {
+	b, err := Decode(raw)
+	if err != nil {
+		return Bundle{}, err
+	}
+	if err := b.Check(); err != nil {
+		return Bundle{}, err
+	}
+	return b, nil
+}
+
+// Decode reads a bundle without checking its values.
+func Decode(raw []byte) (Bundle, error) {
 	var b Bundle
 	d := json.NewDecoder(bytes.NewReader(raw))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&b); err != nil {
 		return Bundle{}, &Error{Op: "parse", Kind: Invalid, Err: err}
 	}
-	if err := b.Check(); err != nil {
-		return Bundle{}, err
-	}
 	return b, nil
 }
--- a/approver/check.go
+++ b/approver/check.go
@@ -20,13 +20,24 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 
+// Fault is one value of a bundle that is not allowed.
+type Fault struct {
+	// Key is the path of the value, such as Services[0].TaskLimit.
+	Key string
+	// Text tells the value found and what is allowed.
+	Text string
+}
+
+// String returns the fault in a line.
+func (f Fault) String() string { return f.Key + ": " + f.Text }
+
 // checker gathers the faults of a bundle.
 type checker struct {
-	faults []string
+	faults []Fault
 }
 
-func (c *checker) add(path string, found any, allowed string) {
-	c.faults = append(c.faults, fmt.Sprintf("%s: found %v, allowed %s", path, found, allowed))
+func (c *checker) add(key string, found any, allowed string) {
+	c.faults = append(c.faults, Fault{Key: key, Text: fmt.Sprintf("found %v, allowed %s", found, allowed)})
 }
 
 func (c *checker) between(path string, n, low, high int) {
@@ -48,6 +59,19 @@
 // Check returns one error that lists every fault of b by path, value found
 // and value allowed, or nil.
 func (b Bundle) Check() error {
+	faults := b.Faults()
+	if len(faults) == 0 {
+		return nil
+	}
+	lines := make([]string, 0, len(faults))
+	for _, f := range faults {
+		lines = append(lines, f.String())
+	}
+	return &Error{Op: "check", Kind: Invalid, Err: errors.New(strings.Join(lines, "; "))}
+}
+
+// Faults lists every fault of b.
+func (b Bundle) Faults() []Fault {
 	c := &checker{}
 	if b.Version == 0 {
 		c.add("Version", 0, "1 or more")
@@ -61,10 +85,7 @@
 	c.between("Limits.WaitingTaskLimit", b.Limits.WaitingTaskLimit, 1, MaxWaitingTasks)
 	c.between("Limits.EjectPercent", b.Limits.EjectPercent, 0, MaxPercent)
 	c.between("Limits.RetryPercent", b.Limits.RetryPercent, 0, MaxPercent)
-	if len(c.faults) == 0 {
-		return nil
-	}
-	return &Error{Op: "check", Kind: Invalid, Err: errors.New(strings.Join(c.faults, "; "))}
+	return c.faults
 }
 
 func (b Bundle) checkServices(c *checker) {
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -8,10 +8,12 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/url"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -79,14 +81,29 @@
 
 // Parse reads and checks settings; path names their source in errors.
 func Parse(path string, raw []byte) (Settings, error) {
+	s, err := Decode(raw)
+	if err != nil {
+		return Settings{}, &Error{Op: "parse", Kind: Invalid, File: path, Err: describe(err)}
+	}
+	faults := s.Faults()
+	if len(faults) == 0 {
+		return s, nil
+	}
+	lines := make([]string, 0, len(faults))
+	for _, f := range faults {
+		lines = append(lines, f.String())
+	}
+	return Settings{}, &Error{Op: "check", Kind: Invalid, File: path, Err: errors.New(strings.Join(lines, "; "))}
+}
+
+// Decode reads settings without checking their values. Its errors are those
+// of encoding/json.
+func Decode(raw []byte) (Settings, error) {
 	var s Settings
 	d := json.NewDecoder(bytes.NewReader(raw))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
-		return Settings{}, &Error{Op: "parse", Kind: Invalid, File: path, Err: describe(err)}
-	}
-	if faults := s.check(); len(faults) > 0 {
-		return Settings{}, &Error{Op: "check", Kind: Invalid, File: path, Err: errors.New(strings.Join(faults, "; "))}
+		return Settings{}, err
 	}
 	return s, nil
 }
@@ -139,24 +156,37 @@
 	return out
 }
 
+// Fault is one value of the settings that is not allowed.
+type Fault struct {
+	// Key is the path of the value, such as Entries[0].Listen.
+	Key string
+	// Text tells the value found and what is allowed.
+	Text string
+}
+
+// String returns the fault in a line.
+func (f Fault) String() string { return f.Key + ": " + f.Text }
+
 // checker gathers faults and the names and addresses seen so far.
 type checker struct {
-	faults    []string
+	faults    []Fault
 	addresses map[string]string
 	ids       map[string]string
 }
 
 func (c *checker) add(key string, found any, allowed string) {
-	c.faults = append(c.faults, fmt.Sprintf("%s: found %#v, allowed %s", key, found, allowed))
+	c.faults = append(c.faults, Fault{Key: key, Text: fmt.Sprintf("found %#v, allowed %s", found, allowed)})
 }
 
-func (s Settings) check() []string {
+// Faults lists every fault of s.
+func (s Settings) Faults() []Fault {
 	c := &checker{addresses: make(map[string]string), ids: make(map[string]string)}
 	u, err := url.Parse(s.Store)
 	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
 		c.add("Store", s.Store, "an http or https URL")
 	}
-	for name, key := range s.Trust {
+	for _, name := range slices.Sorted(maps.Keys(s.Trust)) {
+		key := s.Trust[name]
 		raw, err := base64.StdEncoding.DecodeString(key)
 		if err != nil || len(raw) != 32 {
 			c.add("Trust."+name, key, "an Ed25519 public key of 32 bytes in base64")
