checker: Check a configuration before it is sent

Cause: operators learn of a fault, a dead entry or a contradiction only when the file is refused or has no effect. Change: package checker reads settings, bundles, signed bundles, the platform's configuration and a machine's settings with the programs' own code and lists findings with line and key. pomeloferry check prints them; exit status 0 is clean, 1 with findings, 2 not checked. bundle diff lists its values with the same code. platform.InspectSettings lists all faults of a machine's settings; ParseSettings gives the first of them, as before.

--- /dev/null
+++ b/checker/configuration.go
@@ -0,0 +1,97 @@
+package checker
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pomeloferry/pomeloferry/platform"
+	"github.com/pomeloferry/pomeloferry/scheduler"
+)
+
+// checkConfiguration judges the operators' configuration, and against the
+// settings of a machine if they are given.
+func (d document) checkConfiguration(deployment *File) ([]Finding, error) {
+	read := decode(d, platform.ReadConfiguration)
+	out := read.findings
+	if hasFault(out) {
+		return out, nil
+	}
+	out = append(out, d.coveredQueues(read.value.Queues)...)
+	out = append(out, d.queueLimits(read.value.Queues)...)
+	if deployment == nil {
+		return out, nil
+	}
+	s, err := platform.ParseSettings(string(deployment.Raw))
+	if err != nil {
+		return nil, &Error{Op: "read settings", Kind: Unreadable, File: deployment.Name, Err: err}
+	}
+	return append(out, d.resendRules(read.value.Queues, s.Resend)...), nil
+}
+
+func routeKey(i int, name string) string { return fmt.Sprintf("routes[%d].%s", i, name) }
+
+// coveredQueues finds queues that no request can reach. Of two queues with the
+// longest prefix, the one that is listed first gets the request.
+func (d document) coveredQueues(queues []scheduler.Queue) []Finding {
+	var out []Finding
+	type place struct{ host, prefix string }
+	first := make(map[place]int)
+	for i, q := range queues {
+		here := place{q.Host, q.Prefix}
+		j, covered := first[here]
+		switch {
+		case covered:
+			out = append(out, d.finding(Unmatched, routeKey(i, "prefix"),
+				fmt.Sprintf("%s%s is taken by routes[%d], %q", q.Host, q.Prefix, j, queues[j].Name)))
+		case q.Host == "":
+			out = append(out, d.finding(Unmatched, routeKey(i, "host"), "no request has an empty host"))
+		case q.Prefix != "" && !strings.HasPrefix(q.Prefix, "/"):
+			out = append(out, d.finding(Unmatched, routeKey(i, "prefix"),
+				fmt.Sprintf("found %q; paths of requests begin with a slash", q.Prefix)))
+		}
+		if !covered {
+			first[here] = i
+		}
+	}
+	return out
+}
+
+// queueLimits finds queues whose deadline and objective contradict each other.
+func (d document) queueLimits(queues []scheduler.Queue) []Finding {
+	var out []Finding
+	for i, q := range queues {
+		if q.Timeout > 0 && q.Timeout < q.Slack {
+			out = append(out, d.finding(Contradiction, routeKey(i, "timeout_ms"),
+				fmt.Sprintf("%s is shorter than target_latency_ms, %s", q.Timeout, q.Slack)))
+		}
+		if most, bounded := longestInTime(q); bounded && (q.Timeout <= 0 || most < q.Timeout) {
+			out = append(out, d.finding(Contradiction, routeKey(i, "stretch"),
+				fmt.Sprintf("the objective of a job with more than %s of work is below its estimate; such jobs are refused", most)))
+		}
+	}
+	return out
+}
+
+// longestInTime returns the work of a job whose objective just allows for it,
+// unless the objective allows for any work.
+func longestInTime(q scheduler.Queue) (time.Duration, bool) {
+	if q.Stretch >= 1 {
+		return 0, false
+	}
+	most := time.Duration(float64(q.Slack) / (1 - q.Stretch))
+	return max(0, most.Round(time.Millisecond)), true
+}
+
+// resendRules finds queues whose callers send a job again only after its
+// deadline.
+func (d document) resendRules(queues []scheduler.Queue, resend time.Duration) []Finding {
+	var out []Finding
+	for i, q := range queues {
+		if q.Timeout > 0 && q.Timeout < resend {
+			out = append(out, d.finding(Contradiction, routeKey(i, "timeout_ms"),
+				fmt.Sprintf("%s is over before a caller without an answer sends the job again, after %s", q.Timeout, resend)))
+		}
+	}
+	return out
+}
--- a/commander/bundle.go
+++ b/commander/bundle.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/pomeloferry/pomeloferry/approver"
+	"github.com/pomeloferry/pomeloferry/checker"
 	"github.com/pomeloferry/pomeloferry/configurer"
 	"github.com/pomeloferry/pomeloferry/keeper"
 	"github.com/pomeloferry/pomeloferry/publisher"
@@ -259,34 +260,15 @@
 	if err != nil {
 		return nil, err
 	}
-	var v any
-	if err := json.Unmarshal(s.Bundle, &v); err != nil {
+	leaves, err := checker.Leaves(s.Bundle)
+	if err != nil {
 		return nil, err
 	}
-	return flatten("", v), nil
-}
-
-// flatten lists the values in v by path. Elements with a name are listed
-// under it, so that a moved element is no difference.
-func flatten(path string, v any) []string {
-	var out []string
-	switch v := v.(type) {
-	case map[string]any:
-		for _, key := range sortedKeys(v) {
-			out = append(out, flatten(path+"."+key, v[key])...)
-		}
-	case []any:
-		for i, e := range v {
-			name := fmt.Sprint(i)
-			if m, ok := e.(map[string]any); ok && m["Name"] != nil {
-				name = fmt.Sprint(m["Name"])
-			}
-			out = append(out, flatten(path+"["+name+"]", e)...)
-		}
-	default:
-		out = append(out, fmt.Sprintf("%s = %v", strings.TrimPrefix(path, "."), v))
+	lines := make([]string, 0, len(leaves))
+	for _, l := range leaves {
+		lines = append(lines, l.String())
 	}
-	return out
+	return lines, nil
 }
 
 func printMissing(env *environment, mark string, lines, others []string) {
--- a/commander/client.go
+++ b/commander/client.go
@@ -1,12 +1,11 @@
 package commander
 
 import (
+	"context"
 	"encoding/json"
 	"io"
-	"maps"
 	"net/http"
 	"os"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -119,19 +118,28 @@
 
 // Run implements the command.
 func (c *dumpCommand) Run(env *environment) error {
-	r, err := http.NewRequestWithContext(env.ctx, http.MethodGet, "http://"+c.Process+"/dump", nil)
+	resp, err := getDump(env.ctx, c.Process)
 	if err != nil {
-		return errors.Wrap(err, "dump")
-	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return errors.Wrap(err, "dump")
+		return err
 	}
 	defer resp.Body.Close()
 	_, err = io.Copy(env.out, resp.Body)
 	return err
 }
 
+// getDump asks a process for its state. The caller closes the body.
+func getDump(ctx context.Context, process string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+process+"/dump", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "dump")
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "dump")
+	}
+	return resp, nil
+}
+
 type settingsCommand struct {
 	Check checkSettingsCommand `cmd:"" help:"Check a settings file and print what it describes."`
 }
@@ -158,5 +166,3 @@
 	e.SetIndent("", "  ")
 	return e.Encode(v)
 }
-
-func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -42,6 +42,7 @@
 	Dump       dumpCommand       `cmd:"" help:"Print the state of a process."`
 	Bundle     bundleCommand     `cmd:"" help:"Check, approve, publish and read configuration bundles."`
 	DataCentre dataCentreCommand `cmd:"" help:"Take data centres out and bring them back."`
+	Check      checkFileCommand  `cmd:"" help:"Check a configuration before it is sent."`
 	Settings   settingsCommand   `cmd:"" help:"Check a settings file."`
 }
 
@@ -86,8 +87,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), ends...)
 	defer stop()
 	if err := kctx.Run(&environment{ctx: ctx, deps: deps, out: stdout, hangups: hangups}); err != nil {
-		fmt.Fprintln(stderr, "pomeloferry:", err)
-		return 1
+		return exit(stderr, err)
 	}
 	return 0
 }
