checker: Judge covered queues by the entries' own choice

Cause: an empty prefix is covered by the prefix / at the same host, which the rule passed over. The objective's finding claims no refusal. decode is split.

--- a/checker/configuration.go
+++ b/checker/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,15 +32,19 @@
 
 func routeKey(i int, name string) string { return fmt.Sprintf("routes[%d].%s", i, name) }
 
+// place is where a queue takes requests.
+type place struct{ host, prefix string }
+
 // coveredQueues finds queues that no request can reach. Of two queues with the
 // longest prefix, the one that is listed first gets the request.
 func (d document) coveredQueues(queues []scheduler.Queue) []Finding {
-	var out []Finding
-	type place struct{ host, prefix string }
 	first := make(map[place]int)
+	for i, q := range slices.Backward(queues) {
+		first[place{q.Host, q.Prefix}] = i
+	}
+	var out []Finding
 	for i, q := range queues {
-		here := place{q.Host, q.Prefix}
-		j, covered := first[here]
+		j, covered := coveredBy(first, i, q)
 		switch {
 		case covered:
 			out = append(out, d.finding(Unmatched, routeKey(i, "prefix"),
@@ -50,13 +55,20 @@
 			out = append(out, d.finding(Unmatched, routeKey(i, "prefix"),
 				fmt.Sprintf("found %q; paths of requests begin with a slash", q.Prefix)))
 		}
-		if !covered {
-			first[here] = i
-		}
 	}
 	return out
 }
 
+// coveredBy returns the queue that gets all requests of queue i, if there is
+// one. Since paths begin with a slash, the prefix "/" covers an empty one.
+func coveredBy(first map[place]int, i int, q scheduler.Queue) (int, bool) {
+	if j, ok := first[place{q.Host, "/"}]; ok && q.Prefix == "" {
+		return j, true
+	}
+	j := first[place{q.Host, q.Prefix}]
+	return j, j != i
+}
+
 // queueLimits finds queues whose deadline and objective contradict each other.
 func (d document) queueLimits(queues []scheduler.Queue) []Finding {
 	var out []Finding
@@ -67,7 +79,7 @@
 		}
 		if most, bounded := longestInTime(q); bounded && (q.Timeout <= 0 || most < q.Timeout) {
 			out = append(out, d.finding(Contradiction, routeKey(i, "stretch"),
-				fmt.Sprintf("the objective of a job with more than %s of work is below its estimate; such jobs are refused", most)))
+				fmt.Sprintf("the objective of a job with more than %s of work is below its estimate: it cannot be in time", most)))
 		}
 	}
 	return out
--- a/checker/decode.go
+++ b/checker/decode.go
@@ -30,43 +30,41 @@
 // again, until no error is left.
 func decode[T any](d document, read func([]byte) (T, error)) decoded[T] {
 	var out decoded[T]
-	raw, at := d.raw, d.at
+	rest := d
 	for range maxTypeFaults {
-		v, err := read(raw)
-		out.value = v
+		v, err := read(rest.raw)
 		if err == nil {
+			out.value = v
 			out.whole = true
 			return out
 		}
-		wrong, ok := errors.Into[*json.UnmarshalTypeError](err)
-		if !ok {
-			unknown := unknownKeys[T](raw)
-			if len(unknown) == 0 {
-				out.findings = append(out.findings, d.finding(Fault, "", err.Error()))
-				return out
+		if wrong, ok := errors.Into[*json.UnmarshalTypeError](err); ok {
+			bad, ok := rest.at.around(int(wrong.Offset))
+			if !ok || bad.key == "" {
+				return out.with(d.finding(Fault, "", err.Error()))
 			}
-			for _, key := range unknown {
-				out.findings = append(out.findings, d.finding(Fault, key, "no such key"))
-			}
-			read = lenient
+			out.bad = append(out.bad, bad.key)
+			out = out.with(d.finding(Fault, bad.key, fmt.Sprintf("found a JSON %s, allowed %s", wrong.Value, wrong.Type)))
+			rest = rest.without(bad)
 			continue
 		}
-		bad, ok := at.around(int(wrong.Offset))
-		if !ok || bad.key == "" {
-			out.findings = append(out.findings, d.finding(Fault, "", err.Error()))
-			return out
+		unknown := unknownKeys[T](rest.raw)
+		if len(unknown) == 0 {
+			return out.with(d.finding(Fault, "", err.Error()))
 		}
-		out.bad = append(out.bad, bad.key)
-		out.findings = append(out.findings, d.finding(Fault, bad.key,
-			fmt.Sprintf("found a JSON %s, allowed %s", wrong.Value, wrong.Type)))
-		raw = without(raw, bad)
-		if at, err = locate(raw); err != nil {
-			return out
+		for _, key := range unknown {
+			out = out.with(d.finding(Fault, key, "no such key"))
 		}
+		read = lenient
 	}
 	return out
 }
 
+func (d decoded[T]) with(f Finding) decoded[T] {
+	d.findings = append(d.findings, f)
+	return d
+}
+
 // lenient reads a T and passes unknown keys over.
 func lenient[T any](raw []byte) (T, error) {
 	var v T
@@ -74,11 +72,15 @@
 	return v, err
 }
 
-// without returns a copy of raw with null in place of v. It keeps the lines.
-func without(raw []byte, v value) []byte {
-	lines := bytes.Count(raw[v.start:v.end], []byte("\n"))
+// without returns a copy of d with null in place of v. It keeps the lines.
+func (d document) without(v value) document {
+	lines := bytes.Count(d.raw[v.start:v.end], []byte("\n"))
 	null := append([]byte("null"), bytes.Repeat([]byte("\n"), lines)...)
-	return slices.Concat(raw[:v.start], null, raw[v.end:])
+	d.raw = slices.Concat(d.raw[:v.start], null, d.raw[v.end:])
+	if at, err := locate(d.raw); err == nil {
+		d.at = at
+	}
+	return d
 }
 
 // readable reports whether a fault of key is no mere consequence of a value
