checker: Report errors of the version in force; read one JSON value

Cause: a version in force that could not be decoded skipped the rule on its version silently. Text after the end of a configuration gave the false finding that its key routes is not known. A repeated key was said to be replaced, although objects under it are merged. Change: such a version in force ends the check with status 2. The decoder gets the JSON value only, and textFindings reports the rest. The text of a repeated key says which one takes precedence.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -88,7 +88,7 @@
 	for _, r := range d.at.repeats {
 		out = append(out, Finding{
 			File: d.file, Line: r.line, Key: r.key, Kind: Unmatched,
-			Text: fmt.Sprintf("replaced by the same key in line %d", r.again),
+			Text: fmt.Sprintf("the same key in line %d takes precedence", r.again),
 		})
 	}
 	if d.form == Machine {
@@ -99,7 +99,7 @@
 		offset := bytes.Index(d.raw[d.at.end():], more) + d.at.end()
 		out = append(out, Finding{
 			File: d.file, Line: d.at.lineAt(offset), Kind: Fault,
-			Text: "text after the end of the JSON value is not read",
+			Text: "text after the end of the JSON value is refused or not read",
 		})
 	}
 	return out
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -108,7 +108,7 @@
 		{"no JSON", bundle, `"Version": 1,`, `"Version": 1`, []string{`:3: Fault: no JSON: invalid character '"' after object key:value pair`}},
 		{"text that ends early", bundle, "  }\n}", "", []string{`Fault: no JSON: the text ends too early`}},
 		{"unknown key", bundle, `"Repeatable"`, `"Repeated"`, []string{`:11: Fault: Services[0].Repeated: no such key`}},
-		{"wrong type of an object", bundle, `"Limits": {`, `"Limits": 7, "Limits": {`, []string{`:42: Unmatched: Limits: replaced by the same key in line 42`, `:42: Fault: Limits: found a JSON number, allowed approver.Limits`}},
+		{"wrong type of an object", bundle, `"Limits": {`, `"Limits": 7, "Limits": {`, []string{`:42: Unmatched: Limits: the same key in line 42 takes precedence`, `:42: Fault: Limits: found a JSON number, allowed approver.Limits`}},
 		{"fraction", bundle, `"EjectPercent": 30`, `"EjectPercent": 30.5`, []string{`:44: Fault: Limits.EjectPercent: found a JSON number 30.5, allowed int`}},
 		{"list in place of an object", bundle, `"Limits": {`, `"Limits": [], "X": {`, []string{`:42: Fault: Limits: found a JSON array, allowed approver.Limits`, `:42: Fault: X: no such key`}},
 		{"value out of range", bundle, `"EjectPercent": 30`, `"EjectPercent": -1`, []string{`:44: Fault: Limits.EjectPercent: found -1, allowed 0 to 100`}},
@@ -220,6 +220,7 @@
 func TestWhatCannotBeChecked(t *testing.T) {
 	bundle := readFile(t, "../examples/marktblick-bundle.json")
 	settings := readFile(t, "../examples/marktblick.json")
+	undecodable := &checker.File{Name: "undecodable.json", Raw: []byte(`{"Version": "one"}`)}
 	broken := &checker.File{Name: "broken.json", Raw: []byte("{")}
 	other := &checker.File{Name: "other.json", Raw: []byte(`{"Seed": 1}`)}
 	tests := []struct {
@@ -232,6 +233,7 @@
 		{"another form", other, checker.Options{}, checker.Unknown, "other.json"},
 		{"no object", &checker.File{Name: "list.json", Raw: []byte("[1]")}, checker.Options{}, checker.Unknown, "list.json"},
 		{"version in force is broken", bundle, checker.Options{Against: broken}, checker.Unreadable, "broken.json: no JSON"},
+		{"version in force cannot be decoded", bundle, checker.Options{Against: undecodable}, checker.Unreadable, "undecodable.json"},
 		{"version in force is of another form", bundle, checker.Options{Against: settings}, checker.Mismatched, "found a file of the form Settings, allowed Bundle"},
 		{"version in force is unknown", bundle, checker.Options{Against: other}, checker.Unknown, "other.json"},
 		{"settings are refused", bundle, checker.Options{Deployment: broken}, checker.Unreadable, "broken.json"},
--- a/checker/configuration_test.go
+++ b/checker/configuration_test.go
@@ -62,3 +62,28 @@
 		}
 	})
 }
+
+// Guards against findings that a sound configuration does not deserve, and
+// against faults that are reported under the wrong key.
+func TestConfigurationFindings(t *testing.T) {
+	const sound = `{"version": 1, "routes": [{"host": "h", "prefix": "/", "target_latency_ms": 60, "timeout_ms": 1500, "stretch": 1.6}]}`
+	tests := []struct {
+		name, old, new string
+		want           []string
+	}{
+		{"sound", "", "", nil},
+		{"text after the value", "]}", "]} more", []string{"c.json:1: Fault: text after the end of the JSON value is refused or not read"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			raw := []byte(strings.Replace(sound, tt.old, tt.new, 1))
+			r, err := checker.Check(checker.File{Name: "c.json", Raw: raw}, checker.Options{})
+			require.NoError(t, err)
+			var got []string
+			for _, f := range r.Findings {
+				got = append(got, f.String())
+			}
+			require.Equal(t, tt.want, got)
+		})
+	}
+}
--- a/checker/decode.go
+++ b/checker/decode.go
@@ -32,7 +32,8 @@
 	var out decoded[T]
 	rest := d
 	for range maxTypeFaults {
-		v, err := read(rest.raw)
+		// textFindings reports what follows the value.
+		v, err := read(rest.raw[:rest.at.end()])
 		if err == nil {
 			out.value = v
 			out.whole = true
--- a/checker/difference.go
+++ b/checker/difference.go
@@ -149,18 +149,24 @@
 	if err != nil {
 		return nil, fail(Unreadable, err)
 	}
-	if inner, ok := d.innermost(); ok {
-		d = inner
+	d, ok := d.innermost()
+	if !ok {
+		// checkSigned reports that the bundle is missing.
+		return nil, nil
 	}
 	after, err := d.leaves()
 	if err != nil {
-		return nil, nil
+		return nil, &Error{Op: "compare", Kind: Unreadable, File: d.file, Err: err}
 	}
 	out := d.changes(before, after)
 	if len(out) == 0 {
 		return nil, nil
 	}
-	return append(out, d.versionRules(old)...), nil
+	found, err := d.versionRules(old)
+	if err != nil {
+		return nil, fail(Unreadable, err)
+	}
+	return append(out, found...), nil
 }
 
 // innermost returns the document that holds the content.
@@ -215,42 +221,44 @@
 
 // versionRules finds a version that the programs would not take in place of
 // the one in force.
-func (d document) versionRules(old document) []Finding {
+func (d document) versionRules(old document) ([]Finding, error) {
 	switch d.form {
 	case Bundle:
 		return d.bundleVersion(old)
 	case Configuration:
 		return d.configurationVersion(old)
 	}
-	return nil
+	return nil, nil
 }
 
-func (d document) bundleVersion(old document) []Finding {
+func (d document) bundleVersion(old document) ([]Finding, error) {
 	inner, ok := old.innermost()
 	if !ok {
-		return nil
+		return nil, errors.New("found no bundle")
 	}
 	before, err := approver.Decode(inner.raw)
 	if err != nil {
-		return nil
+		return nil, err
 	}
+	// checkBundle reports a file that cannot be decoded.
 	after, err := approver.Decode(d.raw)
 	if err != nil || after.Version == before.Version+1 {
-		return nil
+		return nil, nil
 	}
 	return []Finding{d.finding(Fault, "Version",
-		fmt.Sprintf("found %d, allowed %d, one more than the version in force", after.Version, before.Version+1))}
+		fmt.Sprintf("found %d, allowed %d, one more than the version in force", after.Version, before.Version+1))}, nil
 }
 
-func (d document) configurationVersion(old document) []Finding {
+func (d document) configurationVersion(old document) ([]Finding, error) {
 	before, err := platform.ReadConfiguration(old.raw)
 	if err != nil {
-		return nil
+		return nil, err
 	}
+	// checkConfiguration reports a file that cannot be decoded.
 	after, err := platform.ReadConfiguration(d.raw)
 	if err != nil || after.Version >= before.Version {
-		return nil
+		return nil, nil
 	}
 	return []Finding{d.finding(Fault, "version",
-		fmt.Sprintf("found %d, allowed %d or more; entries pass an older configuration over", after.Version, before.Version))}
+		fmt.Sprintf("found %d, allowed %d or more; entries pass an older configuration over", after.Version, before.Version))}, nil
 }
--- a/checker/locator.go
+++ b/checker/locator.go
@@ -29,7 +29,8 @@
 type repeat struct {
 	key  string
 	line int
-	// again is the line of the member that replaces it.
+	// again is the line of the member that takes precedence. Members of the
+	// earlier object that it lacks still count.
 	again int
 }
 
