--- a/checker/configuration_test.go
+++ b/checker/configuration_test.go
@@ -72,7 +72,11 @@
 		want           []string
 	}{
 		{"sound", "", "", nil},
+		{"stretch just below one", "1.6", "0.9999999999999999", nil},
 		{"text after the value", "]}", "]} more", []string{"c.json:1: Fault: text after the end of the JSON value is refused or not read"}},
+		{"objective below the estimate", "1.6", "0.5", []string{
+			"c.json:1: Contradiction: routes[0].stretch: a job whose longest chain is estimated at more than 120ms has an objective below that estimate",
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/checker/finding.go
+++ b/checker/finding.go
@@ -13,7 +13,8 @@
 	// Fault means that the programs refuse the file, or read it otherwise than
 	// it looks.
 	Fault Kind = "Fault"
-	// Unmatched means that an entry of the file can never match or take effect.
+	// Unmatched means that an entry of the file can never match or take effect,
+	// or only as the text says.
 	Unmatched Kind = "Unmatched"
 	// Contradiction means that two limits cannot both hold.
 	Contradiction Kind = "Contradiction"
