--- /dev/null
+++ b/checker/configuration_test.go
@@ -0,0 +1,93 @@
+package checker_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pomeloferry/pomeloferry/checker"
+	"github.com/pomeloferry/pomeloferry/platform"
+)
+
+type route struct {
+	Name    string  `json:"name"`
+	Host    string  `json:"host"`
+	Prefix  string  `json:"prefix"`
+	Stretch float64 `json:"stretch"`
+}
+
+// Guards against a queue that is called covered although requests reach it, and
+// against one that is passed over although none does: the entries' own choice of
+// a queue is the judge.
+func TestCoveredQueuesAreThoseThatNoRequestReaches(t *testing.T) {
+	prefixes := []string{"", "/", "/q", "/q/", "/q/long/", "q/"}
+	rapid.Check(t, func(t *rapid.T) {
+		var routes []route
+		for i := range rapid.IntRange(1, 8).Draw(t, "routes") {
+			routes = append(routes, route{
+				Name:    fmt.Sprint("r", i),
+				Host:    rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "host"),
+				Prefix:  rapid.SampledFrom(prefixes).Draw(t, "prefix"),
+				Stretch: 1.6,
+			})
+		}
+		raw, err := json.Marshal(map[string]any{"version": 1, "routes": routes})
+		require.NoError(t, err)
+		c, err := platform.ReadConfiguration(raw)
+		require.NoError(t, err)
+		reached := make(map[string]bool)
+		for _, host := range []string{"a", "b"} {
+			for _, prefix := range prefixes {
+				path := "/" + strings.TrimPrefix(prefix, "/")
+				for _, rest := range []string{"", "0", "x/0"} {
+					if q, _, ok := c.Find(host, path+rest); ok {
+						reached[q.Name] = true
+					}
+				}
+			}
+		}
+		r, err := checker.Check(checker.File{Name: "c.json", Raw: raw}, checker.Options{})
+		require.NoError(t, err)
+		told := make(map[string]bool)
+		for _, f := range r.Findings {
+			require.Equal(t, checker.Unmatched, f.Kind, f)
+			told[f.Key[:strings.IndexByte(f.Key, '.')]] = true
+		}
+		for i, rt := range routes {
+			require.NotEqual(t, reached[rt.Name], told[fmt.Sprintf("routes[%d]", i)], "%s in %s: %v", rt.Name, raw, r.Findings)
+		}
+	})
+}
+
+// Guards against findings that a sound configuration does not deserve, and
+// against faults that are reported under the wrong key.
+func TestConfigurationFindings(t *testing.T) {
+	const sound = `{"version": 1, "routes": [{"host": "h", "prefix": "/", "target_latency_ms": 60, "timeout_ms": 1500, "stretch": 1.6}]}`
+	tests := []struct {
+		name, old, new string
+		want           []string
+	}{
+		{"sound", "", "", nil},
+		{"stretch just below one", "1.6", "0.9999999999999999", nil},
+		{"text after the value", "]}", "]} more", []string{"c.json:1: Fault: text after the end of the JSON value is refused or not read"}},
+		{"objective below the estimate", "1.6", "0.5", []string{
+			"c.json:1: Contradiction: routes[0].stretch: a job whose longest chain is estimated at more than 120ms has an objective below that estimate",
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			raw := []byte(strings.Replace(sound, tt.old, tt.new, 1))
+			r, err := checker.Check(checker.File{Name: "c.json", Raw: raw}, checker.Options{})
+			require.NoError(t, err)
+			var got []string
+			for _, f := range r.Findings {
+				got = append(got, f.String())
+			}
+			require.Equal(t, tt.want, got)
+		})
+	}
+}
