scheduler, executor, messenger: Ask for the room ahead only where it is used

Cause: agents told the forecast to every entry at which tasks waited, also in deployments without far factor or racks; an entry that left a turn unused would have lost it. A task of a later step could wait near until hardly any slack was left, since its share of the slack was taken anew in each pass. Change: Want.Ahead asks for Report.Ahead. The wait of later steps is bounded by the slack they had when they became ready.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -274,7 +274,7 @@
 	}
 	r.Ended, r.Refused, r.Outcomes = e.outcomes.tell()
 	r.Pace, r.PacedJobs = x.paces.median(now)
-	if e.want.Tasks > 0 {
+	if e.want.Ahead {
 		r.Ahead = x.ahead(now)
 	}
 	if !e.upstream {
--- a/executor/turn.go
+++ b/executor/turn.go
@@ -73,8 +73,9 @@
 		return
 	}
 	if t.holder != nil && !t.used && !now.Before(t.until) {
-		// It has not used what it was told of: it wants nothing until it says so.
-		t.holder.want = messenger.Want{}
+		// It has not used what it was told of: it wants nothing until it says so. Its
+		// tasks may still wait for other workers, so that it needs the forecast.
+		t.holder.want = messenger.Want{Ahead: t.holder.want.Ahead}
 	}
 	t.holder = nil
 	for _, e := range x.order {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -98,14 +98,16 @@
 	Sum   Demand `cbor:"2,keyasint,omitempty"`
 	// Least is the room without which none of them can start.
 	Least Demand `cbor:"3,keyasint,omitempty"`
+	// Ahead asks for Report.Ahead.
+	Ahead bool `cbor:"4,keyasint,omitempty"`
 }
 
 // With returns w with one more task.
 func (w Want) With(d Demand) Want {
 	if w.Tasks == 0 {
-		return Want{Tasks: 1, Sum: d, Least: d}
+		return Want{Tasks: 1, Sum: d, Least: d, Ahead: w.Ahead}
 	}
-	return Want{Tasks: w.Tasks + 1, Sum: w.Sum.Plus(d), Least: w.Least.Least(d)}
+	return Want{Tasks: w.Tasks + 1, Sum: w.Sum.Plus(d), Least: w.Least.Least(d), Ahead: w.Ahead}
 }
 
 // Without returns w less some of its tasks, which take sum together. Least may
@@ -114,7 +116,7 @@
 	if tasks >= w.Tasks {
 		return Want{}
 	}
-	return Want{Tasks: w.Tasks - tasks, Sum: w.Sum.Minus(sum), Least: w.Least}
+	return Want{Tasks: w.Tasks - tasks, Sum: w.Sum.Minus(sum), Least: w.Least, Ahead: w.Ahead}
 }
 
 // Place asks an agent to run tasks of one step.
@@ -271,7 +273,7 @@
 	Speed     float64 `cbor:"21,keyasint,omitempty"`
 	SpeedJobs int     `cbor:"22,keyasint,omitempty"`
 	// Ahead is the room, beside Free, that is expected to have fallen free after
-	// each of AheadSpans. It is told while tasks wait at the entry.
+	// each of AheadSpans. It is told while the entry asks for it.
 	Ahead []Demand `cbor:"23,keyasint,omitempty"`
 	// Reserved is the number of the entry's Reserve that the agent keeps; zero
 	// means none.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -111,6 +111,8 @@
 	step  int
 	id    string
 	state taskState
+	// readyAt is when the steps before it were done.
+	readyAt time.Time
 	// run is the number of the last run.
 	run   int
 	agent *agent
@@ -191,6 +193,7 @@
 			t := &task{job: n, step: i, id: fmt.Sprintf("%s.0.%d.%d", j.ID, i, k), run: last.lastRun}
 			if len(s.After) == 0 {
 				t.state = ready
+				t.readyAt = now
 			}
 			n.tasks = append(n.tasks, t)
 		}
@@ -208,10 +211,11 @@
 }
 
 // unblock makes the tasks ready whose steps may begin.
-func (j *job) unblock() {
+func (j *job) unblock(now time.Time) {
 	for _, t := range j.tasks {
 		if t.state == blocked && j.open(t.step) {
 			t.state = ready
+			t.readyAt = now
 		}
 	}
 }
@@ -226,6 +230,11 @@
 	return true
 }
 
+// onRack reports whether the data of a step is on a rack.
+func (j Job) onRack() bool {
+	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.Rack != "" })
+}
+
 func (j *job) done() bool {
 	for _, n := range j.left {
 		if n > 0 {
--- a/scheduler/locality.go
+++ b/scheduler/locality.go
@@ -131,7 +131,7 @@
 func (s *Scheduler) weigh(j *job, step int, todo []*task, now time.Time) weighing {
 	far := stretched(j.Steps[step].Estimate, s.config.FarFactor)
 	w := weighing{
-		wait:      s.nearWait(j, step, now),
+		wait:      s.nearWait(j, todo[0], now),
 		farInTime: !now.Add(far).After(j.due(step)),
 		scarce:    s.scarce,
 	}
@@ -155,20 +155,22 @@
 	return w
 }
 
-// nearWait returns how long a task of a step may wait for a near worker. It waits
+// nearWait returns how long a task may still wait for a near worker. It waits
 // for as long as it ends no later than far; while others find no room, also for as
 // long as it is in time, since far work keeps room from them for longer. A job
 // whose patience is over goes far: pass places before it refuses.
-func (s *Scheduler) nearWait(j *job, step int, now time.Time) time.Duration {
-	estimate := j.Steps[step].Estimate
+func (s *Scheduler) nearWait(j *job, t *task, now time.Time) time.Duration {
+	estimate := j.Steps[t.step].Estimate
 	wait := stretched(estimate, s.config.FarFactor) - estimate
-	slack := j.due(step).Sub(now) - estimate
+	latest := j.due(t.step).Add(-estimate)
 	if s.scarce {
-		wait = max(wait, slack)
+		wait = max(wait, latest.Sub(now))
 	}
-	if len(j.Steps[step].After) > 0 {
-		// Patience is for the first task of the job; the others wait out of its slack.
-		return min(wait, time.Duration(admitShare*float64(slack)))
+	if len(j.Steps[t.step].After) > 0 {
+		// Patience is for the first task of the job; the others wait for a share of the
+		// slack that was left when they became ready.
+		patience := time.Duration(admitShare * float64(latest.Sub(t.readyAt)))
+		return min(wait, patience-now.Sub(t.readyAt))
 	}
 	return min(wait, s.patience(j)-now.Sub(j.arrived))
 }
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -73,6 +73,7 @@
 			}
 		}
 	}
+	w.Ahead = w.Tasks > 0 && s.racks && s.config.FarFactor > 1
 	return w
 }
 
@@ -140,7 +141,9 @@
 			s.send(a, j, todo[:n])
 			todo = todo[n:]
 		}
-		s.locality.note(j.Steps[step], todo)
+		if s.config.FarFactor > 1 {
+			s.locality.note(j.Steps[step], todo)
+		}
 	}
 }
 
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -202,7 +202,7 @@
 		return
 	}
 	if j.left[t.step] == 0 {
-		j.unblock()
+		j.unblock(s.clock.Now())
 		s.enqueue(j)
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -64,6 +64,8 @@
 	// that would run anywhere had found no room when all agents were last looked at.
 	locality locality
 	scarce   bool
+	// racks means that a job has come whose data is on a rack.
+	racks bool
 	// throughput is the work done lately; short is for Need.
 	throughput throughput
 	short      bool
@@ -147,6 +149,7 @@
 	j.tickets = []uint64{ticket}
 	s.tickets[ticket] = j
 	s.jobs[j.ID] = j
+	s.racks = s.racks || j.onRack()
 	if n := s.remains[j.ID]; n > 0 {
 		j.hold.since = now.Add(-max(holdAfter, now.Sub(j.hold.since)))
 		s.emit(Note{Job: j.ID, Queue: j.Queue.Name, What: "job waits", Why: fmt.Sprintf("%d runs of its last try may go on", n)})
