scheduler: Hold no task when no worker has room

Cause: tasks stayed marked as held when far workers had filled up, and so were left out of the expected wait of new jobs. Change: a pass that finds no agent with room for the tasks clears the mark.

--- a/scheduler/fit.go
+++ b/scheduler/fit.go
@@ -43,11 +43,7 @@
 	if best == nil {
 		return nil, 0
 	}
-	n := s.locate(best, bestFit.tasks, j, step, todo, now)
-	if n == 0 {
-		return nil, 0
-	}
-	return best, n
+	return best, s.locate(best, bestFit.tasks, j, step, todo, now)
 }
 
 // fit is how well an agent suits the tasks that wait.
--- a/scheduler/locality.go
+++ b/scheduler/locality.go
@@ -94,6 +94,13 @@
 	}
 }
 
+// release marks tasks as not held: no agent has room, so that they go to any.
+func release(todo []*task) {
+	for _, t := range todo {
+		t.held = false
+	}
+}
+
 // located emits the line on a decision. No agent is known for near soon.
 func (s *Scheduler) located(j *job, a *agent, what, why string, now time.Time) {
 	n := Note{Job: j.ID, Queue: j.Queue.Name, What: what, Why: why, Age: now.Sub(j.arrived)}
--- a/scheduler/locality_test.go
+++ b/scheduler/locality_test.go
@@ -420,3 +420,25 @@
 	require.Equal(t, 4, b.at("far"))
 	require.Empty(t, b.replies)
 }
+
+// TestTasksHeldWithoutRoomElsewhereCountInTheWait guards against jobs that are taken
+// on behind tasks which are held no more, since the far workers have filled up.
+func TestTasksHeldWithoutRoomElsewhereCountInTheWait(t *testing.T) {
+	b := newRackBench(t, 3)
+	b.clock.Advance(200 * time.Millisecond)
+	b.tell("near", 0, []int{9, 9, 9, 9, 9})
+	b.tell("far", 10, nil)
+	b.drain()
+	b.submit(b.onRack(1, 9, 800*time.Millisecond))
+	require.Equal(t, 1, b.noted("near soon"))
+	b.tell("far", 0, nil)
+	b.s.Tick()
+	b.drain()
+	later := b.onRack(2, 4, 800*time.Millisecond)
+	later.Steps[0].Rack = ""
+	b.submit(later)
+	require.Len(t, b.replies, 1)
+	for _, a := range b.replies {
+		require.Equal(t, scheduler.Overloaded, a.Outcome)
+	}
+}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -135,7 +135,10 @@
 		}
 		for len(todo) > 0 {
 			a, n := s.choose(agents, j, step, todo, now)
-			if a == nil {
+			if a == nil && len(agents) == len(s.byName) {
+				release(todo)
+			}
+			if n == 0 {
 				break
 			}
 			s.send(a, j, todo[:n])
