platform, checker: Keep the keys of the platform's files in one place

Cause: the check named keys of the platform's configuration and settings on its own. Change: they are constants of package platform, which alone knows them.

--- a/checker/configuration.go
+++ b/checker/configuration.go
@@ -31,8 +31,6 @@
 	return append(out, d.resendRules(read.value.Queues, s.Resend)...), nil
 }
 
-func routeKey(i int, name string) string { return fmt.Sprintf("routes[%d].%s", i, name) }
-
 // place is where a queue takes requests.
 type place struct{ host, prefix string }
 
@@ -48,12 +46,12 @@
 		j, covered := coveredBy(first, i, q)
 		switch {
 		case covered:
-			out = append(out, d.finding(Unmatched, routeKey(i, "prefix"),
-				fmt.Sprintf("%s%s is taken by routes[%d], %q", q.Host, q.Prefix, j, queues[j].Name)))
+			out = append(out, d.finding(Unmatched, platform.QueueKey(i, platform.PrefixKey),
+				fmt.Sprintf("%s%s is taken by %s[%d], %q", q.Host, q.Prefix, platform.QueuesKey, j, queues[j].Name)))
 		case q.Host == "":
-			out = append(out, d.finding(Unmatched, routeKey(i, "host"), "only requests that name no host have an empty one"))
+			out = append(out, d.finding(Unmatched, platform.QueueKey(i, platform.HostKey), "only requests that name no host have an empty one"))
 		case q.Prefix != "" && !strings.HasPrefix(q.Prefix, "/"):
-			out = append(out, d.finding(Unmatched, routeKey(i, "prefix"),
+			out = append(out, d.finding(Unmatched, platform.QueueKey(i, platform.PrefixKey),
 				fmt.Sprintf("found %q; paths of requests begin with a slash", q.Prefix)))
 		}
 	}
@@ -75,11 +73,11 @@
 	var out []Finding
 	for i, q := range queues {
 		if q.Timeout > 0 && q.Timeout < q.Slack {
-			out = append(out, d.finding(Contradiction, routeKey(i, "timeout_ms"),
-				fmt.Sprintf("%s is shorter than target_latency_ms, %s", q.Timeout, q.Slack)))
+			out = append(out, d.finding(Contradiction, platform.QueueKey(i, platform.TimeoutKey),
+				fmt.Sprintf("%s is shorter than %s, %s", q.Timeout, platform.SlackKey, q.Slack)))
 		}
 		if most, bounded := longestInTime(q); bounded && (q.Timeout <= 0 || most < q.Timeout) {
-			out = append(out, d.finding(Contradiction, routeKey(i, "stretch"),
+			out = append(out, d.finding(Contradiction, platform.QueueKey(i, platform.StretchKey),
 				fmt.Sprintf("a job whose longest chain is estimated at more than %s has an objective below that estimate", most)))
 		}
 	}
@@ -105,7 +103,7 @@
 	var out []Finding
 	for i, q := range queues {
 		if q.Timeout > 0 && q.Timeout < resend {
-			out = append(out, d.finding(Contradiction, routeKey(i, "timeout_ms"),
+			out = append(out, d.finding(Contradiction, platform.QueueKey(i, platform.TimeoutKey),
 				fmt.Sprintf("%s, for callers that name no deadline, is over before one without an answer sends the job again, after %s", q.Timeout, resend)))
 		}
 	}
--- a/checker/difference.go
+++ b/checker/difference.go
@@ -259,6 +259,6 @@
 	if err != nil || after.Version >= before.Version {
 		return nil, nil
 	}
-	return []Finding{d.finding(Fault, "version",
+	return []Finding{d.finding(Fault, platform.VersionKey,
 		fmt.Sprintf("found %d, allowed %d or more; entries pass an older configuration over", after.Version, before.Version))}, nil
 }
--- a/checker/document.go
+++ b/checker/document.go
@@ -10,6 +10,7 @@
 
 	"github.com/pomeloferry/pomeloferry/approver"
 	"github.com/pomeloferry/pomeloferry/configurer"
+	"github.com/pomeloferry/pomeloferry/platform"
 )
 
 // Form is what a file describes.
@@ -42,7 +43,7 @@
 	{Bundle, fieldNames(reflect.TypeFor[approver.Bundle]())},
 	{Settings, fieldNames(reflect.TypeFor[configurer.Settings]())},
 	{Signed, fieldNames(reflect.TypeFor[approver.Signed]())},
-	{Configuration, []string{"version", "routes", "limits"}},
+	{Configuration, []string{platform.VersionKey, platform.QueuesKey, platform.LimitsKey}},
 }
 
 func fieldNames(t reflect.Type) []string {
--- a/checker/machine.go
+++ b/checker/machine.go
@@ -28,15 +28,15 @@
 func (d document) machineRules(s platform.Settings) []Finding {
 	var out []Finding
 	if s.DrainWithin > s.Grace {
-		out = append(out, d.finding(Contradiction, "bounds.drain_timeout_ms",
-			fmt.Sprintf("tasks may start for %s, longer than bounds.grace_period_s: the process is killed after %s", s.DrainWithin, s.Grace)))
+		out = append(out, d.finding(Contradiction, platform.DrainWithinKey,
+			fmt.Sprintf("tasks may start for %s, longer than %s: the process is killed after %s", s.DrainWithin, platform.GraceKey, s.Grace)))
 	}
 	if s.Resend < scheduler.LossAfter {
-		out = append(out, d.finding(Contradiction, "bounds.retry_ms",
+		out = append(out, d.finding(Contradiction, platform.ResendKey,
 			fmt.Sprintf("callers send a job again after %s; the runs of a lost entry are over after %s", s.Resend, scheduler.LossAfter)))
 	}
 	if s.LastPort < s.InternalPort {
-		out = append(out, d.finding(Contradiction, "internal_ports",
+		out = append(out, d.finding(Contradiction, platform.InternalPortsKey,
 			fmt.Sprintf("the last port, %d, is below the first, %d", s.LastPort, s.InternalPort)))
 	}
 	return out
