--- a/executor/turn_test.go
+++ b/executor/turn_test.go
@@ -18,7 +18,9 @@
 	// told is the room that each entry was last told of, in thousandths of a
 	// core.
 	told map[string]int
-	runs int
+	// ahead is the forecast in the last report to each entry.
+	ahead map[string][]messenger.Demand
+	runs  int
 	// ended counts the runs that the worker has ended, and look is the number of
 	// its last look.
 	ended int64
@@ -31,7 +33,7 @@
 )
 
 func newCrowd(t *testing.T, entries int) *crowd {
-	c := &crowd{bench: newBench(t), told: make(map[string]int), look: 1}
+	c := &crowd{bench: newBench(t), told: make(map[string]int), ahead: make(map[string][]messenger.Demand), look: 1}
 	c.x.Closed("e")
 	for i := range entries {
 		name := fmt.Sprintf("entry-%d", i)
@@ -48,6 +50,7 @@
 		switch m := e.(type) {
 		case executor.Tell:
 			c.told[m.Entry] = m.Report.Free.CPU
+			c.ahead[m.Entry] = m.Report.Ahead
 			c.stamp = m.Report.Stamp
 		case executor.Look:
 			c.look = m.Number
@@ -187,3 +190,26 @@
 	c.x.Looked(seen)
 	c.take()
 }
+
+// TestUnusedTurnKeepsTheRequestForTheForecast guards against tasks held for a near
+// worker that go far since their entry has left a turn unused.
+func TestUnusedTurnKeepsTheRequestForTheForecast(t *testing.T) {
+	c := newCrowd(t, 2)
+	c.x.Place("entry-0", messenger.Place{
+		Number: 1, Job: "j", Service: "quotes", Patience: 12 * time.Millisecond, Echo: c.stamp,
+		Tasks: []messenger.Task{{Run: taskRun(1), Demand: messenger.Demand{CPU: taskCPU}, Estimate: 200 * time.Millisecond}},
+	})
+	c.take()
+	want := waits(15)
+	want.Ahead = true
+	for _, name := range c.names {
+		c.x.Beat(name, messenger.Beat{Stamp: 1, Want: want})
+	}
+	c.take()
+	for at := time.Duration(0); at <= messenger.BeatInterval; at += 5 * time.Millisecond {
+		c.pass(5 * time.Millisecond)
+	}
+	for _, name := range c.names {
+		require.NotEmpty(t, c.ahead[name], name)
+	}
+}
--- a/scheduler/fit.go
+++ b/scheduler/fit.go
@@ -18,7 +18,7 @@
 // job has an order of its own, so that entries seldom meet at one agent. Else the
 // fullest that can take all comes first, which leaves the room of the others whole,
 // and after these the one that can take most. Tasks that are held for a near worker
-// are not counted.
+// are not counted, so that the number may be 0. The agent is nil if none has room.
 func (s *Scheduler) choose(agents []*agent, j *job, step int, todo []*task, now time.Time) (*agent, int) {
 	var best *agent
 	var bestFit fit
@@ -88,12 +88,7 @@
 func (a *agent) fit(j *job, step int, todo []*task, now time.Time) fit {
 	d := j.Steps[step].Demand
 	most := a.most(j, step, todo, now)
-	room := a.free()
-	slots := 0
-	for slots < most+spareTasks && d.Fits(room) {
-		room = room.Minus(d)
-		slots++
-	}
+	slots := j.Steps[step].fitting(a.free(), most+spareTasks)
 	if n := min(most, slots-spareTasks); n >= min(len(todo), chunkTasks) {
 		return fit{tasks: n, spare: true, order: j.order(a)}
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -133,7 +133,8 @@
 	// farFactor is how many times as long the last run takes for being away from
 	// its data; 0 counts as 1.
 	farFactor float64
-	// held means that the task waits for a near worker although a far one had room.
+	// held means that the task waits for a near worker although a far one had room
+	// when the agents were last looked at.
 	held bool
 }
 
@@ -270,7 +271,7 @@
 }
 
 // queued returns the estimated work of the tasks that wait, in core-milliseconds.
-// Tasks held for a near worker are left out: they keep no room from other jobs.
+// Tasks held for a near worker are left out: other jobs can have the far room.
 func (j *job) queued() float64 {
 	var sum float64
 	for _, t := range j.tasks {
