executor, messenger, attendant: Keep room for one large task at a time

Cause: small tasks take each piece of room that falls free, so that a task that needs a quarter of the worker or more waits long for enough at once. Change: on a Reserve message the agent keeps the room that falls free for the holder until there is enough, and tells it then. Other runs start in it only if they are expected to end before it is complete; Report.Backfill (field 30) tells entries of that room. Each end of a reservation gives the room back.

--- a/attendant/core.go
+++ b/attendant/core.go
@@ -159,6 +159,8 @@
 		c.executor.Place(name, *msg)
 	case *messenger.Withdraw:
 		c.executor.Withdraw(name, *msg)
+	case *messenger.Reserve:
+		c.executor.Reserve(name, *msg)
 	}
 }
 
@@ -210,6 +212,7 @@
 			a.note(e)
 		}
 	}
+	c.meters.reserved.Set(float64(c.executor.Kept().CPU))
 }
 
 func (a *Attendant) start(s executor.Start) {
--- a/attendant/metrics.go
+++ b/attendant/metrics.go
@@ -13,15 +13,18 @@
 	stops   *metrics.Counter
 	looks   *metrics.Counter
 	reports *metrics.Counter
+	// reserved is the room kept for a large task, in thousandths of a core.
+	reserved *metrics.Gauge
 }
 
 func newMeters(set *metrics.Set) meters {
 	return meters{
-		set:     set,
-		starts:  set.NewCounter("pomeloferry_agent_starts_total"),
-		stops:   set.NewCounter("pomeloferry_agent_stops_total"),
-		looks:   set.NewCounter("pomeloferry_agent_looks_total"),
-		reports: set.NewCounter("pomeloferry_agent_reports_total"),
+		set:      set,
+		starts:   set.NewCounter("pomeloferry_agent_starts_total"),
+		stops:    set.NewCounter("pomeloferry_agent_stops_total"),
+		looks:    set.NewCounter("pomeloferry_agent_looks_total"),
+		reports:  set.NewCounter("pomeloferry_agent_reports_total"),
+		reserved: set.NewGauge("pomeloferry_agent_reserved_millicores", nil),
 	}
 }
 
--- a/executor/dump.go
+++ b/executor/dump.go
@@ -4,10 +4,12 @@
 
 // Dump is the state of an executor, for people.
 type Dump struct {
-	Identity   Identity
-	Token      uint64
-	Upstream   messenger.Upstream
-	Free       messenger.Demand
+	Identity Identity
+	Token    uint64
+	Upstream messenger.Upstream
+	Free     messenger.Demand
+	// Kept is the part of Free that is kept for a large task.
+	Kept       messenger.Demand
 	Leaving    bool
 	Unanswered int
 	Runs       []RunDump
@@ -34,6 +36,7 @@
 		Token:      x.token,
 		Upstream:   x.upstream,
 		Free:       x.free(),
+		Kept:       x.Kept(),
 		Leaving:    x.leaving,
 		Unanswered: x.look.unanswered,
 	}
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -35,6 +35,8 @@
 	toldAt      time.Time
 	// told is the room that the entry was last told of.
 	told messenger.Demand
+	// toldBackfill is the same of the room for tasks that end soon.
+	toldBackfill messenger.Demand
 	// want is what waits there, and share the room that it has had in
 	// proportion to that.
 	want  messenger.Want
@@ -71,6 +73,7 @@
 		// A Hello that was read late must not keep runs alive.
 		e.heard = now
 	}
+	x.endReservationOf(e, "link of its entry replaced")
 	e.seen = 0
 	e.echo = 0
 	e.open = true
@@ -89,6 +92,7 @@
 func (x *Executor) Closed(name string) {
 	if e := x.entries[name]; e != nil {
 		e.open = false
+		x.endReservationOf(e, "link of its entry closed")
 	}
 }
 
@@ -162,6 +166,7 @@
 	x.directives = b.Revision
 	x.evacuated = evacuated
 	if evacuated {
+		x.endReservation("data centre evacuated")
 		x.refuseWaiting(messenger.Evacuated)
 	}
 }
@@ -174,6 +179,7 @@
 			continue
 		}
 		x.dropOwned(e.name)
+		x.endReservationOf(e, "its entry is silent")
 		if !e.open && now.Sub(e.heard) > entryMemory {
 			delete(x.entries, e.name)
 			x.order = slices.DeleteFunc(x.order, func(o *entry) bool { return o == e })
@@ -223,6 +229,7 @@
 // tellChanged reports to the entries that have something to hear.
 func (x *Executor) tellChanged() {
 	now := x.clock.Now()
+	x.reviewReservation(now)
 	x.nextTurn(now)
 	interval := roomInterval * time.Duration(x.inTouch())
 	for _, e := range x.order {
@@ -237,7 +244,7 @@
 func (x *Executor) due(e *entry, interval time.Duration, now time.Time) bool {
 	since := now.Sub(e.toldAt)
 	switch {
-	case e.outcomes.waiting(), x.turns.contended && x.offer(e) != e.told:
+	case e.outcomes.waiting(), x.completed(e), x.turns.contended && x.offerChanged(e, now):
 		return true
 	case e.changed, e.roomChanged && e.want.Tasks > 0:
 		return since >= interval
@@ -271,6 +278,8 @@
 		FailedJobs:  x.failures.jobs,
 		Entries:     x.inTouch(),
 		Leaving:     x.leaving,
+		Reserved:    x.reservedFor(e),
+		Backfill:    x.backfillFor(e, now),
 	}
 	r.Ended, r.Refused, r.Outcomes = e.outcomes.tell()
 	r.Pace, r.PacedJobs = x.paces.median(now)
@@ -300,6 +309,7 @@
 	e.changed = false
 	e.roomChanged = false
 	e.told = r.Free
+	e.toldBackfill = r.Backfill.Room
 	e.toldAt = now
 	x.emit(Tell{Entry: e.name, Report: r})
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -132,6 +132,8 @@
 	paces    paces
 	failures failures
 	turns    turns
+	// reservation is the room that is kept for a large task.
+	reservation reservation
 
 	effects []Effect
 }
@@ -168,6 +170,7 @@
 // SetLeaving begins a planned stop: nothing new is taken.
 func (x *Executor) SetLeaving() {
 	x.leaving = true
+	x.endReservation("agent leaves")
 	x.refuseWaiting(messenger.Leaving)
 	x.changed()
 }
@@ -180,6 +183,9 @@
 	now := x.clock.Now()
 	x.dropSilent(now)
 	x.expireWaiting(now)
+	if x.expireReservation(now) {
+		x.pump()
+	}
 	x.stopAgain(now)
 	x.lapseSure(now)
 	x.settleByTime(now)
--- /dev/null
+++ b/executor/reservation_test.go
@@ -0,0 +1,399 @@
+package executor_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/executor"
+	"github.com/pomeloferry/pomeloferry/messenger"
+)
+
+const (
+	// large is what room is kept for, and small the demand of other tasks, of the
+	// bench's 8,000.
+	large = 4000
+	small = 1000
+)
+
+// keeper is an executor at which entry "e" reserves room and entry "o" does not.
+type keeper struct {
+	*bench
+	// last is the last report to each entry.
+	last  map[string]messenger.Report
+	notes []string
+	runs  int
+	// going are the runs at the worker, in the order of their starts.
+	going []messenger.Run
+}
+
+func newKeeper(t *testing.T) *keeper {
+	k := &keeper{bench: newBench(t), last: make(map[string]messenger.Report)}
+	k.others("o")
+	return k
+}
+
+// take sorts the effects.
+func (k *keeper) take() {
+	k.starts = nil
+	for _, e := range k.x.Drain() {
+		switch m := e.(type) {
+		case executor.Tell:
+			k.last[m.Entry] = m.Report
+			k.stamp = m.Report.Stamp
+		case executor.Look:
+			k.lastLook = m.Number
+		case executor.Start:
+			k.starts = append(k.starts, m)
+			k.going = append(k.going, m.Run)
+			k.x.Started(m.Run, m.Token, executor.Accepted)
+		case executor.Note:
+			k.notes = append(k.notes, m.What)
+		}
+	}
+}
+
+// pass lets time go on, with heartbeats of both entries. A small task waits at "o".
+func (k *keeper) pass(d time.Duration) {
+	k.clock.Advance(d)
+	want := messenger.Want{}.With(messenger.Demand{CPU: small})
+	k.x.Beat("e", messenger.Beat{Stamp: k.stamp, Echo: k.stamp})
+	k.x.Beat("o", messenger.Beat{Stamp: k.stamp, Echo: k.stamp, Want: want})
+	k.x.Tick()
+	k.take()
+}
+
+// placeFor places a task of an entry and returns its run.
+func (k *keeper) placeFor(owner string, cpu int, estimate time.Duration) messenger.Run {
+	k.runs++
+	r := messenger.Run{Task: fmt.Sprintf("j%d.0.0.0", k.runs), Number: 1}
+	k.x.Place(owner, messenger.Place{
+		Number: uint64(k.runs), Job: "j", Service: "quotes", Patience: 12 * time.Millisecond, Echo: k.stamp,
+		Tasks: []messenger.Task{{Run: r, Demand: messenger.Demand{CPU: cpu}, Estimate: estimate}},
+	})
+	k.take()
+	return r
+}
+
+// fill starts small runs until a number of them fits no more, each expected to
+// last for estimate, and returns them.
+func (k *keeper) fill(runs int, estimate time.Duration) []messenger.Run {
+	out := make([]messenger.Run, runs)
+	for i := range out {
+		out[i] = k.placeFor("o", small, estimate)
+	}
+	return out
+}
+
+// end has the worker end runs.
+func (k *keeper) end(runs ...messenger.Run) {
+	ended := make([]executor.Ended, len(runs))
+	for i, r := range runs {
+		k.placed++
+		ended[i] = executor.Ended{Number: int64(k.placed), End: messenger.End{Run: r, How: messenger.Done}}
+		k.going = slices.DeleteFunc(k.going, func(o messenger.Run) bool { return o == r })
+	}
+	var running []messenger.Progress
+	for _, r := range k.going {
+		running = append(running, messenger.Progress{Run: r})
+	}
+	k.x.Looked(executor.Seen{Number: k.lastLook, Born: 1, Running: running, Ended: ended})
+	k.take()
+}
+
+func (k *keeper) reserve(owner string, number uint64, span time.Duration) {
+	k.x.Reserve(owner, messenger.Reserve{Number: number, Demand: messenger.Demand{CPU: large}, For: span})
+	k.take()
+}
+
+// started reports whether the last effects start a run.
+func (k *keeper) started(r messenger.Run) bool {
+	return slices.ContainsFunc(k.starts, func(s executor.Start) bool { return s.Run == r })
+}
+
+// TestKeptRoomIsToldToItsHolderOnceComplete guards against room that falls free
+// piece by piece and goes to small tasks each time.
+func TestKeptRoomIsToldToItsHolderOnceComplete(t *testing.T) {
+	k := newKeeper(t)
+	runs := k.fill(8, 100*time.Millisecond)
+	k.reserve("e", 1, time.Second)
+	k.pass(20 * time.Millisecond)
+	require.EqualValues(t, 1, k.last["e"].Reserved)
+	require.Zero(t, k.last["o"].Reserved)
+	for n := range 3 {
+		k.end(runs[n])
+		k.pass(20 * time.Millisecond)
+		require.Zero(t, k.last["o"].Free.CPU, "%d runs ended", n+1)
+		require.Zero(t, k.last["e"].Free.CPU, "%d runs ended", n+1)
+		require.Equal(t, (n+1)*small, k.x.Kept().CPU)
+	}
+	k.end(runs[3])
+	require.Equal(t, large, k.last["e"].Free.CPU, "told at once")
+	k.end(runs[4])
+	k.pass(messenger.BeatInterval)
+	require.Equal(t, small, k.last["o"].Free.CPU, "the rest is open to all")
+	require.Equal(t, large+small, k.last["e"].Free.CPU)
+	require.True(t, k.started(k.placeFor("e", large, time.Second)))
+	require.Zero(t, k.x.Kept())
+	require.Contains(t, k.notes, "reservation ended")
+	k.pass(20 * time.Millisecond)
+	require.Zero(t, k.last["e"].Reserved)
+}
+
+// TestRunsStartInKeptRoomOnlyIfTheyEndBeforeItIsComplete guards against kept room
+// that stands idle, and against backfilled runs that delay the holder.
+func TestRunsStartInKeptRoomOnlyIfTheyEndBeforeItIsComplete(t *testing.T) {
+	k := newKeeper(t)
+	k.fill(6, 100*time.Millisecond)
+	k.reserve("e", 1, time.Second)
+	k.pass(20 * time.Millisecond)
+	require.Equal(t, messenger.Backfill{Room: messenger.Demand{CPU: 2 * small}, For: 80 * time.Millisecond}, k.last["o"].Backfill)
+	require.False(t, k.started(k.placeFor("o", small, 81*time.Millisecond)), "ends too late")
+	require.False(t, k.started(k.placeFor("e", small, 81*time.Millisecond)), "another task of the holder's")
+	require.True(t, k.started(k.placeFor("o", small, 80*time.Millisecond)))
+	require.Contains(t, k.notes, "run backfilled")
+	k.pass(90 * time.Millisecond)
+	require.Zero(t, k.last["o"].Backfill, "the room should be complete by now")
+	require.False(t, k.started(k.placeFor("o", small, time.Millisecond)), "runs that take longer put nothing off")
+}
+
+// TestOneReservationIsKeptAtATime guards against two holders of the same room.
+func TestOneReservationIsKeptAtATime(t *testing.T) {
+	k := newKeeper(t)
+	k.fill(6, 100*time.Millisecond)
+	k.reserve("e", 1, time.Second)
+	k.reserve("o", 7, time.Second)
+	k.pass(20 * time.Millisecond)
+	require.EqualValues(t, 1, k.last["e"].Reserved)
+	require.Zero(t, k.last["o"].Reserved)
+	k.reserve("o", 7, 0)
+	require.NotZero(t, k.x.Kept(), "only the holder may end it")
+	k.reserve("e", 1, 0)
+	k.reserve("o", 8, time.Second)
+	k.pass(20 * time.Millisecond)
+	require.EqualValues(t, 8, k.last["o"].Reserved)
+}
+
+// TestReservationThatCannotBeOfUseIsNotKept guards against room that stands idle
+// for a task that will not start here.
+func TestReservationThatCannotBeOfUseIsNotKept(t *testing.T) {
+	tests := map[string]func(k *keeper){
+		"complete too late": func(k *keeper) { k.reserve("e", 1, 50*time.Millisecond) },
+		"larger than the worker": func(k *keeper) {
+			k.x.Reserve("e", messenger.Reserve{Number: 1, Demand: messenger.Demand{CPU: 8001}, For: time.Second})
+		},
+		"unknown entry": func(k *keeper) { k.reserve("stranger", 1, time.Second) },
+		"agent leaves":  func(k *keeper) { k.x.SetLeaving(); k.reserve("e", 1, time.Second) },
+		"evacuated": func(k *keeper) {
+			k.x.Beat("o", messenger.Beat{Stamp: 1, Echo: k.stamp, Revision: 3, Evacuated: []string{"dc"}})
+			k.reserve("e", 1, time.Second)
+		},
+		"worker leaves": func(k *keeper) {
+			up := upstream(1)
+			up.Draining = true
+			k.x.SetUpstream(up)
+			k.reserve("e", 1, time.Second)
+		},
+	}
+	for name, ask := range tests {
+		t.Run(name, func(t *testing.T) {
+			k := newKeeper(t)
+			k.fill(6, 100*time.Millisecond)
+			ask(k)
+			require.Zero(t, k.x.Kept())
+		})
+	}
+}
+
+// TestReservationEnds guards, for each of its ends, against room that stays kept
+// for nobody.
+func TestReservationEnds(t *testing.T) {
+	tests := map[string]func(k *keeper){
+		"time passed": func(k *keeper) {
+			for range 10 {
+				k.pass(50 * time.Millisecond)
+			}
+		},
+		"given up by its entry": func(k *keeper) { k.reserve("e", 1, 0) },
+		"link closed":           func(k *keeper) { k.x.Closed("e") },
+		"link replaced":         func(k *keeper) { k.x.Hello(messenger.Hello{Entry: "e", Incarnation: 1}) },
+		"entry restarted":       func(k *keeper) { k.x.Hello(messenger.Hello{Entry: "e", Incarnation: 2}) },
+		"entry silent": func(k *keeper) {
+			for range 5 {
+				k.clock.Advance(messenger.SilenceLimit / 4)
+				k.x.Beat("o", messenger.Beat{Stamp: 1, Echo: k.stamp})
+				k.x.Tick()
+				k.take()
+			}
+		},
+		"worker restarted": func(k *keeper) { k.x.SetUpstream(upstream(2)) },
+		"another worker": func(k *keeper) {
+			up := upstream(2)
+			up.ID = "w2"
+			k.x.SetUpstream(up)
+		},
+		"another incarnation answers": func(k *keeper) { k.x.Looked(executor.Seen{Number: k.lastLook, Born: 9}) },
+		"worker shrunk": func(k *keeper) {
+			up := upstream(1)
+			up.Capacity.CPU = large - 1
+			k.x.SetUpstream(up)
+		},
+		"worker drains": func(k *keeper) {
+			up := upstream(1)
+			up.Draining = true
+			k.x.SetUpstream(up)
+		},
+		"worker left": func(k *keeper) { k.x.ClearUpstream("w") },
+		"evacuated": func(k *keeper) {
+			k.x.Beat("o", messenger.Beat{Stamp: 1, Echo: k.stamp, Revision: 3, Evacuated: []string{"dc"}})
+		},
+		"agent leaves": func(k *keeper) { k.x.SetLeaving() },
+		"placement":    func(k *keeper) { k.placeFor("e", large, time.Second) },
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			k := newKeeper(t)
+			k.fill(6, 100*time.Millisecond)
+			k.reserve("e", 1, 450*time.Millisecond)
+			k.pass(20 * time.Millisecond)
+			require.Equal(t, 2*small, k.x.Kept().CPU)
+			end(k)
+			k.take()
+			require.Zero(t, k.x.Kept())
+			require.Contains(t, k.notes, "reservation ended")
+			require.Zero(t, k.x.Dump().Kept)
+		})
+	}
+}
+
+// TestRoomOfAnEndedReservationIsUsed guards against tasks that wait for room which
+// has been given back.
+func TestRoomOfAnEndedReservationIsUsed(t *testing.T) {
+	k := newKeeper(t)
+	k.fill(6, 100*time.Millisecond)
+	k.reserve("e", 1, time.Second)
+	r := k.placeFor("o", small, time.Second)
+	require.False(t, k.started(r))
+	k.reserve("e", 1, 0)
+	require.True(t, k.started(r))
+	k.pass(20 * time.Millisecond)
+	require.Equal(t, small, k.last["o"].Free.CPU)
+}
+
+// TestScarceRoomBesideAReservationIsSharedInTurns guards against a holder that
+// has to wait for its turn, and against others that are told of its room.
+func TestScarceRoomBesideAReservationIsSharedInTurns(t *testing.T) {
+	k := newKeeper(t)
+	want := messenger.Want{Tasks: 20, Sum: messenger.Demand{CPU: 20 * small}, Least: messenger.Demand{CPU: small}}
+	runs := k.fill(8, 100*time.Millisecond)
+	k.reserve("e", 1, time.Second)
+	k.others("p")
+	for _, name := range []string{"o", "p"} {
+		k.x.Beat(name, messenger.Beat{Stamp: 1, Echo: k.stamp, Want: want})
+	}
+	k.end(runs[:5]...)
+	require.Equal(t, large, k.last["e"].Free.CPU)
+	told := k.last["o"].Free.CPU + k.last["p"].Free.CPU
+	require.Equal(t, small, told, "the room beside goes to one of them")
+}
+
+// TestRoomIsNeverGivenTwice plays random runs, reservations and ends. It guards
+// against kept room that is told to others or taken by runs that end too late,
+// against more runs than the worker holds, and against a reservation that stays.
+func TestRoomIsNeverGivenTwice(t *testing.T) {
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		k := newKeeper(t)
+		var number uint64
+		for range 400 {
+			switch rng.IntN(5) {
+			case 0:
+				number++
+				k.reserve([]string{"e", "o"}[rng.IntN(2)], number, time.Duration(rng.IntN(1200))*time.Millisecond)
+			case 1, 2:
+				owner := []string{"e", "o"}[rng.IntN(2)]
+				cpu := []int{small, small, large}[rng.IntN(3)]
+				k.placeFor(owner, cpu, time.Duration(rng.IntN(300))*time.Millisecond)
+			case 3:
+				if len(k.going) > 0 {
+					k.end(k.going[rng.IntN(len(k.going))])
+				}
+			case 4:
+				k.pass(time.Duration(rng.IntN(40)) * time.Millisecond)
+			}
+			d := k.x.Dump()
+			require.GreaterOrEqual(t, d.Free.CPU, 0, "seed %d", seed)
+			require.LessOrEqual(t, d.Kept.CPU, d.Free.CPU, "seed %d", seed)
+		}
+		for range 30 {
+			k.pass(50 * time.Millisecond)
+		}
+		require.Zero(t, k.x.Kept(), "seed %d", seed)
+	}
+}
+
+// TestBackfillNeverDelaysTheHolder plays random small tasks that take as long as
+// estimated. It guards against backfilled runs that put the reserved room off, and
+// against a stream of small tasks that starves the holder.
+func TestBackfillNeverDelaysTheHolder(t *testing.T) {
+	backfilled := 0
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 8))
+		k := newKeeper(t)
+		estimates := make(map[messenger.Run]time.Duration)
+		ends := make(map[messenger.Run]time.Time)
+		// begin notes the runs that have just started.
+		begin := func() {
+			for _, r := range k.going {
+				if _, ok := ends[r]; !ok {
+					ends[r] = k.clock.Now().Add(estimates[r])
+				}
+			}
+		}
+		step := func() {
+			estimate := time.Duration(5+rng.IntN(200)) * time.Millisecond
+			r := k.placeFor("o", small, estimate)
+			estimates[r] = estimate
+			begin()
+			k.pass(time.Millisecond)
+			begin()
+			for _, r := range slices.Clone(k.going) {
+				if !k.clock.Now().Before(ends[r]) {
+					k.end(r)
+					begin()
+				}
+			}
+		}
+		for range 150 + rng.IntN(100) {
+			step()
+		}
+		k.notes = nil
+		var at []time.Time
+		for _, r := range k.going {
+			at = append(at, ends[r])
+		}
+		slices.SortFunc(at, time.Time.Compare)
+		due := k.clock.Now()
+		if missing := large/small - (8 - len(at)); missing > 0 {
+			due = at[missing-1]
+		}
+		k.reserve("e", 1, time.Second)
+		for k.clock.Now().Before(due) {
+			step()
+		}
+		for range 3 {
+			step()
+		}
+		require.Equal(t, large, k.x.Kept().CPU, "seed %d", seed)
+		for _, what := range k.notes {
+			if what == "run backfilled" {
+				backfilled++
+			}
+		}
+	}
+	require.Positive(t, backfilled)
+}
--- a/executor/start.go
+++ b/executor/start.go
@@ -62,7 +62,7 @@
 		}
 		r := &run{Task: t, owner: owner, job: p.Job, spec: p.Spec, phase: waiting, expires: now.Add(p.Patience)}
 		x.add(r)
-		x.waiting = append(x.waiting, r)
+		x.queueUp(r)
 		taken++
 	}
 	x.charge(e, taken)
@@ -127,6 +127,16 @@
 		estimateMargin*t.Estimate+noticeMargin < x.upstream.Remaining-since
 }
 
+// queueUp makes a new run wait for room. One that room is kept for comes first.
+func (x *Executor) queueUp(r *run) {
+	if x.reservation.covers(r.owner, r.Demand) {
+		x.endReservation("used")
+		x.waiting = slices.Insert(x.waiting, 0, r)
+		return
+	}
+	x.waiting = append(x.waiting, r)
+}
+
 // pump starts the waiting runs that have room.
 func (x *Executor) pump() {
 	if x.departed || x.upstream.Born == 0 {
@@ -138,9 +148,11 @@
 	if x.overdue(now) {
 		return
 	}
+	x.reviewReservation(now)
 	room := x.free()
 	for _, r := range slices.Clone(x.waiting) {
-		if r.Demand.Fits(room) {
+		if x.mayStart(r, room, now) {
+			x.noteBackfill(r, room, now)
 			room = room.Minus(r.Demand)
 			x.start(r)
 		}
--- a/executor/turn.go
+++ b/executor/turn.go
@@ -63,7 +63,8 @@
 // nextTurn ends a turn that is over and gives the next one.
 func (x *Executor) nextTurn(now time.Time) {
 	t := &x.turns
-	room := x.spoken()
+	backfill := x.backfill(now).Room
+	room := x.open().Plus(backfill)
 	t.contended = x.contended(room, now)
 	if !t.contended {
 		t.holder = nil
@@ -72,7 +73,12 @@
 	if t.holder != nil && now.Before(t.until) && x.canUse(t.holder, room, now) {
 		return
 	}
-	if t.holder != nil && !t.used && !now.Before(t.until) {
+	switch {
+	case t.holder == nil || t.used || now.Before(t.until):
+	case backfill != messenger.Demand{}:
+		// What waits there may take too long for the room. The next one's turn comes.
+		x.passOver(t.holder)
+	default:
 		// It has not used what it was told of: it wants nothing until it says so.
 		t.holder.want = messenger.Want{}
 	}
@@ -140,10 +146,34 @@
 	return e.open && e.want.Tasks > 0 && now.Sub(e.heard) <= entryPatience
 }
 
+// passOver counts a turn that an entry has not used against its share.
+func (x *Executor) passOver(e *entry) { e.share += 1 / float64(max(e.want.Tasks, 1)) }
+
 // offer returns the room that an entry is told of.
 func (x *Executor) offer(e *entry) messenger.Demand {
-	if x.turns.contended && x.turns.holder != e {
-		return messenger.Demand{}
+	own := x.own(e)
+	if x.awaitsTurn(e) {
+		return own
+	}
+	if own == (messenger.Demand{}) {
+		return x.open()
+	}
+	return x.open().Most(messenger.Demand{}).Plus(own)
+}
+
+// offerChanged reports whether an entry was last told of other room than it is
+// offered now.
+func (x *Executor) offerChanged(e *entry, now time.Time) bool {
+	return x.offer(e) != e.told || x.backfillFor(e, now).Room != e.toldBackfill
+}
+
+// backfillFor returns the room for tasks that end soon that an entry is told of.
+func (x *Executor) backfillFor(e *entry, now time.Time) messenger.Backfill {
+	if x.awaitsTurn(e) {
+		return messenger.Backfill{}
 	}
-	return x.spoken()
+	return x.backfill(now)
 }
+
+// awaitsTurn reports whether scarce room is told to others at present.
+func (x *Executor) awaitsTurn(e *entry) bool { return x.turns.contended && x.turns.holder != e }
--- a/executor/upstream.go
+++ b/executor/upstream.go
@@ -28,6 +28,12 @@
 		x.drainingSince = x.clock.Now()
 	}
 	x.upstream = u
+	switch {
+	case u.Draining:
+		x.endReservation("worker leaves")
+	case x.reservation.held() && !x.reservation.demand.Fits(u.Capacity):
+		x.endReservation("larger than the worker")
+	}
 	x.look.notBefore = time.Time{}
 	x.upstreamChanged()
 	x.nextLook()
@@ -40,6 +46,7 @@
 		return
 	}
 	x.departed = true
+	x.endReservation("worker left")
 	x.refuseWaiting(messenger.NoWorker)
 	x.upstreamChanged()
 	x.nextLook()
@@ -72,6 +79,7 @@
 
 // forgetWorker drops what was learned about one incarnation of the worker.
 func (x *Executor) forgetWorker() {
+	x.endReservation("worker changed")
 	x.look.reset()
 	x.paces = paces{}
 	x.failures = failures{}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -39,6 +39,11 @@
 	return Demand{CPU: min(d.CPU, o.CPU), Memory: min(d.Memory, o.Memory), GPU: min(d.GPU, o.GPU)}
 }
 
+// Most returns the larger of d and o in each respect.
+func (d Demand) Most(o Demand) Demand {
+	return Demand{CPU: max(d.CPU, o.CPU), Memory: max(d.Memory, o.Memory), GPU: max(d.GPU, o.GPU)}
+}
+
 // Fits reports whether d can be taken out of room.
 func (d Demand) Fits(room Demand) bool {
 	return d.CPU <= room.CPU && d.Memory <= room.Memory && d.GPU <= room.GPU
@@ -158,6 +163,13 @@
 	For time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
+// Backfill is room that an agent keeps for a large task and that is not complete
+// yet. Tasks that end within For may use it meanwhile.
+type Backfill struct {
+	Room Demand        `cbor:"1,keyasint,omitempty"`
+	For  time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
 // Upstream describes the worker beside an agent.
 type Upstream struct {
 	ID string `cbor:"1,keyasint,omitempty"`
@@ -276,6 +288,8 @@
 	// Reserved is the number of the entry's Reserve that the agent keeps; zero
 	// means none.
 	Reserved uint64 `cbor:"24,keyasint,omitempty"`
+	// Backfill is room beside Free that only tasks which end soon may use.
+	Backfill Backfill `cbor:"30,keyasint,omitempty"`
 }
 
 // AheadSpans are the times that the items of Report.Ahead stand for.
