scheduler, acceptor: Ask an agent to keep room for a large task that waits

Cause: operators report that large tasks wait long, since small ones take each gap. Change: a task of a quarter of a worker or more that has waited 30 ms, fits nowhere and comes before the small ones that have waited as long gets one reservation, at the agent that expects the room first (Report.Ahead; else the one with most free room). Four for each entry at most. Small tasks use the room while it is collected, by Report.Backfill. Waits by size are a histogram.

--- a/acceptor/core.go
+++ b/acceptor/core.go
@@ -145,6 +145,9 @@
 
 func (c *core) note(n scheduler.Note) {
 	c.acceptor.meters.decided(n.What)
+	if n.Size != "" {
+		c.acceptor.meters.waited(n.Size, n.Wait.Seconds())
+	}
 	c.acceptor.deps.Log.WithFields(logrus.Fields{
 		"job":    n.Job,
 		"queue":  n.Queue,
--- a/acceptor/metrics.go
+++ b/acceptor/metrics.go
@@ -33,3 +33,8 @@
 func (m meters) decided(what string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("pomeloferry_entry_decisions_total{what=%q}", what)).Inc()
 }
+
+// waited counts a placement and the seconds for which its tasks waited.
+func (m meters) waited(size scheduler.Size, seconds float64) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf("pomeloferry_entry_wait_seconds{size=%q}", size)).Update(seconds)
+}
--- a/attendant/core_test.go
+++ b/attendant/core_test.go
@@ -55,3 +55,19 @@
 	beat("w", 1, 6, true)
 	require.True(t, c.executor.Upstream().Draining)
 }
+
+// TestReserveReachesTheExecutor guards against a core that drops the message.
+func TestReserveReachesTheExecutor(t *testing.T) {
+	c := newCore(&Attendant{
+		deps:      provider.NewDeps(io.Discard),
+		worker:    noWorker{},
+		described: make(chan messenger.Upstream, 1),
+	})
+	room := messenger.Demand{CPU: 8000}
+	c.heartbeat(platform.Heartbeat{Upstream: messenger.Upstream{ID: "w", Born: 1, Service: "quotes", Capacity: room}, Sequence: 1})
+	link := new(messenger.Link)
+	c.receive(linkMessage{link: link, msg: &messenger.Hello{Entry: "e", Incarnation: 1}})
+	want := messenger.Demand{CPU: 4000}
+	c.receive(linkMessage{link: link, msg: &messenger.Reserve{Number: 1, Demand: want, For: time.Second}})
+	require.Equal(t, want, c.executor.Kept())
+}
--- a/executor/dump.go
+++ b/executor/dump.go
@@ -8,8 +8,9 @@
 	Token    uint64
 	Upstream messenger.Upstream
 	Free     messenger.Demand
-	// Kept is the part of Free that is kept for a large task.
+	// Kept is the part of Free that is kept for a large task of Holder's.
 	Kept       messenger.Demand
+	Holder     string
 	Leaving    bool
 	Unanswered int
 	Runs       []RunDump
@@ -40,6 +41,9 @@
 		Leaving:    x.leaving,
 		Unanswered: x.look.unanswered,
 	}
+	if x.reservation.held() {
+		d.Holder = x.reservation.holder.name
+	}
 	for _, r := range x.sorted() {
 		d.Runs = append(d.Runs, RunDump{Run: r.Run, Owner: r.owner, Phase: r.phase.String(), Percent: r.percent})
 	}
--- a/messenger/link_test.go
+++ b/messenger/link_test.go
@@ -49,6 +49,7 @@
 		messenger.Hello{Entry: "e", Incarnation: 3, Upstream: up},
 		messenger.Place{Number: 1, Job: "j", Spec: "spec", Service: "s", Patience: time.Millisecond, Echo: 5, Tasks: []messenger.Task{{Run: run, Demand: messenger.Demand{CPU: 3100}, Estimate: time.Second}}},
 		messenger.Withdraw{Runs: []messenger.Run{run}},
+		messenger.Reserve{Number: 4, Demand: messenger.Demand{CPU: 16_000}, For: time.Second},
 		messenger.Beat{Stamp: 7, Echo: 8, Held: messenger.Held{Jobs: []string{"j"}, Waits: []string{"k"}, Over: []string{"l"}}},
 	}
 	for _, m := range down {
@@ -57,10 +58,12 @@
 	back := messenger.Report{
 		Agent: "a", DataCentre: "d", Incarnation: 1, Stamp: 2, Echo: 3, Seen: 4, Upstream: &up, Free: messenger.Demand{CPU: -5}, Unanswered: 6, FailedJobs: 7,
 		Pace: 0.5, PacedJobs: 3, Entries: 2, Leaving: true, Complete: true,
-		Runs:    []messenger.Progress{{Run: run, Percent: 41, Age: time.Second}},
-		Ended:   []messenger.End{{Run: run, How: messenger.Done}},
-		Refused: []messenger.Refusal{{Run: run, Reason: messenger.NoRoom}},
-		Held:    &messenger.Held{Jobs: []string{"j"}, Waits: []string{"k"}, Over: []string{"l"}},
+		Ahead: []messenger.Demand{{}, {CPU: 1}}, Reserved: 4,
+		Backfill: messenger.Backfill{Room: messenger.Demand{CPU: 2}, For: time.Millisecond},
+		Runs:     []messenger.Progress{{Run: run, Percent: 41, Age: time.Second}},
+		Ended:    []messenger.End{{Run: run, How: messenger.Done}},
+		Refused:  []messenger.Refusal{{Run: run, Reason: messenger.NoRoom}},
+		Held:     &messenger.Held{Jobs: []string{"j"}, Waits: []string{"k"}, Over: []string{"l"}},
 	}
 	b.Send(back)
 	none := messenger.Report{Agent: "a", Held: &messenger.Held{}}
@@ -70,7 +73,8 @@
 	require.Equal(t, down[0], *(<-hb.got).(*messenger.Hello))
 	require.Equal(t, down[1], *(<-hb.got).(*messenger.Place))
 	require.Equal(t, down[2], *(<-hb.got).(*messenger.Withdraw))
-	require.Equal(t, down[3], *(<-hb.got).(*messenger.Beat))
+	require.Equal(t, down[3], *(<-hb.got).(*messenger.Reserve))
+	require.Equal(t, down[4], *(<-hb.got).(*messenger.Beat))
 }
 
 func TestLinkClosesForBothWhenOneCloses(t *testing.T) {
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -52,6 +52,12 @@
 	// have ended.
 	withdrawn map[messenger.Run]*task
 	health    health
+	// reservation is the one that the agent was last asked for; nil for none.
+	reservation *reservation
+	// reserves counts the Reserve messages on the link that ask for room, and
+	// reserveNext is the earliest time of the next one.
+	reserves    uint64
+	reserveNext time.Time
 }
 
 // pending is what a Place holds that the agent has not reported on.
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -66,6 +66,10 @@
 	Why   string
 	// Age is how long ago the job arrived, or how old the agent's last report is.
 	Age time.Duration
+	// Size and Wait are set where tasks are placed: how large they are, and how
+	// long they have waited.
+	Size Size
+	Wait time.Duration
 }
 
 func (Send) effect()  {}
--- a/scheduler/fit.go
+++ b/scheduler/fit.go
@@ -9,7 +9,7 @@
 	var best *agent
 	var bestFit fit
 	for _, a := range agents {
-		if !j.Steps[step].Demand.Fits(a.free()) {
+		if !j.Steps[step].Demand.Fits(a.roomFor(j, step, now)) {
 			continue
 		}
 		if !a.serves(j.Queue, s.config, now, s.woke) || !a.sound(now) || !a.suits(j.Steps[step]) {
@@ -60,7 +60,7 @@
 // fit counts how many of the tasks, in order, the agent has room for.
 func (a *agent) fit(j *job, step int, todo []*task, now time.Time) fit {
 	d := j.Steps[step].Demand
-	room := a.free()
+	room := a.roomFor(j, step, now)
 	most := len(todo)
 	if spread := j.Steps[step].Spread; spread > 0 {
 		most = min(most, spread-a.of(j, step))
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -18,6 +18,7 @@
 
 // pass places what waits, in order, and refuses what has waited too long.
 func (s *Scheduler) pass() {
+	s.reviewReservations()
 	if len(s.queue) == 0 {
 		s.want = messenger.Want{}
 		return
@@ -35,13 +36,14 @@
 		}
 	}
 	s.dropPlaced()
+	s.reserve(now)
 }
 
 // passAt places what waits at one agent, whose room has changed. The others
 // were found without room in the last pass, so that looking at them again at
 // each report of each agent would only cost time when there is least of it.
 func (s *Scheduler) passAt(a *agent) {
-	if len(s.queue) == 0 || !s.want.Least.Fits(a.free()) {
+	if len(s.queue) == 0 || !s.want.Least.Fits(a.most()) {
 		return
 	}
 	now := s.clock.Now()
@@ -52,7 +54,7 @@
 			continue
 		}
 		s.placeJob(j, only, now)
-		if !s.want.Least.Fits(a.free()) {
+		if !s.want.Least.Fits(a.most()) {
 			break
 		}
 	}
@@ -111,6 +113,7 @@
 	s.requeued++
 	if !j.queuedUp {
 		j.queuedUp = true
+		j.queuedAt = s.clock.Now()
 		s.queue = append(s.queue, j)
 	}
 }
@@ -176,6 +179,9 @@
 	p.Want = s.want
 	a.pending = append(a.pending, pending{number: p.Number, demand: sum})
 	a.health.sent(p.Tasks[0].Run)
+	if fresh > 0 {
+		s.useReservation(a, j, tasks[0].step)
+	}
 	s.emit(Send{Agent: a.name, Message: p})
-	s.emit(Note{Job: j.ID, Queue: j.Queue.Name, Run: p.Tasks[0].Run, Agent: a.name, What: "tasks placed", Age: now.Sub(a.reportedAt)})
+	s.emit(Note{Job: j.ID, Queue: j.Queue.Name, Run: p.Tasks[0].Run, Agent: a.name, What: "tasks placed", Age: now.Sub(a.reportedAt), Size: s.sizeOf(j, tasks[0].step), Wait: now.Sub(j.queuedAt)})
 }
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -27,6 +27,8 @@
 	a.placements = 0
 	a.pending = nil
 	a.heard = 0
+	a.reserves = 0
+	s.loseReservation(a)
 }
 
 // Closed notes that the link to an agent has ended.
@@ -34,6 +36,7 @@
 	a := s.agentNamed(name)
 	a.open = false
 	a.pending = nil
+	s.loseReservation(a)
 	s.emit(Note{Agent: name, What: "agent out of touch", Why: "link closed", Age: s.clock.Since(a.reportedAt)})
 }
 
@@ -54,11 +57,15 @@
 		if r.Upstream.ID != a.upstream.ID || r.Upstream.Born != a.upstream.Born {
 			a.health = health{}
 		}
+		old := a.upstream.Service
 		a.upstream = *r.Upstream
+		s.sizeUp(old)
+		s.sizeUp(a.upstream.Service)
 	}
 	a.report = r
 	a.reportedAt = s.clock.Now()
 	a.covered()
+	s.confirm(a)
 	waiting := s.requeued
 	for _, e := range r.Ended {
 		s.ended(a, e)
--- /dev/null
+++ b/scheduler/reservation_bench_test.go
@@ -0,0 +1,83 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/pomeloferry/pomeloferry/messenger"
+)
+
+// BenchmarkReserve measures the decision where to ask for room, by the numbers of
+// agents and of jobs that wait, all of them large. All agents tell what falls free.
+func BenchmarkReserve(b *testing.B) {
+	for _, agents := range []int{10, 60, 200} {
+		for _, jobs := range []int{1, 100, 1000} {
+			b.Run(fmt.Sprintf("%d agents, %d jobs", agents, jobs), func(b *testing.B) {
+				s := crowdedScheduler(agents, jobs)
+				now := s.clock.Now()
+				for b.Loop() {
+					s.reserve(now)
+					for _, v := range s.reservations {
+						v.agent.reservation = nil
+					}
+					s.reservations = nil
+					s.effects = nil
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkReserveNowhere measures it when no agent can be asked.
+func BenchmarkReserveNowhere(b *testing.B) {
+	s := crowdedScheduler(200, 1000)
+	now := s.clock.Now()
+	for _, a := range s.byName {
+		a.reserveNext = now.Add(time.Second)
+	}
+	for b.Loop() {
+		s.reserve(now)
+	}
+}
+
+// BenchmarkReserveSmall measures what the same costs when all tasks are small.
+func BenchmarkReserveSmall(b *testing.B) {
+	s := crowdedScheduler(60, 1000)
+	for _, j := range s.queue {
+		j.Steps[0].Demand.CPU = 1000
+	}
+	now := s.clock.Now()
+	for b.Loop() {
+		s.reviewReservations()
+		s.reserve(now)
+	}
+}
+
+// crowdedScheduler returns one with full agents and large jobs that wait.
+func crowdedScheduler(agents, jobs int) *Scheduler {
+	clock := clockwork.NewFakeClock()
+	s := NewScheduler(clock, "dc-0")
+	for i := range agents {
+		name := fmt.Sprintf("agent-%03d", i)
+		s.Opened(name)
+		s.Report(messenger.Report{
+			Agent: name, Complete: true, Entries: 1, Free: messenger.Demand{CPU: 100 * (i % 20)},
+			Upstream: &messenger.Upstream{ID: name, Born: 1, Service: "quotes", Capacity: messenger.Demand{CPU: 36_000}},
+			Ahead:    []messenger.Demand{{}, {CPU: 1000}, {CPU: 4000}, {CPU: 9000}, {CPU: 20_000}},
+		})
+	}
+	for i := range jobs {
+		j := newJob(Job{
+			ID: fmt.Sprintf("%016x", i), Queue: Queue{Name: "q", Service: "quotes", Stretch: 1.6, Slack: time.Second},
+			Deadline: clock.Now().Add(2 * time.Second),
+			Steps:    []Step{{Count: 1, Demand: messenger.Demand{CPU: 16_000}, Estimate: 300 * time.Millisecond}},
+		}, uint64(i), clock.Now(), record{})
+		j.queuedAt = clock.Now().Add(-reserveAfter)
+		s.jobs[j.ID] = j
+		s.queue = append(s.queue, j)
+	}
+	return s
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -62,6 +62,10 @@
 	// throughput is the work done lately; short is for Need.
 	throughput throughput
 	short      bool
+	// largest has the most of each resource that a worker of a service has.
+	largest map[string]messenger.Demand
+	// reservations are those that agents have been asked for.
+	reservations []*reservation
 	// echoed is when the last heartbeat was sent that an agent has echoed.
 	echoed time.Time
 	// woke is when the entry last went on after a pause; zero before one.
@@ -94,6 +98,7 @@
 		remains:    make(map[string]int),
 		yielding:   make(map[string]*job),
 		shares:     make(map[string]*share),
+		largest:    make(map[string]messenger.Demand),
 	}
 }
 
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -175,6 +175,10 @@
 				core.Place(l.entry.name, m)
 			case messenger.Withdraw:
 				core.Withdraw(l.entry.name, m)
+			case messenger.Reserve:
+				if !l.agent.w.unreserved {
+					core.Reserve(l.entry.name, m)
+				}
 			}
 		})
 	})
--- /dev/null
+++ b/scheduler/sizes_test.go
@@ -0,0 +1,242 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/messenger"
+	"github.com/pomeloferry/pomeloferry/scheduler"
+)
+
+const (
+	smallCPU  = 3100
+	largeCPU  = 16_000
+	smallWork = 100 * time.Millisecond
+	largeWork = 300 * time.Millisecond
+	// largeEach is how many jobs there are for one large one.
+	largeEach = 20
+	// sizesSpan is how long the mixed load lasts.
+	sizesSpan = 6 * time.Second
+)
+
+// mixedSizes plays small jobs of one task with one large one in twenty at a share
+// of all room. Estimates are off by up to off, either way.
+type mixedSizes struct {
+	entries, agents int
+	share, off      float64
+	seed            uint64
+	unreserved      bool
+	// fault changes the world before the load begins.
+	fault func(w *world)
+}
+
+func (m mixedSizes) play(t testing.TB) *world {
+	t.Helper()
+	w := newWorld(t, m.seed, m.entries, m.agents, cores)
+	w.unreserved = m.unreserved
+	if m.fault != nil {
+		m.fault(w)
+	}
+	mean := (float64(largeEach-1)*smallCPU*smallWork.Seconds() + largeCPU*largeWork.Seconds()) / largeEach
+	gap := time.Duration(float64(time.Second) * mean / (m.share * float64(cores*m.agents)))
+	n := 0
+	for at := time.Duration(0); at < sizesSpan; at += time.Duration(float64(gap) * 2 * w.rng.Float64()) {
+		n++
+		cpu, work := smallCPU, smallWork
+		if n%largeEach == 0 {
+			cpu, work = largeCPU, largeWork
+		}
+		w.after(at, func() { w.submitOne(w.entries[w.rng.IntN(len(w.entries))], cpu, work, m.off) })
+	}
+	w.run(sizesSpan + 3*time.Second)
+	w.check()
+	return w
+}
+
+// submitOne hands a job of one task in, whose caller can wait for a second.
+func (w *world) submitOne(e *simEntry, cpu int, mean time.Duration, off float64) {
+	w.jobs++
+	id := fmt.Sprintf("%016x", w.jobs)
+	work := time.Duration(float64(mean) * (0.5 + w.rng.Float64()))
+	estimate := time.Duration(float64(work) * (1 - off + 2*off*w.rng.Float64()))
+	q := quotes()
+	q.Slack = time.Second
+	j := scheduler.Job{
+		ID: id, Queue: q, Spec: "spec", Deadline: w.clock.Now().Add(2 * time.Second),
+		Steps: []scheduler.Step{{Count: 1, Demand: messenger.Demand{CPU: cpu, Memory: 64}, Estimate: estimate}},
+	}
+	w.tasks[id+".0.0.0"] = simTask{work: work, demand: j.Steps[0].Demand}
+	w.results[id] = &result{job: j, sent: w.clock.Now()}
+	w.send(e, j)
+}
+
+// sizeFigures are what callers of jobs of one size got.
+type sizeFigures struct {
+	jobs, refused, unanswered int
+	p50, p99, longest         time.Duration
+}
+
+func (f sizeFigures) String() string {
+	return fmt.Sprintf("%d jobs, %d refused, wait p50 %s p99 %s longest %s", f.jobs, f.refused, f.p50, f.p99, f.longest)
+}
+
+func (f sizeFigures) refusedShare() float64 { return float64(f.refused) / float64(f.jobs) }
+
+// sizes returns the figures of the jobs of a demand. The wait of a job lasts until
+// its task begins, or until it is refused.
+func (w *world) sizes(cpu int) sizeFigures {
+	var f sizeFigures
+	var waits []time.Duration
+	for id, r := range w.results {
+		if r.job.Steps[0].Demand.CPU != cpu {
+			continue
+		}
+		f.jobs++
+		wait := r.took
+		at, began := w.firstAt[id+".0.0.0"]
+		switch {
+		case !r.got:
+			f.unanswered++
+		case began:
+			wait = at.Sub(r.sent)
+		default:
+			f.refused++
+		}
+		waits = append(waits, wait)
+	}
+	slices.Sort(waits)
+	at := func(q float64) time.Duration {
+		return waits[int(math.Ceil(q*float64(len(waits))))-1].Round(100 * time.Microsecond)
+	}
+	f.p50, f.p99, f.longest = at(0.5), at(0.99), at(1)
+	return f
+}
+
+// TestLargeTasksWaitLessForReservedRoom guards against large tasks that wait long
+// since small ones take each gap, and against small jobs that pay too much for it.
+func TestLargeTasksWaitLessForReservedRoom(t *testing.T) {
+	const (
+		// smallSlower bounds the p99 of the small tasks' waits at nine tenths of the
+		// room against that without reservations.
+		smallSlower = 2
+		// largeFaster is the same for the large ones.
+		largeFaster = 0.9
+		// smallRefused is the largest share of small jobs that are refused in overload.
+		smallRefused = 0.02
+	)
+	for _, m := range []mixedSizes{
+		{entries: 2, share: 0.7},
+		{entries: 2, share: 0.7, off: 0.4},
+		{entries: 2, share: 0.9},
+		{entries: 2, share: 0.9, off: 0.4},
+		{entries: 2, share: 1.1},
+		{entries: 2, share: 1.1, off: 0.4},
+		{entries: 5, share: 0.7},
+		{entries: 5, share: 0.7, off: 0.4},
+		{entries: 5, share: 0.9},
+		{entries: 5, share: 0.9, off: 0.4},
+		{entries: 5, share: 1.1},
+		{entries: 5, share: 1.1, off: 0.4},
+	} {
+		m.agents = 11
+		m.seed = 31
+		t.Run(fmt.Sprintf("%d entries, %.0f%% of the room, estimates off by %.0f%%", m.entries, 100*m.share, 100*m.off), func(t *testing.T) {
+			t.Parallel()
+			with := m.play(t)
+			m.unreserved = true
+			without := m.play(t)
+			small, large := with.sizes(smallCPU), with.sizes(largeCPU)
+			smallBefore, largeBefore := without.sizes(smallCPU), without.sizes(largeCPU)
+			t.Logf("small %s, without reservations %s", small, smallBefore)
+			t.Logf("large %s, without reservations %s", large, largeBefore)
+			require.Zero(t, small.unanswered+large.unanswered)
+			require.LessOrEqual(t, large.refused, largeBefore.refused)
+			require.LessOrEqual(t, small.refusedShare(), smallRefused)
+			switch m.share {
+			case 0.7:
+				require.LessOrEqual(t, small.p99, smallBefore.p99)
+				require.LessOrEqual(t, large.p99, largeBefore.p99)
+			case 0.9:
+				require.Zero(t, large.refused)
+				require.LessOrEqual(t, large.p99, time.Duration(largeFaster*float64(largeBefore.p99)))
+				require.LessOrEqual(t, small.p99, smallSlower*smallBefore.p99)
+			}
+		})
+	}
+}
+
+// keeper returns an agent that keeps room, and the entry that it is kept for; nil
+// when there is none.
+func (w *world) keeper() (*simAgent, *simEntry) {
+	for _, a := range w.agents {
+		holder := a.core.Dump().Holder
+		for _, e := range w.entries {
+			if !a.down && e.name == holder {
+				return a, e
+			}
+		}
+	}
+	return nil, nil
+}
+
+// TestReservationsEndWhateverFails guards, for each failure while room is kept,
+// against room that stays kept, jobs without an answer and tasks that run twice.
+func TestReservationsEndWhateverFails(t *testing.T) {
+	const (
+		begin = 2 * time.Second
+		// patience covers the longest time for which an agent waits for a silent
+		// entry.
+		patience = messenger.SilenceLimit + 100*time.Millisecond
+	)
+	tests := map[string]func(w *world, a *simAgent, e *simEntry){
+		"entry killed":      func(_ *world, _ *simAgent, e *simEntry) { e.kill(time.Second) },
+		"entry paused":      func(w *world, _ *simAgent, e *simEntry) { e.frozenUntil = w.clock.Now().Add(time.Second) },
+		"link cut":          func(w *world, a *simAgent, e *simEntry) { a.links[e.name].cut = true },
+		"agent killed":      func(_ *world, a *simAgent, _ *simEntry) { a.kill(500 * time.Millisecond) },
+		"worker turns slow": func(_ *world, a *simAgent, _ *simEntry) { a.worker.slow = 8 },
+		"worker restarted":  func(_ *world, a *simAgent, _ *simEntry) { a.restartWorker(500 * time.Millisecond) },
+	}
+	for name, fail := range tests {
+		for _, entries := range []int{2, 5} {
+			t.Run(fmt.Sprintf("%s, %d entries", name, entries), func(t *testing.T) {
+				t.Parallel()
+				failed := false
+				m := mixedSizes{entries: entries, agents: 11, share: 0.9, off: 0.4, seed: 33}
+				m.fault = func(w *world) {
+					var watch func()
+					watch = func() {
+						a, e := w.keeper()
+						if a == nil {
+							w.after(time.Millisecond, watch)
+							return
+						}
+						failed = true
+						fail(w, a, e)
+						w.after(patience, func() {
+							if e.down || w.clock.Now().Before(e.frozenUntil) {
+								require.NotEqual(t, e.name, a.core.Dump().Holder)
+							}
+							if l := a.links[e.name]; l != nil {
+								l.cut = false
+							}
+						})
+					}
+					w.after(begin, watch)
+				}
+				w := m.play(t)
+				require.True(t, failed)
+				for _, a := range w.agents {
+					require.Empty(t, a.core.Dump().Holder, a.name)
+				}
+				small, large := w.sizes(smallCPU), w.sizes(largeCPU)
+				t.Logf("small %s, large %s", small, large)
+				require.Zero(t, small.unanswered+large.unanswered)
+			})
+		}
+	}
+}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -90,11 +90,15 @@
 	twice []string
 	// done holds the tasks that are done, and repeated those that began again
 	// after that.
-	done     map[string]bool
+	done map[string]bool
+	// firstAt is when each task first began.
+	firstAt  map[string]time.Time
 	repeated []string
 	jobs     int
 	// linkDelay is the way of a message between an entry and an agent.
 	linkDelay time.Duration
+	// unreserved makes agents deaf to requests to keep room.
+	unreserved bool
 }
 
 // simEntry is an entry process.
@@ -153,6 +157,7 @@
 		results:   make(map[string]*result),
 		runningAt: make(map[string]int),
 		done:      make(map[string]bool),
+		firstAt:   make(map[string]time.Time),
 		linkDelay: linkDelay,
 	}
 	for i := range agents {
@@ -214,6 +219,9 @@
 // began and ended count where a task runs.
 func (w *world) began(v *simWorker, r messenger.Run) {
 	w.runningAt[r.Task]++
+	if _, ok := w.firstAt[r.Task]; !ok {
+		w.firstAt[r.Task] = w.clock.Now()
+	}
 	if w.done[r.Task] {
 		w.repeated = append(w.repeated, fmt.Sprintf("%s run %d at %s", r.Task, r.Number, v.name))
 	}
