scheduler: Keep a reservation while a placement elsewhere may be refused

Change: the reservation goes on for 24 ms after such a placement, and a refused placement does not begin the wait of its job anew.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -150,7 +150,8 @@
 	left []int
 	// queuedUp means that the scheduler's queue holds the job.
 	queuedUp bool
-	// queuedAt is when it was last put there.
+	// queuedAt is when it was last put there, apart from placements that were
+	// refused since.
 	queuedAt time.Time
 	// begun means that a task may have started.
 	begun bool
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -261,7 +261,9 @@
 	if r.Reason != messenger.NoRoom {
 		t.shun(a, s.clock.Now().Add(shunRefused))
 	}
+	since := t.job.queuedAt
 	s.again(t, "refused: "+string(r.Reason))
+	t.job.queuedAt = since
 }
 
 // unplace takes a task off its agent, whose worker its run tells nothing more of.
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -29,6 +29,9 @@
 	// reserveShun is how long an agent is not asked again after a reservation
 	// there has ended unused.
 	reserveShun = 200 * time.Millisecond
+	// refusalWait is how long a reservation goes on after its task has been placed
+	// elsewhere, where another entry may have taken the room.
+	refusalWait = 2 * roomPatience
 	// backfillMargin covers the way of a task to the worker.
 	backfillMargin = 10 * time.Millisecond
 )
@@ -193,7 +196,9 @@
 
 // useless tells why a reservation is of no use any more, or returns nothing.
 func (s *Scheduler) useless(v *reservation, now time.Time) string {
-	waits := func(t *task) bool { return t.step == v.step && t.state == ready }
+	waits := func(t *task) bool {
+		return t.step == v.step && (t.state == ready || (t.state == placed && now.Sub(t.placedAt) < refusalWait))
+	}
 	switch {
 	case s.jobs[v.job.ID] != v.job:
 		return "job is over"
--- a/scheduler/reservation_test.go
+++ b/scheduler/reservation_test.go
@@ -268,7 +268,9 @@
 		}},
 		"placed elsewhere": {told: true, change: func(b *bench, n uint64) {
 			b.open("b")
-			b.s.Tick()
+			b.wait(10*time.Millisecond, keeps(n), "a")
+			require.Empty(b.t, b.reserves(), "it may be refused there")
+			b.wait(24*time.Millisecond, keeps(n), "a")
 		}},
 		"time passed": {told: true, change: func(b *bench, n uint64) {
 			for range 20 {
@@ -331,3 +333,18 @@
 	}
 	require.Equal(b.t, told, ends > 0)
 }
+
+// TestRefusedPlacementDoesNotBeginTheWaitAnew guards against a large task that
+// loses races for room again and again and never gets a reservation.
+func TestRefusedPlacementDoesNotBeginTheWaitAnew(t *testing.T) {
+	b := newCrowded(t, "a", "b")
+	b.s.Submit(1, b.largeJob(jobID))
+	b.wait(20*time.Millisecond, func(r *messenger.Report) { r.Free.CPU = 16_000 }, "a")
+	b.reserves()
+	require.Len(t, b.sent, 1)
+	run := b.sent[0].(messenger.Place).Tasks[0].Run
+	b.wait(10*time.Millisecond, func(r *messenger.Report) {
+		r.Refused = []messenger.Refusal{{Run: run, Reason: messenger.NoRoom}}
+	}, "a")
+	require.Len(t, b.reserves(), 1)
+}
