--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -43,7 +43,7 @@
 // were found without room in the last pass, so that looking at them again at
 // each report of each agent would only cost time when there is least of it.
 func (s *Scheduler) passAt(a *agent) {
-	if len(s.queue) == 0 || !s.want.Least.Fits(a.most()) {
+	if len(s.queue) == 0 || !s.want.Least.Fits(a.anyRoom()) {
 		return
 	}
 	now := s.clock.Now()
@@ -54,7 +54,7 @@
 			continue
 		}
 		s.placeJob(j, only, now)
-		if !s.want.Least.Fits(a.most()) {
+		if !s.want.Least.Fits(a.anyRoom()) {
 			break
 		}
 	}
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"slices"
 	"time"
 
@@ -261,8 +260,8 @@
 	return room
 }
 
-// most returns the room that any task may use at the agent.
-func (a *agent) most() messenger.Demand { return a.free().Plus(a.report.Backfill.Room) }
+// anyRoom returns the room that any task may use at the agent.
+func (a *agent) anyRoom() messenger.Demand { return a.free().Plus(a.report.Backfill.Room) }
 
 // outlook is how soon an agent is expected to have room for a task.
 type outlook struct {
@@ -273,9 +272,9 @@
 	span int
 	// share is the room that is free now over the room wanted.
 	share float64
-	// spread orders agents that are alike, differently for each job, so that
-	// entries ask different ones.
-	spread uint32
+	// order is the agent's place in the job's own order of agents, so that entries
+	// ask different ones of those that are alike.
+	order uint64
 }
 
 const (
@@ -292,7 +291,7 @@
 	case o.share != p.share:
 		return o.share > p.share
 	}
-	return o.spread < p.spread
+	return o.order < p.order
 }
 
 // whereSoonest returns the agent at which room for a task is expected first; nil
@@ -330,7 +329,7 @@
 func (a *agent) outlook(t *task) outlook {
 	d := t.demand()
 	room := a.free().Most(messenger.Demand{})
-	o := outlook{near: a.near(t.job.Steps[t.step]), span: spanUnknown, share: coverage(room, d), spread: spread(t.job.ID, a.name)}
+	o := outlook{near: a.near(t.job.Steps[t.step]), span: spanUnknown, share: coverage(room, d), order: t.job.order(a)}
 	if len(a.report.Ahead) == 0 {
 		return o
 	}
@@ -353,11 +352,3 @@
 	}
 	return least
 }
-
-// spread returns a number that differs between jobs and agents.
-func spread(job, agent string) uint32 {
-	h := fnv.New32a()
-	h.Write([]byte(job))
-	h.Write([]byte(agent))
-	return h.Sum32()
-}
