executor: Start what waits when a reservation ends, whatever ends it

Cause: when a link closed or was replaced, an entry fell silent, or the time passed in a call other than the tick, a run that waited for the kept room was not started until the next event, and could be refused with room free. Change: the end of a reservation is noted, and Drain looks at what waits. Result: TestRoomOfAnEndedReservationIsUsed plays four ends with a run that is placed 5 ms before; the package's tests pass.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -229,7 +229,6 @@
 // tellChanged reports to the entries that have something to hear.
 func (x *Executor) tellChanged() {
 	now := x.clock.Now()
-	x.reviewReservation(now)
 	x.nextTurn(now)
 	interval := roomInterval * time.Duration(x.inTouch())
 	for _, e := range x.order {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -134,6 +134,8 @@
 	turns    turns
 	// reservation is the room that is kept for a large task.
 	reservation reservation
+	// released is whether a reservation has ended since waiting runs were looked at.
+	released bool
 
 	effects []Effect
 }
@@ -156,6 +158,7 @@
 
 // Drain returns the effects since the last call.
 func (x *Executor) Drain() []Effect {
+	x.useReleased()
 	x.tellChanged()
 	out := x.effects
 	x.effects = nil
@@ -183,9 +186,6 @@
 	now := x.clock.Now()
 	x.dropSilent(now)
 	x.expireWaiting(now)
-	if x.expireReservation(now) {
-		x.pump()
-	}
 	x.stopAgain(now)
 	x.lapseSure(now)
 	x.settleByTime(now)
--- a/executor/reservation.go
+++ b/executor/reservation.go
@@ -48,7 +48,6 @@
 	if m.For <= 0 {
 		if x.reservation.holder == e && x.reservation.number == m.Number {
 			x.endReservation("given up by its entry")
-			x.pump()
 		}
 		return
 	}
@@ -92,6 +91,7 @@
 		return
 	}
 	x.reservation = reservation{}
+	x.released = true
 	v.holder.changed = true
 	x.emit(Note{Owner: v.holder.name, Worker: x.upstream.ID, What: "reservation ended", Why: why, Age: x.clock.Since(v.asked)})
 	x.changeRoom()
@@ -104,6 +104,14 @@
 	}
 }
 
+// useReleased starts the waiting runs that have room since a reservation has ended.
+func (x *Executor) useReleased() {
+	x.reviewReservation(x.clock.Now())
+	if x.released {
+		x.pump()
+	}
+}
+
 // expireReservation ends the reservation whose time has passed, and reports
 // whether there was one.
 func (x *Executor) expireReservation(now time.Time) bool {
--- a/executor/reservation_test.go
+++ b/executor/reservation_test.go
@@ -273,15 +273,31 @@
 // TestRoomOfAnEndedReservationIsUsed guards against tasks that wait for room which
 // has been given back.
 func TestRoomOfAnEndedReservationIsUsed(t *testing.T) {
-	k := newKeeper(t)
-	k.fill(6, 100*time.Millisecond)
-	k.reserve("e", 1, time.Second)
-	r := k.placeFor("o", small, time.Second)
-	require.False(t, k.started(r))
-	k.reserve("e", 1, 0)
-	require.True(t, k.started(r))
-	k.pass(20 * time.Millisecond)
-	require.Equal(t, small, k.last["o"].Free.CPU)
+	const span = 450 * time.Millisecond
+	tests := map[string]func(k *keeper){
+		"given up by its entry": func(k *keeper) { k.x.Reserve("e", messenger.Reserve{Number: 1}) },
+		"link closed":           func(k *keeper) { k.x.Closed("e") },
+		"link replaced":         func(k *keeper) { k.x.Hello(messenger.Hello{Entry: "e", Incarnation: 1}) },
+		"time passed":           func(k *keeper) { k.clock.Advance(5 * time.Millisecond) },
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			k := newKeeper(t)
+			k.fill(6, 100*time.Millisecond)
+			k.reserve("e", 1, span)
+			for range 8 {
+				k.pass(span / 9)
+			}
+			k.pass(span/9 - 4*time.Millisecond)
+			r := k.placeFor("o", small, time.Second)
+			require.False(t, k.started(r))
+			end(k)
+			k.take()
+			require.True(t, k.started(r))
+			k.pass(20 * time.Millisecond)
+			require.Equal(t, small, k.last["o"].Free.CPU)
+		})
+	}
 }
 
 // TestScarceRoomBesideAReservationIsSharedInTurns guards against a holder that
--- a/executor/start.go
+++ b/executor/start.go
@@ -139,6 +139,7 @@
 
 // pump starts the waiting runs that have room.
 func (x *Executor) pump() {
+	x.released = false
 	if x.departed || x.upstream.Born == 0 {
 		return
 	}
