executor, scheduler: Reserve no room while smaller tasks have waited for long

Cause: at 110% of the room each entry kept room for large tasks by its own queue, so that with five entries 10 to 16% of the small jobs were late, and as many large ones were late as without reservations. Change: an entry asks for room only while no small task of the service has waited as long there, in place of a ratio of waits; an agent keeps none once smaller tasks have waited at any entry for 50 ms without a break.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -41,6 +41,8 @@
 	// proportion to that.
 	want  messenger.Want
 	share float64
+	// wantsSince is since when tasks have waited there.
+	wantsSince time.Time
 	// offered is the stamp of the report that began its last turn, zero once it
 	// has been answered, and reaction the mean time that it takes to answer.
 	offered  time.Duration
--- a/executor/reservation.go
+++ b/executor/reservation.go
@@ -8,8 +8,14 @@
 	"github.com/pomeloferry/pomeloferry/messenger"
 )
 
-// reserveMost bounds how long room is kept for one reservation.
-const reserveMost = time.Second
+const (
+	// reserveMost bounds how long room is kept for one reservation.
+	reserveMost = time.Second
+	// smallPatience is how long smaller tasks may wait at an entry while room is
+	// kept. When they wait for longer, room is short altogether, and each worker
+	// that keeps some makes many of them late for one large task.
+	smallPatience = 50 * time.Millisecond
+)
 
 // reservation is room that is kept for one large task of an entry. Runs of other
 // tasks start in it only if they are expected to end before it is complete. The
@@ -80,10 +86,19 @@
 		return "larger than the worker"
 	case due.After(until):
 		return "expected too late"
+	case x.smallerWait(d, x.clock.Now()):
+		return "smaller tasks wait"
 	}
 	return ""
 }
 
+// smallerWait reports whether tasks smaller than d have waited for long at an entry.
+func (x *Executor) smallerWait(d messenger.Demand, now time.Time) bool {
+	return slices.ContainsFunc(x.order, func(e *entry) bool {
+		return x.wanting(e, now) && !d.Fits(e.want.Least) && now.Sub(e.wantsSince) >= smallPatience
+	})
+}
+
 // endReservation gives the room that is kept back to all.
 func (x *Executor) endReservation(why string) {
 	v := x.reservation
@@ -156,6 +171,10 @@
 	if !v.held() || x.expireReservation(now) {
 		return
 	}
+	if x.smallerWait(v.demand, now) {
+		x.endReservation("smaller tasks wait")
+		return
+	}
 	if at := x.completeAt(v.demand, now); at.Before(v.due) {
 		v.due = at
 	}
--- a/executor/reservation_test.go
+++ b/executor/reservation_test.go
@@ -57,11 +57,13 @@
 	}
 }
 
-// pass lets time go on, with heartbeats of both entries. A small task waits at "o".
+// pass lets time go on, with heartbeats of both entries. Another small task waits at
+// "o" each time.
 func (k *keeper) pass(d time.Duration) {
 	k.clock.Advance(d)
 	want := messenger.Want{}.With(messenger.Demand{CPU: small})
 	k.x.Beat("e", messenger.Beat{Stamp: k.stamp, Echo: k.stamp})
+	k.x.Beat("o", messenger.Beat{Stamp: k.stamp, Echo: k.stamp})
 	k.x.Beat("o", messenger.Beat{Stamp: k.stamp, Echo: k.stamp, Want: want})
 	k.x.Tick()
 	k.take()
@@ -300,6 +302,27 @@
 	}
 }
 
+// TestNoRoomIsKeptWhileSmallerTasksWaitForLong guards against workers that keep room
+// each for one large task while many small ones are late.
+func TestNoRoomIsKeptWhileSmallerTasksWaitForLong(t *testing.T) {
+	k := newKeeper(t)
+	k.fill(8, 100*time.Millisecond)
+	k.reserve("e", 1, time.Second)
+	k.pass(10 * time.Millisecond)
+	want := messenger.Want{}.With(messenger.Demand{CPU: small})
+	for range 3 {
+		require.EqualValues(t, 1, k.last["e"].Reserved)
+		k.clock.Advance(20 * time.Millisecond)
+		k.x.Beat("o", messenger.Beat{Stamp: k.stamp, Echo: k.stamp, Want: want})
+		k.x.Beat("e", messenger.Beat{Stamp: k.stamp, Echo: k.stamp})
+		k.x.Tick()
+		k.take()
+	}
+	require.Contains(t, k.notes, "reservation ended")
+	k.reserve("e", 2, time.Second)
+	require.Contains(t, k.notes, "reservation not kept")
+}
+
 // TestScarceRoomBesideAReservationIsSharedInTurns guards against a holder that
 // has to wait for its turn, and against others that are told of its room.
 func TestScarceRoomBesideAReservationIsSharedInTurns(t *testing.T) {
--- a/executor/turn.go
+++ b/executor/turn.go
@@ -43,6 +43,7 @@
 func (x *Executor) wants(e *entry, w messenger.Want) {
 	if e.want.Tasks == 0 && w.Tasks > 0 {
 		e.changed = true
+		e.wantsSince = x.clock.Now()
 		// What it did not ask for before is not made up for.
 		e.share = max(e.share, x.turns.level)
 	}
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -12,13 +12,10 @@
 	// largeShare is the share of a worker's resource, as its inverse, from which a
 	// task counts as large.
 	largeShare = 4
-	// reserveAfter is how long a large task waits before room is reserved for it.
+	// reserveAfter is how long a large task waits before room is reserved for it. Where
+	// a small one has waited as long, room is short altogether, and kept room makes more
+	// small tasks late than it serves large ones.
 	reserveAfter = 30 * time.Millisecond
-	// smallFirst is how many times as long as any small task, if one has waited
-	// reserveAfter, a large one has to have waited. Where both wait alike, room is
-	// short altogether, and kept room makes more small tasks late than it serves
-	// large ones.
-	smallFirst = 4
 	// reserveMost and reserveLeast bound how long room is asked for. Room that
 	// is kept for less than the way to the agent and back cannot be used.
 	reserveMost  = time.Second
@@ -128,14 +125,13 @@
 	if len(s.reservations) >= reservationsMost || !s.mayBeLarge(s.mostWanted) {
 		return
 	}
-	waits := s.smallWaits(now)
+	short := s.smallWait(now)
 	misses := 0
 	for _, j := range s.queue {
 		if len(s.reservations) >= reservationsMost || misses >= reservationsMost {
 			return
 		}
-		wait := now.Sub(j.queuedAt)
-		if wait < max(reserveAfter, smallFirst*waits[j.Queue.Service]) || !s.mayRun(j, now) || s.reservedFor(j) {
+		if short[j.Queue.Service] || now.Sub(j.queuedAt) < reserveAfter || !s.mayRun(j, now) || s.reservedFor(j) {
 			continue
 		}
 		t := s.largeTask(j)
@@ -155,18 +151,16 @@
 	}
 }
 
-// smallWaits returns the longest wait, from reserveAfter, of the jobs of each
-// service that have only small tasks to place.
-func (s *Scheduler) smallWaits(now time.Time) map[string]time.Duration {
-	waits := make(map[string]time.Duration)
+// smallWait returns the services of which jobs with only small tasks to place have
+// waited for reserveAfter.
+func (s *Scheduler) smallWait(now time.Time) map[string]bool {
+	short := make(map[string]bool)
 	for _, j := range s.queue {
-		wait := now.Sub(j.queuedAt)
-		if wait < reserveAfter || wait <= waits[j.Queue.Service] || !s.mayRun(j, now) || s.largeTask(j) != nil {
-			continue
+		if now.Sub(j.queuedAt) >= reserveAfter && s.mayRun(j, now) && s.largeTask(j) == nil {
+			short[j.Queue.Service] = true
 		}
-		waits[j.Queue.Service] = wait
 	}
-	return waits
+	return short
 }
 
 func (s *Scheduler) reservedFor(j *job) bool {
