--- a/executor/dump.go
+++ b/executor/dump.go
@@ -4,10 +4,13 @@
 
 // Dump is the state of an executor, for people.
 type Dump struct {
-	Identity   Identity
-	Token      uint64
-	Upstream   messenger.Upstream
-	Free       messenger.Demand
+	Identity Identity
+	Token    uint64
+	Upstream messenger.Upstream
+	Free     messenger.Demand
+	// Kept is the part of Free that is kept for a large task of Holder's.
+	Kept       messenger.Demand
+	Holder     string
 	Leaving    bool
 	Unanswered int
 	Runs       []RunDump
@@ -34,9 +37,13 @@
 		Token:      x.token,
 		Upstream:   x.upstream,
 		Free:       x.free(),
+		Kept:       x.Kept(),
 		Leaving:    x.leaving,
 		Unanswered: x.look.unanswered,
 	}
+	if x.reservation.held() {
+		d.Holder = x.reservation.holder.name
+	}
 	for _, r := range x.sorted() {
 		d.Runs = append(d.Runs, RunDump{Run: r.Run, Owner: r.owner, Phase: r.phase.String(), Percent: r.percent})
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -132,6 +132,10 @@
 	paces    paces
 	failures failures
 	turns    turns
+	// reservation is the room that is kept for a large task.
+	reservation reservation
+	// released is whether a reservation has ended since waiting runs were looked at.
+	released bool
 
 	effects []Effect
 }
@@ -154,6 +158,7 @@
 
 // Drain returns the effects since the last call.
 func (x *Executor) Drain() []Effect {
+	x.useReleased()
 	x.tellChanged()
 	out := x.effects
 	x.effects = nil
@@ -168,6 +173,7 @@
 // SetLeaving begins a planned stop: nothing new is taken.
 func (x *Executor) SetLeaving() {
 	x.leaving = true
+	x.endReservation("agent leaves")
 	x.refuseWaiting(messenger.Leaving)
 	x.changed()
 }
--- a/scheduler/fit.go
+++ b/scheduler/fit.go
@@ -23,7 +23,7 @@
 	var best *agent
 	var bestFit fit
 	for _, a := range agents {
-		if !j.Steps[step].Demand.Fits(a.free()) {
+		if !j.Steps[step].Demand.Fits(a.roomFor(j, step, now)) {
 			continue
 		}
 		if !a.serves(j.Queue, s.config, now, s.woke) || !a.sound(now) || !a.suits(j.Steps[step]) {
@@ -88,12 +88,13 @@
 func (a *agent) fit(j *job, step int, todo []*task, now time.Time) fit {
 	d := j.Steps[step].Demand
 	most := a.most(j, step, todo, now)
-	slots := j.Steps[step].fitting(a.free(), most+spareTasks)
+	free := a.roomFor(j, step, now)
+	slots := j.Steps[step].fitting(free, most+spareTasks)
 	if n := min(most, slots-spareTasks); n >= min(len(todo), chunkTasks) {
 		return fit{tasks: n, spare: true, order: j.order(a)}
 	}
 	n := min(most, slots)
-	return fit{tasks: n, all: n == len(todo), rest: a.free().CPU - n*d.CPU}
+	return fit{tasks: n, all: n == len(todo), rest: free.CPU - n*d.CPU}
 }
 
 // most counts how many of the tasks, in order, may be placed at the agent at once,
--- a/scheduler/locality.go
+++ b/scheduler/locality.go
@@ -156,7 +156,7 @@
 			sharers = max(a.report.Entries, 1)
 		}
 		most := sharers * (w.before + len(todo))
-		room += a.roomFor(j, step, most, w.wait, now) / float64(sharers)
+		room += a.tasksSoon(j, step, most, w.wait, now) / float64(sharers)
 	}
 	w.room = int(room)
 	return w
@@ -220,10 +220,10 @@
 	return s.locality.waits[rack] + s.locality.loose*near/max(len(s.byName), 1)
 }
 
-// roomFor returns how many tasks of a step, up to most, the agent is expected to
+// tasksSoon returns how many tasks of a step, up to most, the agent is expected to
 // have room for after a while. Between two spans of its forecast the number rises
 // evenly, so that it may be a fraction. The spans count from its report.
-func (a *agent) roomFor(j *job, step, most int, after time.Duration, now time.Time) float64 {
+func (a *agent) tasksSoon(j *job, step, most int, after time.Duration, now time.Time) float64 {
 	st := j.Steps[step]
 	if st.Spread > 0 {
 		most = min(most, st.Spread-a.of(j, step))
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -18,6 +18,7 @@
 
 // pass places what waits, in order, and refuses what has waited too long.
 func (s *Scheduler) pass() {
+	s.reviewReservations()
 	if len(s.queue) == 0 {
 		s.want = messenger.Want{}
 		s.scarce = false
@@ -38,13 +39,14 @@
 		}
 	}
 	s.dropPlaced()
+	s.reserve(now)
 }
 
 // passAt places what waits at one agent, whose room has changed. The others
 // were found without room in the last pass, so that looking at them again at
 // each report of each agent would only cost time when there is least of it.
 func (s *Scheduler) passAt(a *agent) {
-	if len(s.queue) == 0 || !s.want.Least.Fits(a.free()) {
+	if len(s.queue) == 0 || !s.want.Least.Fits(a.anyRoom()) {
 		return
 	}
 	now := s.clock.Now()
@@ -56,7 +58,7 @@
 			continue
 		}
 		s.placeJob(j, only, now)
-		if !s.want.Least.Fits(a.free()) {
+		if !s.want.Least.Fits(a.anyRoom()) {
 			break
 		}
 	}
@@ -66,17 +68,25 @@
 // waitingWork returns what the queue holds.
 func (s *Scheduler) waitingWork() messenger.Want {
 	var w messenger.Want
+	s.mostWanted = messenger.Demand{}
 	for _, j := range s.queue {
 		for _, t := range j.tasks {
 			if t.state == ready {
 				w = w.With(t.demand())
+				s.mostWanted = s.mostWanted.Most(t.demand())
 			}
 		}
 	}
-	w.Ahead = w.Tasks > 0 && s.racks && s.config.FarFactor > 1
+	w.Ahead = w.Tasks > 0 && s.needsAhead()
 	return w
 }
 
+// needsAhead reports whether what will fall free decides on what waits: tasks whose
+// data is on a rack, or large ones.
+func (s *Scheduler) needsAhead() bool {
+	return s.racks && s.config.FarFactor > 1 || s.mayBeLarge(s.mostWanted)
+}
+
 // Want returns what waits for room.
 func (s *Scheduler) Want() messenger.Want {
 	s.want = s.waitingWork()
@@ -116,6 +126,7 @@
 	s.requeued++
 	if !j.queuedUp {
 		j.queuedUp = true
+		j.queuedAt = s.clock.Now()
 		s.queue = append(s.queue, j)
 	}
 }
@@ -189,6 +200,9 @@
 	p.Want = s.want
 	a.pending = append(a.pending, pending{number: p.Number, demand: sum})
 	a.health.sent(p.Tasks[0].Run)
+	if fresh > 0 {
+		s.useReservation(a, j, tasks[0].step)
+	}
 	s.emit(Send{Agent: a.name, Message: p})
-	s.emit(Note{Job: j.ID, Queue: j.Queue.Name, Run: p.Tasks[0].Run, Agent: a.name, What: "tasks placed", Age: now.Sub(a.reportedAt)})
+	s.emit(Note{Job: j.ID, Queue: j.Queue.Name, Run: p.Tasks[0].Run, Agent: a.name, What: "tasks placed", Age: now.Sub(a.reportedAt), Size: s.sizeOf(j, tasks[0].step), Wait: now.Sub(j.queuedAt)})
 }
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -92,7 +92,9 @@
 	twice []string
 	// done holds the tasks that are done, and repeated those that began again
 	// after that.
-	done     map[string]bool
+	done map[string]bool
+	// firstAt is when each task first began.
+	firstAt  map[string]time.Time
 	repeated []string
 	jobs     int
 	// placed counts the runs sent to agents, and noRoom those refused for lack of
@@ -104,6 +106,8 @@
 	// The entries know it if aware.
 	far   float64
 	aware bool
+	// unreserved makes agents deaf to requests to keep room.
+	unreserved bool
 }
 
 // simEntry is an entry process.
@@ -162,6 +166,7 @@
 		results:   make(map[string]*result),
 		runningAt: make(map[string]int),
 		done:      make(map[string]bool),
+		firstAt:   make(map[string]time.Time),
 		linkDelay: linkDelay,
 	}
 	for i := range agents {
@@ -223,6 +228,9 @@
 // began and ended count where a task runs.
 func (w *world) began(v *simWorker, r messenger.Run) {
 	w.runningAt[r.Task]++
+	if _, ok := w.firstAt[r.Task]; !ok {
+		w.firstAt[r.Task] = w.clock.Now()
+	}
 	if w.done[r.Task] {
 		w.repeated = append(w.repeated, fmt.Sprintf("%s run %d at %s", r.Task, r.Number, v.name))
 	}
