executor: Estimate the speed of the worker and tell it in reports

Cause: workers differ in speed, and entries place without knowing it. Change: the agent keeps one sample for each job, estimated over taken time of its fastest run, and tells the geometric mean, weighted over 16 jobs and 5 s. If the median of the last five is off by more than 1.6 times, older samples are dropped. A new incarnation of the worker starts without any. Runs whose start or end was seen late give none. Report.Speed goes with heartbeats, and with other reports if it has changed by a tenth; zero means as in the last report.

--- a/executor/dump.go
+++ b/executor/dump.go
@@ -10,8 +10,11 @@
 	Free       messenger.Demand
 	Leaving    bool
 	Unanswered int
-	Runs       []RunDump
-	Entries    []string
+	// Speed is that of the worker, and SpeedJobs the weight behind it in jobs.
+	Speed     float64
+	SpeedJobs int
+	Runs      []RunDump
+	Entries   []string
 }
 
 // RunDump is the state of one run.
@@ -37,6 +40,8 @@
 		Leaving:    x.leaving,
 		Unanswered: x.look.unanswered,
 	}
+	s := x.speeds.estimate(x.clock.Now())
+	d.Speed, d.SpeedJobs = s.value, s.jobs
 	for _, r := range x.sorted() {
 		d.Runs = append(d.Runs, RunDump{Run: r.Run, Owner: r.owner, Phase: r.phase.String(), Percent: r.percent})
 	}
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -35,6 +35,8 @@
 	toldAt      time.Time
 	// told is the room that the entry was last told of.
 	told messenger.Demand
+	// toldSpeed is the speed of the worker that the entry was last told of.
+	toldSpeed speed
 	// want is what waits there, and share the room that it has had in
 	// proportion to that.
 	want  messenger.Want
@@ -77,6 +79,7 @@
 	e.outcomes.told = 0
 	e.complete = false
 	e.upstream = false
+	e.toldSpeed = speed{value: 1}
 	e.held.told = false
 	e.changed = true
 	e.want = messenger.Want{}
@@ -274,6 +277,8 @@
 	}
 	r.Ended, r.Refused, r.Outcomes = e.outcomes.tell()
 	r.Pace, r.PacedJobs = x.paces.median(now)
+	s := x.tellSpeed(e, now, beat)
+	r.Speed, r.SpeedJobs = s.value, s.jobs
 	if !e.upstream {
 		up := x.usable()
 		r.Upstream = &up
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -131,6 +131,7 @@
 	// paces and failures tell entries how sound the worker is.
 	paces    paces
 	failures failures
+	speeds   speeds
 	turns    turns
 
 	effects []Effect
--- a/executor/pace.go
+++ b/executor/pace.go
@@ -81,6 +81,7 @@
 		timed := !r.startUnsure && x.clock.Since(x.look.answeredAt) <= paceError
 		if took := x.clock.Since(r.sentAt); timed && took > 0 && r.Estimate > 0 {
 			x.paces.note(jobPace{job: r.job, pace: float64(r.Estimate) / float64(took), at: x.clock.Now()})
+			x.speeds.note(r.job, r.Estimate, took, x.clock.Now())
 		}
 	case messenger.Failed:
 		if x.failures.last != r.job {
--- a/executor/upstream.go
+++ b/executor/upstream.go
@@ -75,6 +75,7 @@
 	x.look.reset()
 	x.paces = paces{}
 	x.failures = failures{}
+	x.speeds = speeds{}
 	x.drainingSince = time.Time{}
 }
 
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -267,7 +267,8 @@
 	// means as in the last report on the link.
 	Held *Held `cbor:"20,keyasint,omitempty"`
 	// Speed is estimated over taken time of the runs that have ended lately, and
-	// SpeedJobs the weight behind it in jobs. Unlike Pace it covers seconds.
+	// SpeedJobs the weight behind it in jobs. Unlike Pace it covers seconds. A
+	// Speed of zero means both as in the last report on the link.
 	Speed     float64 `cbor:"21,keyasint,omitempty"`
 	SpeedJobs int     `cbor:"22,keyasint,omitempty"`
 	// Ahead is the room, beside Free, that is expected to have fallen free after
