executor, platform: Bound a call to the worker by how long calls took lately

Cause: a start without an answer was given up after 40 ms, of about 80 ms that a short job has to spare. Change: a start or a stop counts as unanswered after 8 times the median time of the last 15 starts, within 10 and 40 ms; 40 ms until 8 are known, and for a start that is sent again. A short time-out costs one look: the look asks for an answer at once, starts of the same moment share it, and the worker counts as silent only when a start in doubt is 40 ms old or the look has failed.

--- a/executor/effect.go
+++ b/executor/effect.go
@@ -20,14 +20,18 @@
 	// to have arrived. It is set when the start is decided on, so that one that
 	// is held up does not lengthen the lease unseen.
 	Until time.Time
+	// Within is how long the call may take before it counts as unanswered.
+	Within time.Duration
 	// Upstream is the incarnation that is meant.
 	Upstream messenger.Upstream
 }
 
 // Stop asks the worker to end a run.
 type Stop struct {
-	Run      messenger.Run
-	Token    uint64
+	Run   messenger.Run
+	Token uint64
+	// Within is how long the call may take before it counts as unanswered.
+	Within   time.Duration
 	Upstream messenger.Upstream
 }
 
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -132,6 +132,7 @@
 	paces    paces
 	failures failures
 	speeds   speeds
+	patience patience
 	turns    turns
 
 	effects []Effect
--- a/executor/look.go
+++ b/executor/look.go
@@ -14,6 +14,8 @@
 	open   bool
 	openAt time.Time
 	token  uint64
+	// quick is whether the open look asks for an answer at once.
+	quick bool
 	// urgent asks for a look now, beside an open one.
 	urgent bool
 	// notBefore is the earliest time of the next look.
@@ -32,6 +34,10 @@
 	*l = look{number: l.number}
 }
 
+// fences reports whether an open look shows soon what has become of a start, and
+// keeps it from taking effect later.
+func (l *look) fences(token uint64) bool { return l.open && l.quick && l.token > token }
+
 // pause is how long to wait after a look that failed.
 func (l *look) pause() time.Duration {
 	const doublings = 4
@@ -58,7 +64,7 @@
 	if len(x.runs) > 0 {
 		wait = busyWait
 	}
-	if l.unanswered > 0 || !l.answered {
+	if l.unanswered > 0 || !l.answered || x.inDoubt() {
 		// What runs is not known yet, and nothing is placed here before it is.
 		wait = 0
 	}
@@ -67,6 +73,7 @@
 	l.openAt = now
 	l.token = x.token
 	l.urgent = false
+	l.quick = wait == 0
 	look := Look{Number: l.number, Token: x.token, Seen: l.seen, Wait: wait, Upstream: x.upstream}
 	// What is not answered must not keep runs alive for ever, nor what does not
 	// end when it is stopped.
@@ -111,6 +118,27 @@
 	return false
 }
 
+// inDoubt reports whether a run may have started or not.
+func (x *Executor) inDoubt() bool {
+	for _, r := range x.runs {
+		if r.phase == doubtful {
+			return true
+		}
+	}
+	return false
+}
+
+// longInDoubt reports whether a run that may have started was sent so long ago that
+// the worker should have answered.
+func (x *Executor) longInDoubt() bool {
+	for _, r := range x.runs {
+		if r.phase == doubtful && x.clock.Since(r.sentAt) >= patienceMost {
+			return true
+		}
+	}
+	return false
+}
+
 // silent reports whether the worker has left several calls unanswered.
 func (x *Executor) silent() bool { return x.look.unanswered >= 2 }
 
--- a/executor/start.go
+++ b/executor/start.go
@@ -157,7 +157,17 @@
 	r.sentAt = x.clock.Now()
 	r.token = x.token
 	r.tries++
-	x.emit(Start{Run: r.Run, Spec: r.spec, Token: x.token, Until: x.lease(r.sentAt), Upstream: x.upstream})
+	x.emit(Start{Run: r.Run, Spec: r.spec, Token: x.token, Until: x.lease(r.sentAt), Within: x.startWithin(r), Upstream: x.upstream})
+}
+
+// startWithin returns how long the start of a run may take. One that is sent
+// again gets the longest time, so that a run is held up only once by a time that
+// is too short.
+func (x *Executor) startWithin(r *run) time.Duration {
+	if r.tries > 1 {
+		return patienceMost
+	}
+	return x.patience.within(r.sentAt)
 }
 
 // Started notes how the worker took a start that carried token.
@@ -166,6 +176,7 @@
 	if r == nil || r.phase != starting || r.token != token {
 		return
 	}
+	x.timeCall(r, out)
 	switch out {
 	case Accepted:
 		x.look.unanswered = 0
@@ -193,6 +204,18 @@
 	x.nextLook()
 }
 
+// timeCall notes how long a start took to be answered.
+func (x *Executor) timeCall(r *run, out Outcome) {
+	now := x.clock.Now()
+	switch out {
+	case NotSent:
+	case Unanswered:
+		x.patience.unanswered(now)
+	default:
+		x.patience.answered(now.Sub(r.sentAt), now)
+	}
+}
+
 // begun notes that the worker has a run.
 func (x *Executor) begun(r *run) {
 	if r.phase == stopping || r.phase == running {
@@ -207,16 +230,24 @@
 }
 
 // doubt notes that a start got no answer. A higher token keeps it from taking
-// effect later, and a look under that token tells whether it did.
+// effect later, and a look under that token tells whether it did. One look does
+// for all starts that were sent before it. The worker counts as silent only if a
+// start was sent the longest time ago; else the look shows whether it is.
 func (x *Executor) doubt(r *run) {
 	r.phase = doubtful
 	r.startUnsure = true
-	x.token++
-	r.token = x.token
-	x.look.unanswered++
-	x.look.urgent = true
+	if x.look.fences(r.token) {
+		r.token = x.look.token
+	} else {
+		x.token++
+		r.token = x.token
+		x.look.urgent = true
+	}
 	x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "start unanswered", Age: x.clock.Since(r.sentAt)})
-	x.changed()
+	if x.longInDoubt() {
+		x.look.unanswered++
+		x.changed()
+	}
 }
 
 // raise lifts the token above one that the worker has fenced off.
@@ -279,7 +310,7 @@
 func (x *Executor) stop(r *run) {
 	r.phase = stopping
 	r.stopAt = x.clock.Now()
-	x.emit(Stop{Run: r.Run, Token: x.token, Upstream: x.upstream})
+	x.emit(Stop{Run: r.Run, Token: x.token, Within: x.patience.within(r.stopAt), Upstream: x.upstream})
 }
 
 // stopAgain repeats stops whose end has not been listed.
--- a/executor/upstream.go
+++ b/executor/upstream.go
@@ -76,6 +76,7 @@
 	x.paces = paces{}
 	x.failures = failures{}
 	x.speeds = speeds{}
+	x.patience = patience{}
 	x.drainingSince = time.Time{}
 }
 
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -309,7 +309,16 @@
 	if a.w.clock.Now().Before(a.worker.muteUntil) {
 		late := time.Duration(a.w.rng.Int64N(int64(3 * time.Second)))
 		a.w.after(late, func() { a.worker.start(s, deadline) })
-		a.w.after(callTimeout, func() { done(executor.Unanswered) })
+		a.w.after(s.Within, func() { done(executor.Unanswered) })
+		return
+	}
+	if lost := a.worker.lostShare; lost > 0 && a.w.rng.Float64() < lost {
+		delay := localDelay
+		if a.w.rng.IntN(2) == 0 {
+			delay += time.Duration(a.w.rng.Int64N(int64(2 * callTimeout)))
+		}
+		a.w.after(delay, func() { a.worker.start(s, deadline) })
+		a.w.after(s.Within, func() { done(executor.Unanswered) })
 		return
 	}
 	a.w.after(localDelay, func() {
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -27,6 +27,9 @@
 	slow float64
 	// hangs makes runs stand still; failsAll makes them fail at once.
 	hangs, failsAll bool
+	// lostShare is the share of the starts that are not answered. Every second one
+	// of them arrives late.
+	lostShare float64
 	// muteUntil is until when calls get no answer and starts take effect late.
 	muteUntil time.Time
 	// lateStopsUntil is until when stops are carried out seconds late;
