--- a/scheduler/fit.go
+++ b/scheduler/fit.go
@@ -2,54 +2,26 @@
 
 import "time"
 
-// haste is how the speed of a worker counts for the tasks that wait. Its zero value
-// is for workers that do not differ.
-type haste struct {
-	uneven bool
-	// ends is when the job has to end, less now, and most how long the rest of it
-	// takes at the usual speed at the most.
-	ends, most time.Duration
-	// shared means that other tasks wait as well.
-	shared bool
-	// only means that the job has waited for too long for workers that are not fast
-	// enough for it, or that cannot take all of its tasks.
-	only bool
-}
-
-// hasteOf returns how speed counts for tasks of one step.
-func (s *Scheduler) hasteOf(j *job, step int, todo []*task, now time.Time) haste {
-	if !s.fleetOf(j.Queue).uneven {
-		return haste{}
-	}
-	return haste{
-		uneven: true,
-		ends:   j.due.Sub(now),
-		most:   j.mostFrom(step),
-		shared: s.want.Tasks > len(todo),
-		only:   j.fastOnly && s.hopeless(j, now),
-	}
-}
-
-// judge notes how the speed of a worker suits the tasks. The faster one is the
-// better choice, unless the slower one is fast enough and other tasks wait.
-func (h haste) judge(f *fit, a *agent) {
-	if !h.uneven {
-		return
-	}
-	f.inTime = over(h.most, a.speed.relative) <= h.ends
-	f.pick = a.speed.step
-	if f.inTime && h.shared {
-		f.pick = -f.pick
-	}
-}
+const (
+	// spareTasks is the room, in tasks of the same size, that an agent keeps when it
+	// counts as having room to spare. What it last reported may be half a heartbeat
+	// old, and other entries have placed tasks since.
+	spareTasks = 3
+	// chunkTasks is the least number of a job's tasks that are kept together at an
+	// agent with room to spare. A job with more is split rather than sent to the
+	// emptiest agent, which is the same one for every entry.
+	chunkTasks = 2
+)
 
 // choose returns the one of the agents for the first of the tasks, and how many
-// of them it can take. An agent that can take all comes first, the fullest of these;
-// else the one that can take most.
+// of them it can take. While agents have room to spare, any of these will do; each
+// job has an order of its own, so that entries seldom meet at one agent. Else the
+// fullest that can take all comes first, which leaves the room of the others whole,
+// and after these the one that can take most.
 func (s *Scheduler) choose(agents []*agent, j *job, step int, todo []*task, now time.Time) (*agent, int) {
 	var best *agent
 	var bestFit fit
-	haste := s.hasteOf(j, step, todo, now)
+	timing := s.timingOf(j, step, todo, now)
 	for _, a := range agents {
 		if !j.Steps[step].Demand.Fits(a.free()) {
 			continue
@@ -57,15 +29,14 @@
 		if !a.serves(j.Queue, s.config, now, s.woke) || !a.sound(now) || !a.suits(j.Steps[step]) {
 			continue
 		}
-		f := a.fit(j, step, todo, now)
+		f := a.fit(j, step, todo, now, timing.fastOnly)
 		if f.tasks == 0 {
 			continue
 		}
 		f.near = a.near(j.Steps[step])
 		f.local = a.report.DataCentre == s.dataCentre
-		f.all = f.tasks == len(todo)
-		haste.judge(&f, a)
-		if haste.only && !(f.inTime && f.all) {
+		timing.judge(&f, a)
+		if timing.fastOnly && !(f.inTime && f.tasks == len(todo)) {
 			continue
 		}
 		if best == nil || f.better(bestFit) {
@@ -80,6 +51,8 @@
 type fit struct {
 	// tasks is how many it can take.
 	tasks int
+	// spare means that it has room to spare beside these.
+	spare bool
 	all   bool
 	near  bool
 	// inTime means that the job is expected to end within its objective there.
@@ -89,6 +62,8 @@
 	local bool
 	// rest is the room left after that, in thousandths of a core.
 	rest int
+	// order is the agent's place in the job's own order of agents.
+	order uint64
 }
 
 func (f fit) better(g fit) bool {
@@ -97,6 +72,14 @@
 		return f.near
 	case f.inTime != g.inTime:
 		return f.inTime
+	case f.spare != g.spare:
+		return f.spare
+	case f.spare && f.pick != g.pick:
+		return f.pick > g.pick
+	case f.spare && f.local != g.local:
+		return f.local
+	case f.spare:
+		return f.order < g.order
 	case f.all != g.all:
 		return f.all
 	case f.pick != g.pick:
@@ -111,10 +94,32 @@
 	return f.local && !g.local
 }
 
-// fit counts how many of the tasks, in order, the agent has room for.
-func (a *agent) fit(j *job, step int, todo []*task, now time.Time) fit {
+// fit counts how many of the tasks, in order, the agent has room for: with room to
+// spare if that takes enough of them, which is all of them for a job that is to stay
+// whole.
+func (a *agent) fit(j *job, step int, todo []*task, now time.Time, whole bool) fit {
+	least := min(len(todo), chunkTasks)
+	if whole {
+		least = len(todo)
+	}
 	d := j.Steps[step].Demand
+	most := a.most(j, step, todo, now)
 	room := a.free()
+	slots := 0
+	for slots < most+spareTasks && d.Fits(room) {
+		room = room.Minus(d)
+		slots++
+	}
+	if n := min(most, slots-spareTasks); n >= least {
+		return fit{tasks: n, spare: true, order: j.order(a)}
+	}
+	n := min(most, slots)
+	return fit{tasks: n, all: n == len(todo), rest: a.free().CPU - n*d.CPU}
+}
+
+// most counts how many of the tasks, in order, may be placed at the agent at once,
+// room aside.
+func (a *agent) most(j *job, step int, todo []*task, now time.Time) int {
 	most := len(todo)
 	if spread := j.Steps[step].Spread; spread > 0 {
 		most = min(most, spread-a.of(j, step))
@@ -123,9 +128,16 @@
 		most = min(most, 1)
 	}
 	n := 0
-	for n < most && d.Fits(room) && !now.Before(todo[n].avoid[a.name]) {
-		room = room.Minus(d)
+	for n < most && !now.Before(todo[n].avoid[a.name]) {
 		n++
 	}
-	return fit{tasks: n, rest: room.CPU}
+	return n
+}
+
+// order returns the agent's place in the job's own order, which differs between jobs.
+func (j *job) order(a *agent) uint64 {
+	// An odd multiplier that mixes all bits, as in Fibonacci hashing.
+	const multiplier = 0x9E3779B97F4A7C15
+	mixed := (j.hash ^ a.hash) * multiplier
+	return (mixed ^ mixed>>32) * multiplier
 }
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -149,6 +149,49 @@
 	return math.Exp(logs[len(logs)/2]), variance >= enough
 }
 
+// timing is what the speed of a worker is held against for tasks that wait. Its zero
+// value is for workers that do not differ.
+type timing struct {
+	uneven bool
+	// remaining is the time until the job has to end.
+	remaining time.Duration
+	// longest is how long the rest of the job takes at the usual speed if its
+	// estimates are too low.
+	longest time.Duration
+	// othersWait means that tasks of other jobs wait as well.
+	othersWait bool
+	// fastOnly means that the job waits only for a worker on which it is in time,
+	// with room for all of its tasks.
+	fastOnly bool
+}
+
+// timingOf returns the timing of tasks of one step.
+func (s *Scheduler) timingOf(j *job, step int, todo []*task, now time.Time) timing {
+	if !s.fleetOf(j.Queue).uneven {
+		return timing{}
+	}
+	return timing{
+		uneven:     true,
+		remaining:  j.due.Sub(now),
+		longest:    j.mostFrom(step),
+		othersWait: s.want.Tasks > len(todo),
+		fastOnly:   j.fastOnly && s.hopeless(j, now),
+	}
+}
+
+// judge notes how the speed of a worker suits the tasks. The faster worker is
+// preferred, unless other tasks wait and the job is in time on a slower one too.
+func (t timing) judge(f *fit, a *agent) {
+	if !t.uneven {
+		return
+	}
+	f.inTime = over(t.longest, a.speed.relative) <= t.remaining
+	f.pick = a.speed.step
+	if f.inTime && t.othersWait {
+		f.pick = -f.pick
+	}
+}
+
 // over returns how long work takes that takes an estimate at the usual speed.
 func over(estimate time.Duration, speed float64) time.Duration {
 	return time.Duration(float64(estimate) / speed)
