--- a/executor/dump.go
+++ b/executor/dump.go
@@ -13,8 +13,11 @@
 	Holder     string
 	Leaving    bool
 	Unanswered int
-	Runs       []RunDump
-	Entries    []string
+	// Speed is that of the worker, and SpeedJobs the weight behind it in jobs.
+	Speed     float64
+	SpeedJobs int
+	Runs      []RunDump
+	Entries   []string
 }
 
 // RunDump is the state of one run.
@@ -44,6 +47,8 @@
 	if x.reservation.held() {
 		d.Holder = x.reservation.holder.name
 	}
+	s := x.speeds.estimate(x.clock.Now())
+	d.Speed, d.SpeedJobs = s.value, s.jobs
 	for _, r := range x.sorted() {
 		d.Runs = append(d.Runs, RunDump{Run: r.Run, Owner: r.owner, Phase: r.phase.String(), Percent: r.percent})
 	}
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -37,6 +37,8 @@
 	told messenger.Demand
 	// toldBackfill is the same of the room for tasks that end soon.
 	toldBackfill messenger.Demand
+	// toldSpeed is the speed of the worker that the entry was last told of.
+	toldSpeed speed
 	// want is what waits there, and share the room that it has had in
 	// proportion to that.
 	want  messenger.Want
@@ -82,6 +84,7 @@
 	e.outcomes.told = 0
 	e.complete = false
 	e.upstream = false
+	e.toldSpeed = speed{value: 1}
 	e.held.told = false
 	e.changed = true
 	e.want = messenger.Want{}
@@ -287,6 +290,8 @@
 	if e.want.Ahead {
 		r.Ahead = x.ahead(now)
 	}
+	s := x.tellSpeed(e, now, beat)
+	r.Speed, r.SpeedJobs = s.value, s.jobs
 	if !e.upstream {
 		up := x.usable()
 		r.Upstream = &up
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -131,6 +131,8 @@
 	// paces and failures tell entries how sound the worker is.
 	paces    paces
 	failures failures
+	speeds   speeds
+	patience patience
 	turns    turns
 	// reservation is the room that is kept for a large task.
 	reservation reservation
--- a/executor/upstream.go
+++ b/executor/upstream.go
@@ -83,6 +83,8 @@
 	x.look.reset()
 	x.paces = paces{}
 	x.failures = failures{}
+	x.speeds = speeds{}
+	x.patience = patience{}
 	x.drainingSince = time.Time{}
 }
 
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -60,6 +60,7 @@
 	// reserveNext is the earliest time of the next one.
 	reserves    uint64
 	reserveNext time.Time
+	speed       speed
 }
 
 // pending is what a Place holds that the agent has not reported on.
--- a/scheduler/fit.go
+++ b/scheduler/fit.go
@@ -22,6 +22,7 @@
 func (s *Scheduler) choose(agents []*agent, j *job, step int, todo []*task, now time.Time) (*agent, int) {
 	var best *agent
 	var bestFit fit
+	timing := s.timingOf(j, step, todo, now)
 	for _, a := range agents {
 		if !j.Steps[step].Demand.Fits(a.roomFor(j, step, now)) {
 			continue
@@ -29,12 +30,16 @@
 		if !a.serves(j.Queue, s.config, now, s.woke) || !a.sound(now) || !a.suits(j.Steps[step]) {
 			continue
 		}
-		f := a.fit(j, step, todo, now)
+		f := a.fit(j, step, todo, now, timing.fastOnly)
 		if f.tasks == 0 {
 			continue
 		}
 		f.near = a.near(j.Steps[step])
 		f.local = a.report.DataCentre == s.dataCentre
+		timing.judge(&f, a)
+		if timing.fastOnly && !(f.inTime && f.tasks == len(todo)) {
+			continue
+		}
 		if best == nil || f.better(bestFit) {
 			best = a
 			bestFit = f
@@ -54,6 +59,10 @@
 	spare bool
 	all   bool
 	near  bool
+	// inTime means that the job is expected to end within its objective there.
+	inTime bool
+	// pick is greater for a worker whose speed is the better choice.
+	pick  int
 	local bool
 	// rest is the room left after that, in thousandths of a core.
 	rest int
@@ -65,14 +74,20 @@
 	switch {
 	case f.near != g.near:
 		return f.near
+	case f.inTime != g.inTime:
+		return f.inTime
 	case f.spare != g.spare:
 		return f.spare
+	case f.spare && f.pick != g.pick:
+		return f.pick > g.pick
 	case f.spare && f.local != g.local:
 		return f.local
 	case f.spare:
 		return f.order < g.order
 	case f.all != g.all:
 		return f.all
+	case f.pick != g.pick:
+		return f.pick > g.pick
 	case f.all && f.local != g.local:
 		return f.local
 	case f.all:
@@ -84,13 +99,18 @@
 }
 
 // fit counts how many of the tasks, in order, the agent has room for: with room to
-// spare if that takes enough of them.
-func (a *agent) fit(j *job, step int, todo []*task, now time.Time) fit {
+// spare if that takes enough of them, which is all of them for a job that is to stay
+// whole.
+func (a *agent) fit(j *job, step int, todo []*task, now time.Time, whole bool) fit {
+	least := min(len(todo), chunkTasks)
+	if whole {
+		least = len(todo)
+	}
 	d := j.Steps[step].Demand
 	most := a.most(j, step, todo, now)
 	free := a.roomFor(j, step, now)
 	slots := j.Steps[step].fitting(free, most+spareTasks)
-	if n := min(most, slots-spareTasks); n >= min(len(todo), chunkTasks) {
+	if n := min(most, slots-spareTasks); n >= least {
 		return fit{tasks: n, spare: true, order: j.order(a)}
 	}
 	n := min(most, slots)
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -34,7 +34,7 @@
 	}
 	s.scarce = s.locality.barred > 0
 	for _, j := range slices.Clone(s.queue) {
-		if s.hopeless(j, now) {
+		if s.hopeless(j, now) && !s.leftToFast(j, now) {
 			s.giveUp(j, "no room in time")
 		}
 	}
@@ -53,8 +53,8 @@
 	only := []*agent{a}
 	s.want = s.waitingWork()
 	s.locality = locality{}
-	for _, j := range s.queue {
-		if s.hopeless(j, now) {
+	for _, j := range s.fastFirst(a, now) {
+		if s.hopeless(j, now) && !j.fastOnly {
 			continue
 		}
 		s.placeJob(j, only, now)
@@ -185,6 +185,7 @@
 			t.agent = a
 			t.held = false
 			t.farFactor = s.config.farFactor(a, j.Steps[t.step])
+			t.speed = a.expected()
 			a.tasks[t.current()] = t
 			sum = sum.Plus(t.demand())
 		}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -29,6 +29,7 @@
 	a.heard = 0
 	a.reserves = 0
 	s.loseReservation(a)
+	a.speed = usualSpeed
 }
 
 // Closed notes that the link to an agent has ended.
@@ -56,6 +57,7 @@
 	if r.Upstream != nil {
 		if r.Upstream.ID != a.upstream.ID || r.Upstream.Born != a.upstream.Born {
 			a.health = health{}
+			a.speed = usualSpeed
 		}
 		old := a.upstream.Service
 		a.upstream = *r.Upstream
@@ -63,6 +65,7 @@
 		s.sizeUp(a.upstream.Service)
 	}
 	a.report = r
+	a.speed.told(r)
 	a.reportedAt = s.clock.Now()
 	a.covered()
 	s.confirm(a)
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -32,7 +32,7 @@
 	reserveShun = 200 * time.Millisecond
 	// refusalWait is how long a reservation goes on after its task has been placed
 	// elsewhere, where another entry may have taken the room.
-	refusalWait = 4 * roomPatience
+	refusalWait = 3 * roomPatience
 	// backfillMargin covers the way of a task to the worker.
 	backfillMargin = 10 * time.Millisecond
 )
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -187,6 +187,9 @@
 
 // toEntry carries a report to the entry.
 func (l *simLink) toEntry(r messenger.Report) {
+	if l.agent.w.withoutSpeeds {
+		r.Speed, r.SpeedJobs = 0, 0
+	}
 	core := l.entry.core
 	l.entry.w.after(l.entry.w.linkDelay, func() {
 		if !l.open || l.cut || l.entry.core != core || l.agent.links[l.entry.name] != l {
@@ -315,7 +318,16 @@
 	if a.w.clock.Now().Before(a.worker.muteUntil) {
 		late := time.Duration(a.w.rng.Int64N(int64(3 * time.Second)))
 		a.w.after(late, func() { a.worker.start(s, deadline) })
-		a.w.after(callTimeout, func() { done(executor.Unanswered) })
+		a.w.after(s.Within, func() { done(executor.Unanswered) })
+		return
+	}
+	if lost := a.worker.lostShare; lost > 0 && a.w.rng.Float64() < lost {
+		delay := localDelay
+		if a.w.rng.IntN(2) == 0 {
+			delay += time.Duration(a.w.rng.Int64N(int64(2 * callTimeout)))
+		}
+		a.w.after(delay, func() { a.worker.start(s, deadline) })
+		a.w.after(s.Within, func() { done(executor.Unanswered) })
 		return
 	}
 	a.w.after(localDelay, func() {
