--- a/acceptor/metrics.go
+++ b/acceptor/metrics.go
@@ -38,3 +38,8 @@
 func (m meters) refused(queue string, point scheduler.RefusalPoint) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("pomeloferry_entry_refusals_total{queue=%q,point=%q}", queue, point)).Inc()
 }
+
+// waited counts a placement and the seconds for which its tasks waited.
+func (m meters) waited(size scheduler.Size, seconds float64) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf("pomeloferry_entry_wait_seconds{size=%q}", size)).Update(seconds)
+}
--- a/executor/dump.go
+++ b/executor/dump.go
@@ -4,14 +4,20 @@
 
 // Dump is the state of an executor, for people.
 type Dump struct {
-	Identity   Identity
-	Token      uint64
-	Upstream   messenger.Upstream
-	Free       messenger.Demand
+	Identity Identity
+	Token    uint64
+	Upstream messenger.Upstream
+	Free     messenger.Demand
+	// Kept is the part of Free that is kept for a large task of Holder's.
+	Kept       messenger.Demand
+	Holder     string
 	Leaving    bool
 	Unanswered int
-	Runs       []RunDump
-	Entries    []string
+	// Speed is that of the worker, and SpeedJobs the weight behind it in jobs.
+	Speed     float64
+	SpeedJobs int
+	Runs      []RunDump
+	Entries   []string
 }
 
 // RunDump is the state of one run.
@@ -34,9 +40,15 @@
 		Token:      x.token,
 		Upstream:   x.upstream,
 		Free:       x.free(),
+		Kept:       x.Kept(),
 		Leaving:    x.leaving,
 		Unanswered: x.look.unanswered,
 	}
+	if x.reservation.held() {
+		d.Holder = x.reservation.holder.name
+	}
+	s := x.speeds.estimate(x.clock.Now())
+	d.Speed, d.SpeedJobs = s.value, s.jobs
 	for _, r := range x.sorted() {
 		d.Runs = append(d.Runs, RunDump{Run: r.Run, Owner: r.owner, Phase: r.phase.String(), Percent: r.percent})
 	}
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -35,10 +35,16 @@
 	toldAt      time.Time
 	// told is the room that the entry was last told of.
 	told messenger.Demand
+	// toldBackfill is the same of the room for tasks that end soon.
+	toldBackfill messenger.Demand
+	// toldSpeed is the speed of the worker that the entry was last told of.
+	toldSpeed speed
 	// want is what waits there, and share the room that it has had in
 	// proportion to that.
 	want  messenger.Want
 	share float64
+	// wantsSince is since when tasks have waited there.
+	wantsSince time.Time
 	// offered is the stamp of the report that began its last turn, zero once it
 	// has been answered, and reaction the mean time that it takes to answer.
 	offered  time.Duration
@@ -71,12 +77,14 @@
 		// A Hello that was read late must not keep runs alive.
 		e.heard = now
 	}
+	x.endReservationOf(e, "link of its entry replaced")
 	e.seen = 0
 	e.echo = 0
 	e.open = true
 	e.outcomes.told = 0
 	e.complete = false
 	e.upstream = false
+	e.toldSpeed = speed{value: 1}
 	e.held.told = false
 	e.changed = true
 	e.want = messenger.Want{}
@@ -89,6 +97,7 @@
 func (x *Executor) Closed(name string) {
 	if e := x.entries[name]; e != nil {
 		e.open = false
+		x.endReservationOf(e, "link of its entry closed")
 	}
 }
 
@@ -162,6 +171,7 @@
 	x.directives = b.Revision
 	x.evacuated = evacuated
 	if evacuated {
+		x.endReservation("data centre evacuated")
 		x.refuseWaiting(messenger.Evacuated)
 	}
 }
@@ -174,6 +184,7 @@
 			continue
 		}
 		x.dropOwned(e.name)
+		x.endReservationOf(e, "its entry is silent")
 		if !e.open && now.Sub(e.heard) > entryMemory {
 			delete(x.entries, e.name)
 			x.order = slices.DeleteFunc(x.order, func(o *entry) bool { return o == e })
@@ -237,7 +248,7 @@
 func (x *Executor) due(e *entry, interval time.Duration, now time.Time) bool {
 	since := now.Sub(e.toldAt)
 	switch {
-	case e.outcomes.waiting(), x.turns.contended && x.offer(e) != e.told:
+	case e.outcomes.waiting(), x.completed(e), x.turns.contended && x.offerChanged(e, now):
 		return true
 	case e.changed, e.roomChanged && e.want.Tasks > 0:
 		return since >= interval
@@ -271,9 +282,16 @@
 		FailedJobs:  x.failures.jobs,
 		Entries:     x.inTouch(),
 		Leaving:     x.leaving,
+		Reserved:    x.reservedFor(e),
+		Backfill:    x.backfillFor(e, now),
 	}
 	r.Ended, r.Refused, r.Outcomes = e.outcomes.tell()
 	r.Pace, r.PacedJobs = x.paces.median(now)
+	if e.want.Ahead {
+		r.Ahead = x.ahead(now)
+	}
+	s := x.tellSpeed(e, now, beat)
+	r.Speed, r.SpeedJobs = s.value, s.jobs
 	if !e.upstream {
 		up := x.usable()
 		r.Upstream = &up
@@ -300,6 +318,7 @@
 	e.changed = false
 	e.roomChanged = false
 	e.told = r.Free
+	e.toldBackfill = r.Backfill.Room
 	e.toldAt = now
 	x.emit(Tell{Entry: e.name, Report: r})
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -131,7 +131,13 @@
 	// paces and failures tell entries how sound the worker is.
 	paces    paces
 	failures failures
+	speeds   speeds
+	patience patience
 	turns    turns
+	// reservation is the room that is kept for a large task.
+	reservation reservation
+	// released is whether a reservation has ended since waiting runs were looked at.
+	released bool
 
 	effects []Effect
 }
@@ -154,6 +160,7 @@
 
 // Drain returns the effects since the last call.
 func (x *Executor) Drain() []Effect {
+	x.useReleased()
 	x.tellChanged()
 	out := x.effects
 	x.effects = nil
@@ -168,6 +175,7 @@
 // SetLeaving begins a planned stop: nothing new is taken.
 func (x *Executor) SetLeaving() {
 	x.leaving = true
+	x.endReservation("agent leaves")
 	x.refuseWaiting(messenger.Leaving)
 	x.changed()
 }
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -39,6 +39,11 @@
 	return Demand{CPU: min(d.CPU, o.CPU), Memory: min(d.Memory, o.Memory), GPU: min(d.GPU, o.GPU)}
 }
 
+// Most returns the larger of d and o in each respect.
+func (d Demand) Most(o Demand) Demand {
+	return Demand{CPU: max(d.CPU, o.CPU), Memory: max(d.Memory, o.Memory), GPU: max(d.GPU, o.GPU)}
+}
+
 // Fits reports whether d can be taken out of room.
 func (d Demand) Fits(room Demand) bool {
 	return d.CPU <= room.CPU && d.Memory <= room.Memory && d.GPU <= room.GPU
@@ -98,14 +103,16 @@
 	Sum   Demand `cbor:"2,keyasint,omitempty"`
 	// Least is the room without which none of them can start.
 	Least Demand `cbor:"3,keyasint,omitempty"`
+	// Ahead asks for Report.Ahead.
+	Ahead bool `cbor:"4,keyasint,omitempty"`
 }
 
 // With returns w with one more task.
 func (w Want) With(d Demand) Want {
 	if w.Tasks == 0 {
-		return Want{Tasks: 1, Sum: d, Least: d}
+		return Want{Tasks: 1, Sum: d, Least: d, Ahead: w.Ahead}
 	}
-	return Want{Tasks: w.Tasks + 1, Sum: w.Sum.Plus(d), Least: w.Least.Least(d)}
+	return Want{Tasks: w.Tasks + 1, Sum: w.Sum.Plus(d), Least: w.Least.Least(d), Ahead: w.Ahead}
 }
 
 // Without returns w less some of its tasks, which take sum together. Least may
@@ -114,7 +121,7 @@
 	if tasks >= w.Tasks {
 		return Want{}
 	}
-	return Want{Tasks: w.Tasks - tasks, Sum: w.Sum.Minus(sum), Least: w.Least}
+	return Want{Tasks: w.Tasks - tasks, Sum: w.Sum.Minus(sum), Least: w.Least, Ahead: w.Ahead}
 }
 
 // Place asks an agent to run tasks of one step.
@@ -158,6 +165,13 @@
 	For time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
+// Backfill is room that an agent keeps for a large task and that is not complete
+// yet. Tasks that end within For may use it meanwhile.
+type Backfill struct {
+	Room Demand        `cbor:"1,keyasint,omitempty"`
+	For  time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
 // Upstream describes the worker beside an agent.
 type Upstream struct {
 	ID string `cbor:"1,keyasint,omitempty"`
@@ -267,15 +281,18 @@
 	// means as in the last report on the link.
 	Held *Held `cbor:"20,keyasint,omitempty"`
 	// Speed is estimated over taken time of the runs that have ended lately, and
-	// SpeedJobs the weight behind it in jobs. Unlike Pace it covers seconds.
+	// SpeedJobs the weight behind it in jobs. Unlike Pace it covers seconds. A
+	// Speed of zero means both as in the last report on the link.
 	Speed     float64 `cbor:"21,keyasint,omitempty"`
 	SpeedJobs int     `cbor:"22,keyasint,omitempty"`
 	// Ahead is the room, beside Free, that is expected to have fallen free after
-	// each of AheadSpans. It is told while tasks wait at the entry.
+	// each of AheadSpans. It is told while the entry asks for it.
 	Ahead []Demand `cbor:"23,keyasint,omitempty"`
 	// Reserved is the number of the entry's Reserve that the agent keeps; zero
 	// means none.
 	Reserved uint64 `cbor:"24,keyasint,omitempty"`
+	// Backfill is room beside Free that only tasks which end soon may use.
+	Backfill Backfill `cbor:"30,keyasint,omitempty"`
 }
 
 // AheadSpans are the times that the items of Report.Ahead stand for.
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -19,6 +19,8 @@
 // agent is what the entry knows of one agent and its worker.
 type agent struct {
 	name string
+	// hash is that of the name.
+	hash uint64
 	// open is whether a link is open and a complete list has come on it.
 	open        bool
 	incarnation int64
@@ -52,6 +54,13 @@
 	// have ended.
 	withdrawn map[messenger.Run]*task
 	health    health
+	// reservation is the one that the agent was last asked for; nil for none.
+	reservation *reservation
+	// reserves counts the Reserve messages on the link that ask for room, and
+	// reserveNext is the earliest time of the next one.
+	reserves    uint64
+	reserveNext time.Time
+	speed       speed
 }
 
 // pending is what a Place holds that the agent has not reported on.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pomeloferry/pomeloferry/messenger"
 )
 
@@ -70,6 +72,19 @@
 	return longest
 }
 
+// chainsFrom returns, for each step, the longest chain of estimated work that begins
+// with it.
+func (j Job) chainsFrom() []time.Duration {
+	chains := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		chains[i] += j.Steps[i].Estimate
+		for _, a := range j.Steps[i].After {
+			chains[a] = max(chains[a], chains[i])
+		}
+	}
+	return chains
+}
+
 // estimateError is how far estimates usually are off, either way.
 const estimateError = 0.4
 
@@ -109,6 +124,8 @@
 	step  int
 	id    string
 	state taskState
+	// readyAt is when the steps before it were done.
+	readyAt time.Time
 	// run is the number of the last run.
 	run   int
 	agent *agent
@@ -117,6 +134,9 @@
 	placedAt time.Time
 	link     int
 	place    uint64
+	// speed is the relative speed of the worker as it was known at placedAt; 1 for
+	// a probe.
+	speed float64
 	// failures counts the runs that ended as failed.
 	failures int
 	// avoid lists agents that the task is kept away from, and until when.
@@ -126,6 +146,12 @@
 	age     time.Duration
 	// moving means that the last run is being stopped to run it elsewhere.
 	moving bool
+	// farFactor is how many times as long the last run takes for being away from
+	// its data; 0 counts as 1.
+	farFactor float64
+	// held means that the task waits for a near worker although a far one had room
+	// when the agents were last looked at.
+	held bool
 }
 
 func (t *task) demand() messenger.Demand { return t.job.Steps[t.step].Demand }
@@ -142,7 +168,9 @@
 type job struct {
 	Job
 	// number orders jobs by their arrival.
-	number  uint64
+	number uint64
+	// hash is that of the ID.
+	hash    uint64
 	arrived time.Time
 	tickets []uint64
 	tasks   []*task
@@ -150,6 +178,9 @@
 	left []int
 	// queuedUp means that the scheduler's queue holds the job.
 	queuedUp bool
+	// queuedAt is when it was last put there, apart from placements that were
+	// refused since.
+	queuedAt time.Time
 	// begun means that a task may have started.
 	begun bool
 	hold  hold
@@ -161,20 +192,29 @@
 	// first placement after that is among its queue's starts.
 	waited  bool
 	counted bool
-	// latest is when the first task must start for the job to be in time.
-	latest time.Time
+	// fastOnly means that the job has waited for too long for any worker but a fast
+	// one.
+	fastOnly bool
+	// latest is when the first task must start for the job to be in time, and objectiveAt
+	// when the last one must have ended.
+	latest, objectiveAt time.Time
+	// chains are the longest chains of estimated work from each step on.
+	chains []time.Duration
 }
 
 // newJob returns a job of which last is the record of the last try.
 func newJob(j Job, number uint64, now time.Time, last record) *job {
 	n := &job{
-		Job:     j,
-		number:  number,
-		arrived: now,
-		left:    make([]int, len(j.Steps)),
-		latest:  now.Add(j.objective() - j.chain()),
-		begun:   last.begun,
-		hold:    hold{since: j.Sent},
+		Job:         j,
+		number:      number,
+		hash:        xxhash.Sum64String(j.ID),
+		arrived:     now,
+		left:        make([]int, len(j.Steps)),
+		latest:      now.Add(j.objective() - j.chain()),
+		objectiveAt: now.Add(j.objective()),
+		chains:      j.chainsFrom(),
+		begun:       last.begun,
+		hold:        hold{since: j.Sent},
 	}
 	if j.Sent.IsZero() {
 		n.hold.since = now
@@ -185,6 +225,7 @@
 			t := &task{job: n, step: i, id: fmt.Sprintf("%s.0.%d.%d", j.ID, i, k), run: last.lastRun}
 			if len(s.After) == 0 {
 				t.state = ready
+				t.readyAt = now
 			}
 			n.tasks = append(n.tasks, t)
 		}
@@ -205,10 +246,11 @@
 func (j *job) fresh() bool { return !j.begun && !j.has(placed) }
 
 // unblock makes the tasks ready whose steps may begin.
-func (j *job) unblock() {
+func (j *job) unblock(now time.Time) {
 	for _, t := range j.tasks {
 		if t.state == blocked && j.open(t.step) {
 			t.state = ready
+			t.readyAt = now
 		}
 	}
 }
@@ -223,6 +265,11 @@
 	return true
 }
 
+// onRack reports whether the data of a step is on a rack.
+func (j Job) onRack() bool {
+	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.Rack != "" })
+}
+
 func (j *job) done() bool {
 	for _, n := range j.left {
 		if n > 0 {
@@ -257,12 +304,12 @@
 	return n
 }
 
-// queued returns the estimated work of the tasks that wait, in
-// core-milliseconds.
+// queued returns the estimated work of the tasks that wait, in core-milliseconds.
+// Tasks held for a near worker are left out: other jobs can have the far room.
 func (j *job) queued() float64 {
 	var sum float64
 	for _, t := range j.tasks {
-		if t.state == ready {
+		if t.state == ready && !t.held {
 			sum += t.work()
 		}
 	}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -10,7 +10,7 @@
 const (
 	// roomPatience is how long a run waits at an agent whose room another
 	// entry has just taken.
-	roomPatience = 12 * time.Millisecond
+	roomPatience = 5 * time.Millisecond
 	// askInterval is the least time between two rounds of heartbeats that are sent
 	// to ask for room before they are due.
 	askInterval = messenger.BeatInterval / 2
@@ -20,40 +20,46 @@
 func (s *Scheduler) pass() {
 	now := s.clock.Now()
 	defer s.observeDrains(now)
+	s.reviewReservations()
 	if len(s.queue) == 0 {
 		s.want = messenger.Want{}
+		s.scarce = false
 		return
 	}
 	s.dropPlaced()
 	s.want = s.waitingWork()
 	s.sortQueue(now)
+	s.locality = locality{}
 	for _, j := range slices.Clone(s.queue) {
 		s.placeJob(j, s.byName, now)
 	}
+	s.scarce = s.locality.barred > 0
 	for _, j := range slices.Clone(s.queue) {
-		if s.hopeless(j, now) {
+		if s.hopeless(j, now) && !s.leftToFast(j, now) {
 			s.giveUp(j, "no room in time")
 		}
 	}
 	s.dropPlaced()
+	s.reserve(now)
 }
 
 // passAt places what waits at one agent, whose room has changed. The others
 // were found without room in the last pass, so that looking at them again at
 // each report of each agent would only cost time when there is least of it.
 func (s *Scheduler) passAt(a *agent) {
-	if len(s.queue) == 0 || !s.want.Least.Fits(a.free()) {
+	if len(s.queue) == 0 || !s.want.Least.Fits(a.anyRoom()) {
 		return
 	}
 	now := s.clock.Now()
 	only := []*agent{a}
 	s.want = s.waitingWork()
-	for _, j := range s.queue {
-		if s.hopeless(j, now) {
+	s.locality = locality{}
+	for _, j := range s.fastFirst(a, now) {
+		if s.hopeless(j, now) && !j.fastOnly {
 			continue
 		}
 		s.placeJob(j, only, now)
-		if !s.want.Least.Fits(a.free()) {
+		if !s.want.Least.Fits(a.anyRoom()) {
 			break
 		}
 	}
@@ -64,16 +70,25 @@
 // waitingWork returns what the queue holds.
 func (s *Scheduler) waitingWork() messenger.Want {
 	var w messenger.Want
+	s.mostWanted = messenger.Demand{}
 	for _, j := range s.queue {
 		for _, t := range j.tasks {
 			if t.state == ready {
 				w = w.With(t.demand())
+				s.mostWanted = s.mostWanted.Most(t.demand())
 			}
 		}
 	}
+	w.Ahead = w.Tasks > 0 && s.needsAhead()
 	return w
 }
 
+// needsAhead reports whether what will fall free decides on what waits: tasks whose
+// data is on a rack, or large ones.
+func (s *Scheduler) needsAhead() bool {
+	return s.racks && s.config.FarFactor > 1 || s.mayBeLarge(s.mostWanted)
+}
+
 // Want returns what waits for room.
 func (s *Scheduler) Want() messenger.Want {
 	s.want = s.waitingWork()
@@ -113,6 +128,7 @@
 	s.requeued++
 	if !j.queuedUp {
 		j.queuedUp = true
+		j.queuedAt = s.clock.Now()
 		s.queue = append(s.queue, j)
 	}
 }
@@ -132,12 +148,18 @@
 		}
 		for len(todo) > 0 {
 			a, n := s.choose(agents, j, step, todo, now)
-			if a == nil {
+			if a == nil && len(agents) == len(s.byName) {
+				release(todo)
+			}
+			if n == 0 {
 				break
 			}
 			s.send(a, j, todo[:n])
 			todo = todo[n:]
 		}
+		if s.config.FarFactor > 1 {
+			s.locality.note(j.Steps[step], todo)
+		}
 	}
 }
 
@@ -164,6 +186,9 @@
 			t.state = placed
 			t.placedAt = now
 			t.agent = a
+			t.held = false
+			t.farFactor = s.config.farFactor(a, j.Steps[t.step])
+			t.speed = a.expected()
 			a.tasks[t.current()] = t
 			sum = sum.Plus(t.demand())
 		}
@@ -172,13 +197,16 @@
 		p.Tasks = append(p.Tasks, messenger.Task{
 			Run:      t.current(),
 			Demand:   t.demand(),
-			Estimate: j.Steps[t.step].Estimate,
+			Estimate: t.estimate(),
 		})
 	}
 	s.want = s.want.Without(fresh, sum)
 	p.Want = s.want
 	a.pending = append(a.pending, pending{number: p.Number, demand: sum})
 	a.health.sent(p.Tasks[0].Run)
+	if fresh > 0 {
+		s.useReservation(a, j, tasks[0].step)
+	}
 	s.emit(Send{Agent: a.name, Message: p})
-	s.emit(Note{Job: j.ID, Queue: j.Queue.Name, Run: p.Tasks[0].Run, Agent: a.name, What: "tasks placed", Age: now.Sub(a.reportedAt)})
+	s.emit(Note{Job: j.ID, Queue: j.Queue.Name, Run: p.Tasks[0].Run, Agent: a.name, What: "tasks placed", Age: now.Sub(a.reportedAt), Size: s.sizeOf(j, tasks[0].step), Wait: now.Sub(j.queuedAt)})
 }
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -27,6 +27,9 @@
 	a.placements = 0
 	a.pending = nil
 	a.heard = 0
+	a.reserves = 0
+	s.loseReservation(a)
+	a.speed = usualSpeed
 }
 
 // Closed notes that the link to an agent has ended.
@@ -34,6 +37,7 @@
 	a := s.agentNamed(name)
 	a.open = false
 	a.pending = nil
+	s.loseReservation(a)
 	s.emit(Note{Agent: name, What: "agent out of touch", Why: "link closed", Age: s.clock.Since(a.reportedAt)})
 }
 
@@ -53,12 +57,18 @@
 	if r.Upstream != nil {
 		if r.Upstream.ID != a.upstream.ID || r.Upstream.Born != a.upstream.Born {
 			a.health = health{}
+			a.speed = usualSpeed
 		}
+		old := a.upstream.Service
 		a.upstream = *r.Upstream
+		s.sizeUp(old)
+		s.sizeUp(a.upstream.Service)
 	}
 	a.report = r
+	a.speed.told(r)
 	a.reportedAt = s.clock.Now()
 	a.covered()
+	s.confirm(a)
 	waiting := s.requeued
 	for _, e := range r.Ended {
 		s.ended(a, e)
@@ -155,7 +165,7 @@
 
 // pace returns the work done over the work expected by now.
 func (t *task) pace() float64 {
-	estimate := t.job.Steps[t.step].Estimate
+	estimate := t.estimate()
 	if t.age <= 0 || estimate <= 0 {
 		return 1
 	}
@@ -186,7 +196,7 @@
 func (s *Scheduler) finish(a *agent, t *task) {
 	s.throughput.add(t.work(), s.clock.Now())
 	took := s.clock.Since(t.placedAt)
-	a.health.succeeded(t.current(), float64(t.job.Steps[t.step].Estimate)/float64(max(took, time.Millisecond)))
+	a.health.succeeded(t.current(), float64(t.estimate())/float64(max(took, time.Millisecond)))
 	t.unplace()
 	s.done(t)
 }
@@ -202,7 +212,7 @@
 		return
 	}
 	if j.left[t.step] == 0 {
-		j.unblock()
+		j.unblock(s.clock.Now())
 		s.enqueue(j)
 	}
 }
@@ -254,7 +264,9 @@
 	if r.Reason != messenger.NoRoom {
 		t.shun(a, s.clock.Now().Add(shunRefused))
 	}
+	since := t.job.queuedAt
 	s.again(t, "refused: "+string(r.Reason))
+	t.job.queuedAt = since
 	s.uncountStart(t.job, s.clock.Now())
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/pomeloferry/pomeloferry/messenger"
@@ -49,6 +50,9 @@
 	// drains and comebacks are kept by the name of the queue as well.
 	drains    map[string]*drain
 	comebacks map[string]*comeback
+	// fleets are the workers by service, as compared at comparedAt.
+	fleets     map[string]fleet
+	comparedAt time.Time
 	// forget lists the records in the order of their making.
 	forget  []string
 	number  uint64
@@ -62,9 +66,21 @@
 	// they were last told so before a heartbeat was due.
 	asked   bool
 	askedAt time.Time
+	// locality is what the last pass has found to wait, and scarce whether tasks
+	// that would run anywhere had found no room when all agents were last looked at.
+	locality locality
+	scarce   bool
+	// racks means that a job has come whose data is on a rack.
+	racks bool
 	// throughput is the work done lately; short is for Need.
 	throughput throughput
 	short      bool
+	// largest has the most of each resource that a worker of a service has.
+	largest map[string]messenger.Demand
+	// mostWanted has the most of each resource that a waiting task takes.
+	mostWanted messenger.Demand
+	// reservations are those that agents have been asked for.
+	reservations []*reservation
 	// echoed is when the last heartbeat was sent that an agent has echoed.
 	echoed time.Time
 	// woke is when the entry last went on after a pause; zero before one.
@@ -99,6 +115,7 @@
 		shares:     make(map[string]*share),
 		drains:     make(map[string]*drain),
 		comebacks:  make(map[string]*comeback),
+		largest:    make(map[string]messenger.Demand),
 	}
 }
 
@@ -147,6 +164,7 @@
 	j.tickets = []uint64{ticket}
 	s.tickets[ticket] = j
 	s.jobs[j.ID] = j
+	s.racks = s.racks || j.onRack()
 	if n := s.remains[j.ID]; n > 0 {
 		j.hold.since = now.Add(-max(holdAfter, now.Sub(j.hold.since)))
 		s.emit(Note{Job: j.ID, Queue: j.Queue.Name, What: "job waits", Why: fmt.Sprintf("%d runs of its last try may go on", n)})
@@ -222,6 +240,7 @@
 	}
 	s.resume()
 	s.moveSlow(now)
+	s.compareSpeeds(now)
 	s.forgetOld(now)
 	s.pass()
 }
@@ -308,7 +327,7 @@
 func (s *Scheduler) agentNamed(name string) *agent {
 	a := s.agents[name]
 	if a == nil {
-		a = &agent{name: name, tasks: make(map[messenger.Run]*task), withdrawn: make(map[messenger.Run]*task)}
+		a = &agent{name: name, hash: xxhash.Sum64String(name), tasks: make(map[messenger.Run]*task), withdrawn: make(map[messenger.Run]*task), speed: usualSpeed}
 		s.agents[name] = a
 		at, _ := slices.BinarySearchFunc(s.byName, name, func(a *agent, name string) int {
 			return strings.Compare(a.name, name)
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -20,7 +20,7 @@
 	e.down = false
 	e.at = e.w.clock.Now()
 	core := e.core
-	core.Configure(configuration())
+	core.Configure(e.w.configuration())
 	for _, a := range e.w.agents {
 		e.connect(a, core)
 	}
@@ -172,9 +172,14 @@
 			case messenger.Beat:
 				core.Beat(l.entry.name, m)
 			case messenger.Place:
+				l.agent.w.placed += len(m.Tasks)
 				core.Place(l.entry.name, m)
 			case messenger.Withdraw:
 				core.Withdraw(l.entry.name, m)
+			case messenger.Reserve:
+				if !l.agent.w.unreserved {
+					core.Reserve(l.entry.name, m)
+				}
 			}
 		})
 	})
@@ -182,6 +187,9 @@
 
 // toEntry carries a report to the entry.
 func (l *simLink) toEntry(r messenger.Report) {
+	if l.agent.w.withoutSpeeds {
+		r.Speed, r.SpeedJobs = 0, 0
+	}
 	core := l.entry.core
 	l.entry.w.after(l.entry.w.linkDelay, func() {
 		if !l.open || l.cut || l.entry.core != core || l.agent.links[l.entry.name] != l {
@@ -190,6 +198,7 @@
 		l.entry.do(func() {
 			l.heardAt = l.entry.w.clock.Now()
 			l.echo = r.Stamp
+			l.agent.w.countNoRoom(r.Refused)
 			core.Report(r)
 		})
 	})
@@ -309,7 +318,16 @@
 	if a.w.clock.Now().Before(a.worker.muteUntil) {
 		late := time.Duration(a.w.rng.Int64N(int64(3 * time.Second)))
 		a.w.after(late, func() { a.worker.start(s, deadline) })
-		a.w.after(callTimeout, func() { done(executor.Unanswered) })
+		a.w.after(s.Within, func() { done(executor.Unanswered) })
+		return
+	}
+	if lost := a.worker.lostShare; lost > 0 && a.w.rng.Float64() < lost {
+		delay := localDelay
+		if a.w.rng.IntN(2) == 0 {
+			delay += time.Duration(a.w.rng.Int64N(int64(2 * callTimeout)))
+		}
+		a.w.after(delay, func() { a.worker.start(s, deadline) })
+		a.w.after(s.Within, func() { done(executor.Unanswered) })
 		return
 	}
 	a.w.after(localDelay, func() {
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -27,6 +27,9 @@
 	slow float64
 	// hangs makes runs stand still; failsAll makes them fail at once.
 	hangs, failsAll bool
+	// lostShare is the share of the starts that are not answered. Every second one
+	// of them arrives late.
+	lostShare float64
 	// muteUntil is until when calls get no answer and starts take effect late.
 	muteUntil time.Time
 	// lateStopsUntil is until when stops are carried out seconds late;
@@ -80,6 +83,9 @@
 	if v.slow > 0 {
 		work = time.Duration(float64(work) * v.slow)
 	}
+	if t.rack != "" && !slices.Contains(v.up.Labels, t.rack) {
+		work = time.Duration(float64(work) * max(v.w.far, 1))
+	}
 	r := &simRun{run: s.Run, began: now, work: work, fails: v.failsAll || t.fails, demand: t.demand}
 	v.running[s.Run.Task] = r
 	if v.failsAll {
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -61,6 +61,8 @@
 	work   time.Duration
 	demand messenger.Demand
 	fails  bool
+	// rack is where the task's data is; empty means anywhere.
+	rack string
 }
 
 // result is what a caller got.
@@ -90,11 +92,25 @@
 	twice []string
 	// done holds the tasks that are done, and repeated those that began again
 	// after that.
-	done     map[string]bool
+	done map[string]bool
+	// firstAt is when each task first began.
+	firstAt  map[string]time.Time
 	repeated []string
 	jobs     int
+	// placed counts the runs sent to agents, and noRoom those refused for lack of
+	// room.
+	placed, noRoom int
 	// linkDelay is the way of a message between an entry and an agent.
 	linkDelay time.Duration
+	// far is how many times as long a task takes away from its data; 0 counts as 1.
+	// The entries know it if aware.
+	far   float64
+	aware bool
+	// unreserved makes agents deaf to requests to keep room.
+	unreserved bool
+	// withoutSpeeds keeps the speeds of workers out of all reports, as agents do
+	// that do not estimate them.
+	withoutSpeeds bool
 }
 
 // simEntry is an entry process.
@@ -153,6 +169,7 @@
 		results:   make(map[string]*result),
 		runningAt: make(map[string]int),
 		done:      make(map[string]bool),
+		firstAt:   make(map[string]time.Time),
 		linkDelay: linkDelay,
 	}
 	for i := range agents {
@@ -214,6 +231,9 @@
 // began and ended count where a task runs.
 func (w *world) began(v *simWorker, r messenger.Run) {
 	w.runningAt[r.Task]++
+	if _, ok := w.firstAt[r.Task]; !ok {
+		w.firstAt[r.Task] = w.clock.Now()
+	}
 	if w.done[r.Task] {
 		w.repeated = append(w.repeated, fmt.Sprintf("%s run %d at %s", r.Task, r.Number, v.name))
 	}
@@ -233,12 +253,22 @@
 	return scheduler.Queue{Name: "quotes", Host: "q.example", Prefix: "/q/", Service: "quotes", MaxAttempts: 3, Stretch: 1.6, Slack: 60 * time.Millisecond, Timeout: 1500 * time.Millisecond}
 }
 
+// configuration returns the one of the world's entries.
+func (w *world) configuration() scheduler.Configuration {
+	if !w.aware {
+		return configuration()
+	}
+	return configuration().WithFarFactor(w.far)
+}
+
 // kind describes a kind of job as the workloads have them.
 type kind struct {
 	tasks    int
 	work     time.Duration
 	cpu      int
 	priority int
+	// rack is where the data of the tasks is; empty means anywhere.
+	rack string
 }
 
 // kinds are those of the price service: quotes, indices and alerts.
@@ -259,12 +289,13 @@
 	q.Priority = k.priority
 	j := scheduler.Job{
 		ID: id, Queue: q, Spec: "spec", Deadline: w.clock.Now().Add(max(1500*time.Millisecond, 3*work)),
-		Steps: []scheduler.Step{{Count: k.tasks, Demand: messenger.Demand{CPU: k.cpu, Memory: 64}, Estimate: estimate}},
+		Steps: []scheduler.Step{{Count: k.tasks, Demand: messenger.Demand{CPU: k.cpu, Memory: 64}, Estimate: estimate, Rack: k.rack}},
 	}
 	for i := range k.tasks {
 		w.tasks[fmt.Sprintf("%s.0.0.%d", id, i)] = simTask{
 			work:   time.Duration(float64(work) * (0.9 + 0.2*w.rng.Float64())),
 			demand: j.Steps[0].Demand,
+			rack:   k.rack,
 		}
 	}
 	w.results[id] = &result{job: j, sent: w.clock.Now()}
@@ -311,12 +342,36 @@
 	}
 }
 
+// countNoRoom counts the runs that were refused for lack of room.
+func (w *world) countNoRoom(list []messenger.Refusal) {
+	for _, r := range list {
+		if r.Reason == messenger.NoRoom {
+			w.noRoom++
+		}
+	}
+}
+
 // summary counts what callers got.
 type summary struct {
 	all, inAim, late, refused, failed, unanswered int
 	slowestRefusal                                time.Duration
 }
 
+// plus returns the sum of two summaries, and the slowest refusal of both.
+func (s summary) plus(o summary) summary {
+	s.all += o.all
+	s.inAim += o.inAim
+	s.late += o.late
+	s.refused += o.refused
+	s.failed += o.failed
+	s.unanswered += o.unanswered
+	s.slowestRefusal = max(s.slowestRefusal, o.slowestRefusal)
+	return s
+}
+
+// missed returns the number of jobs that were not in time.
+func (s summary) missed() int { return s.all - s.inAim }
+
 func (w *world) summary() summary {
 	var s summary
 	for _, r := range w.results {
