scheduler, docs: Decide by the work before a job, not yet by its expected wait

Change: the expected wait is kept for the log and for times to come back; refusals at once go by the work before the job, unless an agent has room for one of its tasks.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -13,14 +13,6 @@
 	// caller is kept in doubt for long.
 	admitShare = 0.6
 	waitMost   = 350 * time.Millisecond
-	// holdShare is the share of its slack that a job which was taken on may wait. The
-	// difference to admitShare makes up for waits that are longer than expected.
-	holdShare = 0.75
-	// sparedShare is the least share of its patience that a job may be expected to
-	// wait while another queue has had more refusals; it is reached at sparedFull,
-	// the difference of the shares of refusals.
-	sparedShare = 0.1
-	sparedFull  = shareStep / 2
 	// settleTime is how long after its first configuration an entry refuses
 	// nothing for lack of room: its links to the agents are still being opened,
 	// so it does not know the room yet.
@@ -50,25 +42,16 @@
 	if now.Before(s.settled) {
 		return Answer{}, true
 	}
-	if f := s.forecast(j, now); f.wait > s.acceptable(j, now) && !s.hasRoom(j, now) {
+	if f := s.forecast(j, now); f.work > s.patience(j) && !s.hasRoom(j, now) {
 		s.short = true
 		return Answer{Outcome: Overloaded, RetryAfter: s.backIn(j), Why: f.String(), Refusal: f.refusal(AtOnce)}, false
 	}
 	return Answer{}, true
 }
 
-// acceptable is the longest expected wait with which a new job is taken on: its
-// patience, or a part of that if another queue has had more refusals. The order of
-// queues gives the next room to that one, so a job that waits behind it either takes
-// room when the other queue is empty for a moment, or is refused in the end.
-func (s *Scheduler) acceptable(j *job, now time.Time) time.Duration {
-	share := max(1-s.spared(j.Queue, now)/sparedFull, sparedShare)
-	return time.Duration(share * float64(s.patience(j, admitShare)))
-}
-
-// patience is how long a job may wait for its first task by a share of its slack.
-func (s *Scheduler) patience(j *job, share float64) time.Duration {
-	usual := min(time.Duration(share*float64(j.latest.Sub(j.arrived))), waitMost)
+// patience is how long a job may wait for its first task.
+func (s *Scheduler) patience(j *job) time.Duration {
+	usual := min(time.Duration(admitShare*float64(j.latest.Sub(j.arrived))), waitMost)
 	return max(usual, s.settled.Sub(j.arrived))
 }
 
@@ -96,7 +79,7 @@
 	if !j.fresh() {
 		return false
 	}
-	return now.Sub(j.arrived) > s.patience(j, holdShare) || now.Add(j.least()).After(j.Deadline)
+	return now.Sub(j.arrived) > s.patience(j) || now.Add(j.least()).After(j.Deadline)
 }
 
 // hasRoom reports whether an agent has room for one of a new job's tasks. What waits
--- a/scheduler/locality.go
+++ b/scheduler/locality.go
@@ -179,7 +179,7 @@
 		patience := time.Duration(admitShare * float64(latest.Sub(t.readyAt)))
 		return min(wait, patience-now.Sub(t.readyAt))
 	}
-	return min(wait, s.patience(j, admitShare)-now.Sub(j.arrived))
+	return min(wait, s.patience(j)-now.Sub(j.arrived))
 }
 
 // due returns when a step must be done for the job to be in time.
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -20,7 +20,6 @@
 
 // share counts the jobs of a queue that were handed in and refused lately.
 type share struct {
-	service string
 	offered float64
 	refused float64
 	at      time.Time
@@ -39,16 +38,11 @@
 // lost returns the share of jobs that were refused.
 func (h *share) lost() float64 { return h.refused / max(h.offered, 1) }
 
-// recent returns what is left of the count of jobs handed in.
-func (h *share) recent(now time.Time) float64 {
-	return h.offered * math.Exp2(-float64(now.Sub(h.at))/float64(shareLife))
-}
-
 // shareOf returns the counts of a queue.
 func (s *Scheduler) shareOf(q Queue) *share {
 	h := s.shares[q.Name]
 	if h == nil {
-		h = &share{service: q.Service}
+		h = &share{}
 		s.shares[q.Name] = h
 	}
 	return h
@@ -57,29 +51,12 @@
 // rank orders queues when there is too little room: the queue that has had to
 // take the most refusals lately comes first, with an advantage for urgent ones.
 // So no kind of request is starved by another one that happens to fit better.
-func (s *Scheduler) rank(q Queue) int { return -int(s.claim(q) / shareStep) }
-
-// claim is the share of refusals of a queue, with the advantage for urgent ones.
-func (s *Scheduler) claim(q Queue) float64 {
+func (s *Scheduler) rank(q Queue) int {
 	lost := s.shareOf(q).lost()
 	if q.Priority == 0 {
 		lost += urgentShare
 	}
-	return lost
-}
-
-// spared returns by how much the share of refusals that q has had lately is less
-// than that of another queue with callers for the same service, the advantage of an
-// urgent q included; zero if it is not.
-func (s *Scheduler) spared(q Queue, now time.Time) float64 {
-	claim := s.claim(q)
-	most := claim
-	for name, h := range s.shares {
-		if name != q.Name && h.service == q.Service && h.recent(now) >= 1 {
-			most = max(most, h.lost())
-		}
-	}
-	return most - claim
+	return -int(lost / shareStep)
 }
 
 // sortQueue brings the queue into the order in which its jobs are placed.
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -169,7 +169,7 @@
 
 // reserveSpan returns for how long room is of use to a job.
 func (s *Scheduler) reserveSpan(j *job, now time.Time) time.Duration {
-	until := j.arrived.Add(s.patience(j, holdShare))
+	until := j.arrived.Add(s.patience(j))
 	if j.begun || j.has(placed) {
 		until = j.Deadline.Add(-j.least())
 	}
