executor, messenger: Rename call times and rooms, add Demand.IsZero and NonNegative

The type patience stood for the timeout of calls, while patience is elsewhere how long a run waits for room. The methods open, own and spoken read like the field entry.open or didn't say that they return room. Comparisons with an empty Demand and its lower bound were written out in several places.

Names and comments only; decisions are as before.

--- a/executor/ahead.go
+++ b/executor/ahead.go
@@ -24,7 +24,7 @@
 			}
 		}
 	}
-	if out[len(out)-1] == (messenger.Demand{}) {
+	if out[len(out)-1].IsZero() {
 		return nil
 	}
 	return out
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -248,7 +248,7 @@
 func (x *Executor) due(e *entry, interval time.Duration, now time.Time) bool {
 	since := now.Sub(e.toldAt)
 	switch {
-	case e.outcomes.waiting(), x.completed(e), x.turns.contended && x.offerChanged(e, now):
+	case e.outcomes.waiting(), x.readyUnreported(e), x.turns.contended && x.offerChanged(e, now):
 		return true
 	case e.changed, e.roomChanged && e.want.Tasks > 0:
 		return since >= interval
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -129,11 +129,11 @@
 	order []*entry
 	look  look
 	// paces and failures tell entries how sound the worker is.
-	paces    paces
-	failures failures
-	speeds   speeds
-	patience patience
-	turns    turns
+	paces     paces
+	failures  failures
+	speeds    speeds
+	callTimes callTimes
+	turns     turns
 	// reservation is the room that is kept for a large task.
 	reservation reservation
 	// released is whether a reservation has ended since waiting runs were looked at.
@@ -200,8 +200,8 @@
 // free returns the room that nothing holds.
 func (x *Executor) free() messenger.Demand { return x.upstream.Capacity.Minus(x.used) }
 
-// spoken returns the room that nothing holds or waits for.
-func (x *Executor) spoken() messenger.Demand {
+// unassignedRoom returns the room that nothing holds or waits for.
+func (x *Executor) unassignedRoom() messenger.Demand {
 	d := x.free()
 	for _, r := range x.waiting {
 		d = d.Minus(r.Demand)
--- a/executor/look.go
+++ b/executor/look.go
@@ -132,7 +132,7 @@
 // the worker should have answered.
 func (x *Executor) longInDoubt() bool {
 	for _, r := range x.runs {
-		if r.phase == doubtful && x.clock.Since(r.sentAt) >= patienceMost {
+		if r.phase == doubtful && x.clock.Since(r.sentAt) >= callTimeoutMost {
 			return true
 		}
 	}
--- a/executor/pace.go
+++ b/executor/pace.go
@@ -73,8 +73,8 @@
 	last string
 }
 
-// judge takes the end of a run in as evidence on the worker.
-func (x *Executor) judge(r *run, how messenger.How) {
+// noteEvidence counts the end of a run as evidence on the state of the worker.
+func (x *Executor) noteEvidence(r *run, how messenger.How) {
 	switch how {
 	case messenger.Done:
 		x.failures = failures{}
--- a/executor/reservation.go
+++ b/executor/reservation.go
@@ -23,10 +23,12 @@
 type reservation struct {
 	// holder is the entry that asked for it; nil when nothing is kept.
 	holder *entry
+	// number is that of the entry's Reserve message.
 	number uint64
 	demand messenger.Demand
-	asked  time.Time
-	until  time.Time
+	// asked is when the entry asked for the room, until when it is given back.
+	asked time.Time
+	until time.Time
 	// due is when the room is expected to be complete. It is moved to an earlier
 	// time only, so that runs that take longer than expected do not let others
 	// start in the room again and again.
@@ -65,7 +67,10 @@
 		x.emit(Note{Owner: owner, Worker: x.upstream.ID, What: "reservation not kept", Why: why})
 		return
 	}
-	x.reservation = reservation{holder: e, number: m.Number, demand: m.Demand, asked: now, until: now.Add(span), due: due}
+	x.reservation = reservation{
+		holder: e, number: m.Number, demand: m.Demand,
+		asked: now, until: now.Add(span), due: due,
+	}
 	x.emit(Note{
 		Owner: owner, Worker: x.upstream.ID, What: "reservation kept",
 		Why: fmt.Sprintf("%d thousandths of a core, complete in %s", m.Demand.CPU, due.Sub(now)),
@@ -108,7 +113,10 @@
 	x.reservation = reservation{}
 	x.released = true
 	v.holder.changed = true
-	x.emit(Note{Owner: v.holder.name, Worker: x.upstream.ID, What: "reservation ended", Why: why, Age: x.clock.Since(v.asked)})
+	x.emit(Note{
+		Owner: v.holder.name, Worker: x.upstream.ID, What: "reservation ended",
+		Why: why, Age: x.clock.Since(v.asked),
+	})
 	x.changeRoom()
 }
 
@@ -119,7 +127,8 @@
 	}
 }
 
-// useReleased starts the waiting runs that have room since a reservation has ended.
+// useReleased updates the reservation, and starts the waiting runs that have room
+// since one has ended.
 func (x *Executor) useReleased() {
 	x.reviewReservation(x.clock.Now())
 	if x.released {
@@ -189,15 +198,17 @@
 	if !x.reservation.held() {
 		return messenger.Demand{}
 	}
-	return x.reservation.demand.Least(x.free()).Most(messenger.Demand{})
+	return x.reservation.demand.Least(x.free()).NonNegative()
 }
 
-// open returns the room that is told to all entries alike: without what is kept.
-func (x *Executor) open() messenger.Demand { return x.spoken().Minus(x.Kept()) }
+// sharedRoom returns the room that is reported to all entries alike, which is
+// without the room that is kept. It is negative while waiting runs need more than
+// is free.
+func (x *Executor) sharedRoom() messenger.Demand { return x.unassignedRoom().Minus(x.Kept()) }
 
-// own returns the room that is told to an entry beside the open room: that of its
-// reservation once it is complete.
-func (x *Executor) own(e *entry) messenger.Demand {
+// reservedRoom returns the room that is reported to an entry beside the shared room:
+// that of its reservation once it is complete.
+func (x *Executor) reservedRoom(e *entry) messenger.Demand {
 	v := &x.reservation
 	if v.holder != e || !v.held() || !v.demand.Fits(x.free()) {
 		return messenger.Demand{}
@@ -205,9 +216,9 @@
 	return v.demand
 }
 
-// completed reports whether an entry has not heard that the room kept for it is
+// readyUnreported reports whether an entry has not heard that the room kept for it is
 // complete.
-func (x *Executor) completed(e *entry) bool {
+func (x *Executor) readyUnreported(e *entry) bool {
 	v := &x.reservation
 	return v.held() && v.holder == e && v.demand.Fits(x.free()) && !v.demand.Fits(e.told)
 }
@@ -241,7 +252,7 @@
 
 // beside returns what is left of free room without that which is kept.
 func (v *reservation) beside(room messenger.Demand) messenger.Demand {
-	return room.Minus(v.demand.Least(room).Most(messenger.Demand{}))
+	return room.Minus(v.demand.Least(room).NonNegative())
 }
 
 // endsBefore reports whether a run that starts now is expected to end before the
@@ -254,6 +265,9 @@
 func (x *Executor) noteBackfill(r *run, room messenger.Demand, now time.Time) {
 	v := &x.reservation
 	if v.held() && !r.Demand.Fits(v.beside(room)) {
-		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: x.upstream.ID, What: "run backfilled", Why: "ends before the kept room is complete", Age: v.due.Sub(now)})
+		x.emit(Note{
+			Run: r.Run, Owner: r.owner, Worker: x.upstream.ID, What: "run backfilled",
+			Why: "ends before the kept room is complete", Age: v.due.Sub(now),
+		})
 	}
 }
--- a/executor/run.go
+++ b/executor/run.go
@@ -92,7 +92,7 @@
 // settle notes the end of a run.
 func (x *Executor) settle(r *run, how messenger.How) {
 	x.remove(r)
-	x.judge(r, how)
+	x.noteEvidence(r, how)
 	end := messenger.End{Run: r.Run, How: how}
 	if r.owner == "" {
 		x.unclaimed[r.Run] = unclaimedEnd{End: end, at: x.clock.Now()}
--- a/executor/start.go
+++ b/executor/start.go
@@ -182,9 +182,9 @@
 // is too short.
 func (x *Executor) startWithin(r *run) time.Duration {
 	if r.tries > 1 {
-		return patienceMost
+		return callTimeoutMost
 	}
-	return x.patience.within(r.sentAt)
+	return x.callTimes.timeout(r.sentAt)
 }
 
 // Started notes how the worker took a start that carried token.
@@ -227,9 +227,9 @@
 	switch out {
 	case NotSent:
 	case Unanswered:
-		x.patience.unanswered(now)
+		x.callTimes.unanswered(now)
 	default:
-		x.patience.answered(now.Sub(r.sentAt), now)
+		x.callTimes.answered(now.Sub(r.sentAt), now)
 	}
 }
 
@@ -327,7 +327,7 @@
 func (x *Executor) stop(r *run) {
 	r.phase = stopping
 	r.stopAt = x.clock.Now()
-	x.emit(Stop{Run: r.Run, Token: x.token, Within: x.patience.within(r.stopAt), Upstream: x.upstream})
+	x.emit(Stop{Run: r.Run, Token: x.token, Within: x.callTimes.timeout(r.stopAt), Upstream: x.upstream})
 }
 
 // stopAgain repeats stops whose end has not been listed.
--- a/executor/turn.go
+++ b/executor/turn.go
@@ -65,7 +65,7 @@
 func (x *Executor) nextTurn(now time.Time) {
 	t := &x.turns
 	backfill := x.backfill(now).Room
-	room := x.open().Plus(backfill)
+	room := x.sharedRoom().Plus(backfill)
 	t.contended = x.contended(room, now)
 	if !t.contended {
 		t.holder = nil
@@ -76,7 +76,7 @@
 	}
 	switch {
 	case t.holder == nil || t.used || now.Before(t.until):
-	case backfill != messenger.Demand{}:
+	case !backfill.IsZero():
 		// What waits there may take too long for the room. The next one's turn comes.
 		x.passOver(t.holder)
 	default:
@@ -153,14 +153,14 @@
 
 // offer returns the room that an entry is told of.
 func (x *Executor) offer(e *entry) messenger.Demand {
-	own := x.own(e)
+	reserved := x.reservedRoom(e)
 	if x.awaitsTurn(e) {
-		return own
+		return reserved
 	}
-	if own == (messenger.Demand{}) {
-		return x.open()
+	if reserved.IsZero() {
+		return x.sharedRoom()
 	}
-	return x.open().Most(messenger.Demand{}).Plus(own)
+	return x.sharedRoom().NonNegative().Plus(reserved)
 }
 
 // offerChanged reports whether an entry was last told of other room than it is
--- a/executor/upstream.go
+++ b/executor/upstream.go
@@ -84,7 +84,7 @@
 	x.paces = paces{}
 	x.failures = failures{}
 	x.speeds = speeds{}
-	x.patience = patience{}
+	x.callTimes = callTimes{}
 	x.drainingSince = time.Time{}
 }
 
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -44,6 +44,12 @@
 	return Demand{CPU: max(d.CPU, o.CPU), Memory: max(d.Memory, o.Memory), GPU: max(d.GPU, o.GPU)}
 }
 
+// NonNegative returns d with 0 in place of what is below it.
+func (d Demand) NonNegative() Demand { return d.Most(Demand{}) }
+
+// IsZero reports whether d takes nothing.
+func (d Demand) IsZero() bool { return d == Demand{} }
+
 // Fits reports whether d can be taken out of room.
 func (d Demand) Fits(room Demand) bool {
 	return d.CPU <= room.CPU && d.Memory <= room.Memory && d.GPU <= room.GPU
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -78,7 +78,7 @@
 			most = most.Most(a.upstream.Capacity)
 		}
 	}
-	if most == (messenger.Demand{}) {
+	if most.IsZero() {
 		delete(s.largest, service)
 		return
 	}
@@ -356,7 +356,7 @@
 // outlook returns how soon the agent is expected to have room for a task.
 func (a *agent) outlook(t *task) outlook {
 	d := t.demand()
-	room := a.free().Most(messenger.Demand{})
+	room := a.free().NonNegative()
 	o := outlook{near: a.near(t.job.Steps[t.step]), span: spanUnknown, share: coverage(room, d), order: t.job.order(a)}
 	if len(a.report.Ahead) == 0 {
 		return o
