--- a/scheduler/fit.go
+++ b/scheduler/fit.go
@@ -36,7 +36,7 @@
 		}
 		f.near = a.near(j.Steps[step])
 		f.local = a.report.DataCentre == s.dataCentre
-		timing.judge(&f, a)
+		timing.applyTo(&f, a)
 		if timing.fastOnly && !(f.inTime && f.tasks == len(todo)) {
 			continue
 		}
@@ -48,7 +48,7 @@
 	if best == nil {
 		return nil, 0
 	}
-	return best, s.locate(best, bestFit.tasks, j, step, todo, now)
+	return best, s.chooseNearOrFar(best, bestFit.tasks, j, step, todo, now)
 }
 
 // fit is how well an agent suits the tasks that wait.
@@ -57,14 +57,17 @@
 	tasks int
 	// spare means that it has room to spare beside these.
 	spare bool
-	all   bool
-	near  bool
+	// all means that it can take all that wait.
+	all bool
+	// near means that its worker is on the rack of the data.
+	near bool
 	// inTime means that the job is expected to end within its objective there.
 	inTime bool
-	// pick is greater for a worker whose speed is the better choice.
-	pick  int
+	// speedRank is greater for a worker whose speed is the better choice.
+	speedRank int
+	// local means that it is in the entry's data centre.
 	local bool
-	// rest is the room left after that, in thousandths of a core.
+	// rest is the room left beside these, in thousandths of a core.
 	rest int
 	// order is the agent's place in the job's own order of agents.
 	order uint64
@@ -78,16 +81,16 @@
 		return f.inTime
 	case f.spare != g.spare:
 		return f.spare
-	case f.spare && f.pick != g.pick:
-		return f.pick > g.pick
+	case f.spare && f.speedRank != g.speedRank:
+		return f.speedRank > g.speedRank
 	case f.spare && f.local != g.local:
 		return f.local
 	case f.spare:
 		return f.order < g.order
 	case f.all != g.all:
 		return f.all
-	case f.pick != g.pick:
-		return f.pick > g.pick
+	case f.speedRank != g.speedRank:
+		return f.speedRank > g.speedRank
 	case f.all && f.local != g.local:
 		return f.local
 	case f.all:
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -81,9 +81,9 @@
 	h.probe = messenger.Run{}
 }
 
-// judge ejects a worker on its agent's word. The agent sees the runs of all
-// entries, so that all of them learn at once.
-func (s *Scheduler) judge(a *agent) {
+// checkHealth ejects a worker that its agent reports as faulty or slow. The agent
+// sees the runs of all entries, so that all of them learn at once.
+func (s *Scheduler) checkHealth(a *agent) {
 	if a.health.ejected {
 		return
 	}
--- a/scheduler/locality.go
+++ b/scheduler/locality.go
@@ -7,15 +7,15 @@
 	"github.com/pomeloferry/pomeloferry/messenger"
 )
 
-// locality is what a pass has found to wait, so far. Jobs are looked at in the
-// order in which they get room, so that all of it comes before the next one.
+// locality counts the tasks that a pass has left waiting so far. Jobs are looked at
+// in the order in which they get room, so that all of these come before the next one.
 type locality struct {
 	// waits counts the tasks that wait and whose data is on a rack, by the rack, and
-	// loose those that may run anywhere.
-	waits map[string]int
-	loose int
-	// barred counts the tasks that would go to any worker with room and found none.
-	barred int
+	// anywhere counts those that may run on any worker.
+	waits    map[string]int
+	anywhere int
+	// unplaced counts the tasks that would go to any worker with room and found none.
+	unplaced int
 }
 
 // note counts tasks of a step that a pass has left waiting.
@@ -27,13 +27,13 @@
 		l.waits = make(map[string]int)
 	}
 	if st.Rack == "" {
-		l.loose += len(left)
+		l.anywhere += len(left)
 	} else {
 		l.waits[st.Rack] += len(left)
 	}
 	for _, t := range left {
 		if !t.held {
-			l.barred++
+			l.unplaced++
 		}
 	}
 }
@@ -57,52 +57,53 @@
 	return time.Duration(float64(d) * max(factor, 1))
 }
 
-// locate decides between near and far for tasks of which an agent can take the
+// chooseNearOrFar decides between near and far for tasks of which an agent can take the
 // first n. It returns how many of them the agent gets.
-func (s *Scheduler) locate(a *agent, n int, j *job, step int, todo []*task, now time.Time) int {
+func (s *Scheduler) chooseNearOrFar(a *agent, n int, j *job, step int, todo []*task, now time.Time) int {
 	st := j.Steps[step]
 	if st.Rack == "" || s.config.FarFactor <= 1 {
 		return n
 	}
 	if a.near(st) {
-		s.located(j, a, "near now", fmt.Sprintf("room for %d of %d tasks", n, len(todo)), now)
+		s.noteLocality(j, a, "near now", fmt.Sprintf("room for %d of %d tasks", n, len(todo)), now)
 		return n
 	}
-	w := s.weigh(j, step, todo, now)
-	held := min(w.holds(), len(todo))
+	w := s.forecastNear(j, step, todo, now)
+	held := min(w.tasksToHold(), len(todo))
 	n = min(n, len(todo)-held)
-	s.hold(j, todo, held, w, now)
+	s.holdForNear(j, todo, held, w, now)
 	if n > 0 {
-		s.located(j, a, "far", fmt.Sprintf("%d of %d tasks, %v", n, len(todo), w), now)
+		s.noteLocality(j, a, "far", fmt.Sprintf("%d of %d tasks, %v", n, len(todo), w), now)
 	}
 	return n
 }
 
-// hold marks the last of the tasks as held for a near worker, and the others as
+// holdForNear marks the last of the tasks as held for a near worker, and the others as
 // not held.
-func (s *Scheduler) hold(j *job, todo []*task, held int, w weighing, now time.Time) {
-	fresh := 0
+func (s *Scheduler) holdForNear(j *job, todo []*task, held int, w nearForecast, now time.Time) {
+	newlyHeld := 0
 	for i, t := range todo {
 		was := t.held
 		t.held = i >= len(todo)-held
 		if t.held && !was {
-			fresh++
+			newlyHeld++
 		}
 	}
-	if fresh > 0 {
-		s.located(j, nil, "near soon", fmt.Sprintf("%d of %d tasks, %v", fresh, len(todo), w), now)
+	if newlyHeld > 0 {
+		s.noteLocality(j, nil, "near soon", fmt.Sprintf("%d of %d tasks, %v", newlyHeld, len(todo), w), now)
 	}
 }
 
-// release marks tasks as not held: no agent has room, so that they go to any.
-func release(todo []*task) {
+// releaseHeld marks tasks as not held: no agent has room, so that they go to any.
+func releaseHeld(todo []*task) {
 	for _, t := range todo {
 		t.held = false
 	}
 }
 
-// located emits the line on a decision. No agent is known for near soon.
-func (s *Scheduler) located(j *job, a *agent, what, why string, now time.Time) {
+// noteLocality emits the note on a decision between near and far. The agent is nil
+// when tasks are held for a near worker.
+func (s *Scheduler) noteLocality(j *job, a *agent, what, why string, now time.Time) {
 	n := Note{Job: j.ID, Queue: j.Queue.Name, What: what, Why: why, Age: now.Sub(j.arrived)}
 	if a != nil {
 		n.Agent = a.name
@@ -110,8 +111,9 @@
 	s.emit(n)
 }
 
-// weighing is what decides between a near worker soon and a far one now.
-type weighing struct {
+// nearForecast is what decides whether tasks wait for a near worker or go to a far one
+// now.
+type nearForecast struct {
 	// wait is how long a task may wait for a near worker; not above 0 means that it
 	// goes far at once.
 	wait time.Duration
@@ -125,19 +127,20 @@
 	scarce    bool
 }
 
-// holds returns how many tasks are held for near workers.
-func (w weighing) holds() int { return max(w.room-w.before, 0) }
+// tasksToHold returns how many tasks are to be held for near workers.
+func (w nearForecast) tasksToHold() int { return max(w.room-w.before, 0) }
 
 // String implements fmt.Stringer.
-func (w weighing) String() string {
+func (w nearForecast) String() string {
 	return fmt.Sprintf("room near for %d within %v, %d come first, far in time: %t, room scarce: %t",
 		w.room, max(w.wait, 0), w.before, w.farInTime, w.scarce)
 }
 
-// weigh compares what near and far cost a job's tasks, and the others.
-func (s *Scheduler) weigh(j *job, step int, todo []*task, now time.Time) weighing {
+// forecastNear returns how long tasks may wait for near workers, and for how many of
+// them these are expected to have room.
+func (s *Scheduler) forecastNear(j *job, step int, todo []*task, now time.Time) nearForecast {
 	far := stretched(j.Steps[step].Estimate, s.config.FarFactor)
-	w := weighing{
+	w := nearForecast{
 		wait:      s.nearWait(j, todo[0], now),
 		farInTime: !now.Add(far).After(j.due(step)),
 		scarce:    s.scarce,
@@ -184,20 +187,7 @@
 
 // due returns when a step must be done for the job to be in time.
 func (j *job) due(step int) time.Time {
-	return j.arrived.Add(j.objective() - j.chainAfter(step))
-}
-
-// chainAfter returns the longest chain of estimated work that follows a step.
-func (j Job) chainAfter(step int) time.Duration {
-	var longest time.Duration
-	for i := step + 1; i < len(j.Steps); i++ {
-		for _, a := range j.Steps[i].After {
-			if a == step {
-				longest = max(longest, j.Steps[i].Estimate+j.chainAfter(i))
-			}
-		}
-	}
-	return longest
+	return j.arrived.Add(j.objective() - (j.chains[step] - j.Steps[step].Estimate))
 }
 
 // nearAgents returns the agents at which a task may start where its data is.
@@ -217,7 +207,7 @@
 // one: those for the rack, and as many of those that run anywhere as fall to near
 // workers by their number.
 func (s *Scheduler) comesFirst(rack string, near int) int {
-	return s.locality.waits[rack] + s.locality.loose*near/max(len(s.byName), 1)
+	return s.locality.waits[rack] + s.locality.anywhere*near/max(len(s.byName), 1)
 }
 
 // tasksSoon returns how many tasks of a step, up to most, the agent is expected to
@@ -231,7 +221,7 @@
 	after += now.Sub(a.reportedAt)
 	at := time.Duration(0)
 	n := float64(st.fitting(a.free(), most))
-	for i, d := range a.report.Ahead[:min(len(a.report.Ahead), len(messenger.AheadSpans))] {
+	for i, d := range a.ahead() {
 		next := messenger.AheadSpans[i]
 		then := float64(st.fitting(a.free().Plus(d), most))
 		if after < next {
@@ -243,6 +233,12 @@
 	return n
 }
 
+// ahead returns the agent's forecast of room, at most one item for each of
+// messenger.AheadSpans.
+func (a *agent) ahead() []messenger.Demand {
+	return a.report.Ahead[:min(len(a.report.Ahead), len(messenger.AheadSpans))]
+}
+
 // fitting counts the step's tasks, up to most, that room is enough for.
 func (st Step) fitting(room messenger.Demand, most int) int {
 	n := 0
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -33,7 +33,7 @@
 	for _, j := range slices.Clone(s.queue) {
 		s.placeJob(j, s.byName, now)
 	}
-	s.scarce = s.locality.barred > 0
+	s.scarce = s.locality.unplaced > 0
 	for _, j := range slices.Clone(s.queue) {
 		if s.hopeless(j, now) && !s.leftToFast(j, now) {
 			s.giveUp(j, "no room in time")
@@ -149,7 +149,7 @@
 		for len(todo) > 0 {
 			a, n := s.choose(agents, j, step, todo, now)
 			if a == nil && len(agents) == len(s.byName) {
-				release(todo)
+				releaseHeld(todo)
 			}
 			if n == 0 {
 				break
@@ -208,5 +208,8 @@
 		s.useReservation(a, j, tasks[0].step)
 	}
 	s.emit(Send{Agent: a.name, Message: p})
-	s.emit(Note{Job: j.ID, Queue: j.Queue.Name, Run: p.Tasks[0].Run, Agent: a.name, What: "tasks placed", Age: now.Sub(a.reportedAt), Size: s.sizeOf(j, tasks[0].step), Wait: now.Sub(j.queuedAt)})
+	s.emit(Note{
+		Job: j.ID, Queue: j.Queue.Name, Run: p.Tasks[0].Run, Agent: a.name, What: "tasks placed",
+		Age: now.Sub(a.reportedAt), Size: s.sizeOf(j, tasks[0].step), Wait: now.Sub(j.queuedAt),
+	})
 }
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -61,11 +61,11 @@
 		}
 		old := a.upstream.Service
 		a.upstream = *r.Upstream
-		s.sizeUp(old)
-		s.sizeUp(a.upstream.Service)
+		s.updateLargest(old)
+		s.updateLargest(a.upstream.Service)
 	}
 	a.report = r
-	a.speed.told(r)
+	a.speed.update(r)
 	a.reportedAt = s.clock.Now()
 	a.covered()
 	s.confirm(a)
@@ -83,7 +83,7 @@
 	if r.Complete {
 		s.reconcile(a, r)
 	}
-	s.judge(a)
+	s.checkHealth(a)
 	if r.Complete || s.requeued != waiting {
 		s.pass()
 		return
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -44,8 +44,8 @@
 // usualSpeed is that of a worker of which nothing is known.
 var usualSpeed = speed{value: 1, relative: 1}
 
-// told takes in a report. One without a speed leaves it as it is.
-func (v *speed) told(r messenger.Report) {
+// update takes in a report. One without a speed leaves it as it is.
+func (v *speed) update(r messenger.Report) {
 	if r.Speed > 0 {
 		v.value = r.Speed
 		v.jobs = r.SpeedJobs
@@ -55,12 +55,13 @@
 // known reports whether enough jobs are behind the speed.
 func (v *speed) known() bool { return v.jobs >= speedJobs }
 
-// compared notes the relative speed.
-func (v *speed) compared(relative float64) {
+// setRelative sets the relative speed and its step.
+func (v *speed) setRelative(relative float64) {
 	v.relative = relative
 	v.step = stepOf(relative)
 }
 
+// stepOf returns a relative speed in steps of speedStep.
 func stepOf(relative float64) int {
 	return int(math.Round(math.Log(relative) / math.Log1p(speedStep)))
 }
@@ -92,34 +93,36 @@
 	last := s.fleets
 	s.fleets = make(map[string]fleet, len(byService))
 	for service, agents := range byService {
-		f := compare(agents, last[service].uneven)
+		f := compareFleet(agents, last[service].uneven)
 		s.fleets[service] = f
 		if f.uneven != last[service].uneven {
-			s.emit(Note{What: "use of speeds changed", Why: fmt.Sprintf("service %s, workers differ: %t, relative speeds from %.2f to %.2f", service, f.uneven, f.slow, f.fast)})
+			why := fmt.Sprintf("service %s, workers differ: %t, relative speeds from %.2f to %.2f",
+				service, f.uneven, f.slow, f.fast)
+			s.emit(Note{What: "use of speeds changed", Why: why})
 		}
 	}
 }
 
-// compare sets the relative speeds of agents.
-func compare(agents []*agent, wasUneven bool) fleet {
-	usual, uneven := spread(agents, wasUneven)
+// compareFleet sets the relative speeds of agents.
+func compareFleet(agents []*agent, wasUneven bool) fleet {
+	usual, uneven := speedSpread(agents, wasUneven)
 	relative := make([]float64, len(agents))
 	for i, a := range agents {
 		relative[i] = 1
 		if uneven && a.speed.known() {
 			relative[i] = min(max(a.speed.value/usual, speedLeast), speedMost)
 		}
-		a.speed.compared(relative[i])
+		a.speed.setRelative(relative[i])
 	}
 	slices.Sort(relative)
 	return fleet{uneven: uneven, slow: relative[len(relative)/4], fast: relative[len(relative)-1]}
 }
 
-// spread returns the median of the known speeds and whether they differ. The
+// speedSpread returns the median of the known speeds and whether they differ. The
 // variance of their logarithms, less what the error of the estimates explains and
 // its usual variation, must be that of two halves that differ by speedStep. Once it
 // was, a third of it is enough, so that the answer does not change to and fro.
-func spread(agents []*agent, wasUneven bool) (usual float64, uneven bool) {
+func speedSpread(agents []*agent, wasUneven bool) (usual float64, uneven bool) {
 	var logs []float64
 	var noise float64
 	for _, a := range agents {
@@ -179,21 +182,22 @@
 	}
 }
 
-// judge notes how the speed of a worker suits the tasks. The faster worker is
+// applyTo sets how the speed of a worker suits the tasks. The faster worker is
 // preferred, unless other tasks wait and the job is in time on a slower one too.
-func (t timing) judge(f *fit, a *agent) {
+func (t timing) applyTo(f *fit, a *agent) {
 	if !t.uneven {
 		return
 	}
-	f.inTime = over(t.longest, a.speed.relative) <= t.remaining
-	f.pick = a.speed.step
+	f.inTime = durationAt(t.longest, a.speed.relative) <= t.remaining
+	f.speedRank = a.speed.step
 	if f.inTime && t.othersWait {
-		f.pick = -f.pick
+		f.speedRank = -f.speedRank
 	}
 }
 
-// over returns how long work takes that takes an estimate at the usual speed.
-func over(estimate time.Duration, speed float64) time.Duration {
+// durationAt returns how long work takes at a relative speed that is estimated to
+// take a time at the usual one.
+func durationAt(estimate time.Duration, speed float64) time.Duration {
 	return time.Duration(float64(estimate) / speed)
 }
 
@@ -206,7 +210,7 @@
 // inTimeAt reports whether a job ends within its objective if a step of it starts
 // now on workers of a relative speed, also if its estimates are too low.
 func (j *job) inTimeAt(step int, speed float64, now time.Time) bool {
-	return !now.Add(over(j.mostFrom(step), speed)).After(j.objectiveAt)
+	return !now.Add(durationAt(j.mostFrom(step), speed)).After(j.objectiveAt)
 }
 
 // fastFirst returns the queue in the order in which jobs get room at an agent:
@@ -220,7 +224,7 @@
 	first := make([]*job, 0, len(s.queue))
 	var rest []*job
 	for _, j := range s.queue {
-		if j.begun || j.needs(a, f.slow, now) {
+		if j.begun || j.needsFast(a, f.slow, now) {
 			first = append(first, j)
 		} else {
 			rest = append(rest, j)
@@ -229,10 +233,10 @@
 	return append(first, rest...)
 }
 
-// needs reports whether all waiting tasks of a job have room at an agent and are in
+// needsFast reports whether all waiting tasks of a job have room at an agent and are in
 // time there, and would be late on workers of a slow speed. A job of which a part
 // must wait on would be late after all.
-func (j *job) needs(a *agent, slow float64, now time.Time) bool {
+func (j *job) needsFast(a *agent, slow float64, now time.Time) bool {
 	first := slices.IndexFunc(j.tasks, func(t *task) bool { return t.state == ready })
 	if first < 0 {
 		return false
@@ -267,7 +271,7 @@
 		return false
 	}
 	chain := j.objectiveAt.Sub(j.latest)
-	slack := j.objectiveAt.Sub(j.arrived) - over(chain, f.fast)
+	slack := j.objectiveAt.Sub(j.arrived) - durationAt(chain, f.fast)
 	j.fastOnly = now.Sub(j.arrived) <= min(time.Duration(admitShare*float64(slack)), waitMost)
 	return j.fastOnly
 }
