scheduler: Ask whether an agent has room without deciding between near and far

Cause: admission asked for room by way of choose, which also decides between near and far, so that a job that was only being looked at marked tasks as held and wrote lines on placements that were not made. And each new job had its expected wait worked out, which only the line of a refusal needs. Change: bestAgent chooses without effects; choose decides on top of it. The expected wait is worked out once a job is refused. No other decision changes. Result: formatter, vet and staticcheck clean; the tests of admission, refusals, locality and order pass.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -42,8 +42,9 @@
 	if now.Before(s.settled) {
 		return Answer{}, true
 	}
-	if f := s.forecast(j, now); f.work > s.patience(j) && !s.hasRoom(j, now) {
+	if s.workBefore(j) > s.patience(j) && !s.hasRoom(j, now) {
 		s.short = true
+		f := s.forecast(j, now)
 		return Answer{Outcome: Overloaded, RetryAfter: s.backIn(j), Why: f.String(), Refusal: f.refusal(AtOnce)}, false
 	}
 	return Answer{}, true
@@ -86,7 +87,7 @@
 // already cannot use that room, or it would have been placed there.
 func (s *Scheduler) hasRoom(j *job, now time.Time) bool {
 	return slices.ContainsFunc(j.in(ready), func(t *task) bool {
-		a, _ := s.choose(s.byName, j, t.step, []*task{t}, now)
+		a, _ := s.bestAgent(s.byName, j, t.step, []*task{t}, now)
 		return a != nil
 	})
 }
--- a/scheduler/fit.go
+++ b/scheduler/fit.go
@@ -13,13 +13,23 @@
 	chunkTasks = 2
 )
 
-// choose returns the one of the agents for the first of the tasks, and how many
-// of them it can take. While agents have room to spare, any of these will do; each
+// choose returns the one of the agents for the first of the tasks, and how many of
+// them go there. Tasks that are held for a near worker are not counted, so that the
+// number may be 0. The agent is nil if none has room.
+func (s *Scheduler) choose(agents []*agent, j *job, step int, todo []*task, now time.Time) (*agent, int) {
+	a, n := s.bestAgent(agents, j, step, todo, now)
+	if a == nil {
+		return nil, 0
+	}
+	return a, s.chooseNearOrFar(a, n, j, step, todo, now)
+}
+
+// bestAgent returns the one of the agents that suits the first of the tasks best, and
+// how many of them it can take; nil if none has room. While agents have room to spare, any of these will do; each
 // job has an order of its own, so that entries seldom meet at one agent. Else the
 // fullest that can take all comes first, which leaves the room of the others whole,
-// and after these the one that can take most. Tasks that are held for a near worker
-// are not counted, so that the number may be 0. The agent is nil if none has room.
-func (s *Scheduler) choose(agents []*agent, j *job, step int, todo []*task, now time.Time) (*agent, int) {
+// and after these the one that can take most.
+func (s *Scheduler) bestAgent(agents []*agent, j *job, step int, todo []*task, now time.Time) (*agent, int) {
 	var best *agent
 	var bestFit fit
 	timing := s.timingOf(j, step, todo, now)
@@ -45,10 +55,7 @@
 			bestFit = f
 		}
 	}
-	if best == nil {
-		return nil, 0
-	}
-	return best, s.chooseNearOrFar(best, bestFit.tasks, j, step, todo, now)
+	return best, bestFit.tasks
 }
 
 // fit is how well an agent suits the tasks that wait.
--- a/scheduler/forecast.go
+++ b/scheduler/forecast.go
@@ -9,9 +9,6 @@
 // forecast is what is expected of a job's wait for its first placement.
 type forecast struct {
 	wait time.Duration
-	// work is the time that the work before it takes, by which jobs are refused. It
-	// leaves out jobs that come later and overtake it.
-	work time.Duration
 	// before counts the jobs of its queue that wait before it.
 	before int
 	// rate is the rate of first placements of its queue, in jobs a second; zero
@@ -39,7 +36,7 @@
 	if work == 0 {
 		return forecast{}
 	}
-	f := forecast{wait: work, work: work, before: s.countBefore(j)}
+	f := forecast{wait: work, before: s.countBefore(j)}
 	rate, known := s.drainOf(j.Queue.Name).perSecond(now)
 	if !known {
 		return f
