--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -52,6 +52,7 @@
 	// have ended.
 	withdrawn map[messenger.Run]*task
 	health    health
+	speed     speed
 }
 
 // pending is what a Place holds that the agent has not reported on.
--- /dev/null
+++ b/scheduler/choose_test.go
@@ -0,0 +1,60 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/pomeloferry/pomeloferry/messenger"
+)
+
+// BenchmarkChoose guards against a choice of a worker that costs an entry, which
+// has a fraction of a core, much more where workers differ in speed.
+func BenchmarkChoose(b *testing.B) {
+	for _, agents := range []int{24, 96} {
+		for _, uneven := range []bool{false, true} {
+			b.Run(fmt.Sprintf("agents %d, uneven %t", agents, uneven), func(b *testing.B) {
+				benchmarkChoose(b, agents, uneven)
+			})
+		}
+	}
+}
+
+func benchmarkChoose(b *testing.B, agents int, uneven bool) {
+	clock := clockwork.NewFakeClock()
+	s := NewScheduler(clock, "dc-0")
+	q := Queue{Name: "quotes", Service: "quotes", Stretch: 1.6, Slack: 60 * time.Millisecond}
+	s.Configure(Configuration{Version: 1, Queues: []Queue{q}})
+	clock.Advance(time.Second)
+	for i := range agents {
+		name := fmt.Sprintf("agent-%02d", i)
+		s.Opened(name)
+		r := messenger.Report{
+			Agent: name, DataCentre: fmt.Sprintf("dc-%d", i%3), Complete: true, Incarnation: 1,
+			Free:     messenger.Demand{CPU: 6000 + 1000*(i%26), Memory: 64_000},
+			Upstream: &messenger.Upstream{ID: name, Born: 1, Service: "quotes", Capacity: messenger.Demand{CPU: 32_000, Memory: 64_000}},
+		}
+		if uneven {
+			r.Speed, r.SpeedJobs = 0.83, 12
+			if i%4 == 0 {
+				r.Speed = 1.8
+			}
+		}
+		s.Report(r)
+	}
+	s.Tick()
+	s.Drain()
+	now := clock.Now()
+	j := newJob(Job{
+		ID: "0000000000000001", Queue: q, Deadline: now.Add(time.Second),
+		Steps: []Step{{Count: 4, Demand: messenger.Demand{CPU: 2900}, Estimate: 200 * time.Millisecond}},
+	}, 1, now, record{})
+	b.ResetTimer()
+	for b.Loop() {
+		if a, _ := s.choose(s.byName, j, 0, j.tasks, now); a == nil {
+			b.Fatal("no worker")
+		}
+	}
+}
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -32,7 +32,9 @@
 	Tasks    int
 	Ejected  bool
 	Pace     float64
-	Failed   int
+	// Speed is the relative speed of the worker.
+	Speed  float64
+	Failed int
 }
 
 // Dump returns the state.
@@ -59,6 +61,7 @@
 			Tasks:    len(a.tasks),
 			Ejected:  a.health.ejected,
 			Pace:     a.report.Pace,
+			Speed:    a.speed.relative,
 			Failed:   a.report.FailedJobs,
 		})
 	}
--- a/scheduler/fit.go
+++ b/scheduler/fit.go
@@ -2,12 +2,54 @@
 
 import "time"
 
+// haste is how the speed of a worker counts for the tasks that wait. Its zero value
+// is for workers that do not differ.
+type haste struct {
+	uneven bool
+	// ends is when the job has to end, less now, and most how long the rest of it
+	// takes at the usual speed at the most.
+	ends, most time.Duration
+	// shared means that other tasks wait as well.
+	shared bool
+	// only means that the job has waited for too long for workers that are not fast
+	// enough for it, or that cannot take all of its tasks.
+	only bool
+}
+
+// hasteOf returns how speed counts for tasks of one step.
+func (s *Scheduler) hasteOf(j *job, step int, todo []*task, now time.Time) haste {
+	if !s.fleetOf(j.Queue).uneven {
+		return haste{}
+	}
+	return haste{
+		uneven: true,
+		ends:   j.due.Sub(now),
+		most:   j.mostFrom(step),
+		shared: s.want.Tasks > len(todo),
+		only:   j.fastOnly && s.hopeless(j, now),
+	}
+}
+
+// judge notes how the speed of a worker suits the tasks. The faster one is the
+// better choice, unless the slower one is fast enough and other tasks wait.
+func (h haste) judge(f *fit, a *agent) {
+	if !h.uneven {
+		return
+	}
+	f.inTime = over(h.most, a.speed.relative) <= h.ends
+	f.pick = a.speed.step
+	if f.inTime && h.shared {
+		f.pick = -f.pick
+	}
+}
+
 // choose returns the one of the agents for the first of the tasks, and how many
 // of them it can take. An agent that can take all comes first, the fullest of these;
 // else the one that can take most.
 func (s *Scheduler) choose(agents []*agent, j *job, step int, todo []*task, now time.Time) (*agent, int) {
 	var best *agent
 	var bestFit fit
+	haste := s.hasteOf(j, step, todo, now)
 	for _, a := range agents {
 		if !j.Steps[step].Demand.Fits(a.free()) {
 			continue
@@ -22,6 +64,10 @@
 		f.near = a.near(j.Steps[step])
 		f.local = a.report.DataCentre == s.dataCentre
 		f.all = f.tasks == len(todo)
+		haste.judge(&f, a)
+		if haste.only && !(f.inTime && f.all) {
+			continue
+		}
 		if best == nil || f.better(bestFit) {
 			best = a
 			bestFit = f
@@ -36,6 +82,10 @@
 	tasks int
 	all   bool
 	near  bool
+	// inTime means that the job is expected to end within its objective there.
+	inTime bool
+	// pick is greater for a worker whose speed is the better choice.
+	pick  int
 	local bool
 	// rest is the room left after that, in thousandths of a core.
 	rest int
@@ -45,8 +95,12 @@
 	switch {
 	case f.near != g.near:
 		return f.near
+	case f.inTime != g.inTime:
+		return f.inTime
 	case f.all != g.all:
 		return f.all
+	case f.pick != g.pick:
+		return f.pick > g.pick
 	case f.all && f.local != g.local:
 		return f.local
 	case f.all:
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -70,6 +70,19 @@
 	return longest
 }
 
+// chainsFrom returns, for each step, the longest chain of estimated work that begins
+// with it.
+func (j Job) chainsFrom() []time.Duration {
+	chains := make([]time.Duration, len(j.Steps))
+	for i := len(j.Steps) - 1; i >= 0; i-- {
+		chains[i] += j.Steps[i].Estimate
+		for _, a := range j.Steps[i].After {
+			chains[a] = max(chains[a], chains[i])
+		}
+	}
+	return chains
+}
+
 // estimateError is how far estimates usually are off, either way.
 const estimateError = 0.4
 
@@ -117,6 +130,9 @@
 	placedAt time.Time
 	link     int
 	place    uint64
+	// speed is the relative speed of the worker as it was known at placedAt; 1 for
+	// a probe.
+	speed float64
 	// failures counts the runs that ended as failed.
 	failures int
 	// avoid lists agents that the task is kept away from, and until when.
@@ -157,8 +173,14 @@
 	// both as of when the queue was last sorted.
 	overdue bool
 	rank    int
-	// latest is when the first task must start for the job to be in time.
-	latest time.Time
+	// fastOnly means that the job has waited for too long for any worker but a fast
+	// one.
+	fastOnly bool
+	// latest is when the first task must start for the job to be in time, and due
+	// when the last one must have ended.
+	latest, due time.Time
+	// chains are the longest chains of estimated work from each step on.
+	chains []time.Duration
 }
 
 // newJob returns a job of which last is the record of the last try.
@@ -169,6 +191,8 @@
 		arrived: now,
 		left:    make([]int, len(j.Steps)),
 		latest:  now.Add(j.objective() - j.chain()),
+		due:     now.Add(j.objective()),
+		chains:  j.chainsFrom(),
 		begun:   last.begun,
 		hold:    hold{since: j.Sent},
 	}
--- a/scheduler/move.go
+++ b/scheduler/move.go
@@ -5,7 +5,8 @@
 const (
 	// stallAge is the least age of a run that may be moved.
 	stallAge = 40 * time.Millisecond
-	// stallPace is the pace under which a run on a slow worker is moved.
+	// stallPace is the pace, against the speed of the worker as it was known when
+	// the run was placed, under which a run on a slow worker is moved.
 	stallPace = 0.35
 	// moveCost is about how long it takes to stop a run and start it anew.
 	moveCost = 60 * time.Millisecond
@@ -36,7 +37,7 @@
 
 // worthMoving reports whether a run would end sooner elsewhere, and in time.
 func (s *Scheduler) worthMoving(t *task, now time.Time) bool {
-	if t.moving || t.age < stallAge || t.pace() >= stallPace {
+	if t.moving || t.age < stallAge || t.pace() >= stallPace*t.speed {
 		return false
 	}
 	estimate := t.job.Steps[t.step].Estimate
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -30,7 +30,7 @@
 		s.placeJob(j, s.byName, now)
 	}
 	for _, j := range slices.Clone(s.queue) {
-		if s.hopeless(j, now) {
+		if s.hopeless(j, now) && !s.leftToFast(j, now) {
 			s.giveUp(j, "no room in time")
 		}
 	}
@@ -47,8 +47,8 @@
 	now := s.clock.Now()
 	only := []*agent{a}
 	s.want = s.waitingWork()
-	for _, j := range s.queue {
-		if s.hopeless(j, now) {
+	for _, j := range s.fastFirst(a, now) {
+		if s.hopeless(j, now) && !j.fastOnly {
 			continue
 		}
 		s.placeJob(j, only, now)
@@ -161,6 +161,7 @@
 			t.state = placed
 			t.placedAt = now
 			t.agent = a
+			t.speed = a.expected()
 			a.tasks[t.current()] = t
 			sum = sum.Plus(t.demand())
 		}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -27,6 +27,7 @@
 	a.placements = 0
 	a.pending = nil
 	a.heard = 0
+	a.speed = usualSpeed
 }
 
 // Closed notes that the link to an agent has ended.
@@ -53,10 +54,12 @@
 	if r.Upstream != nil {
 		if r.Upstream.ID != a.upstream.ID || r.Upstream.Born != a.upstream.Born {
 			a.health = health{}
+			a.speed = usualSpeed
 		}
 		a.upstream = *r.Upstream
 	}
 	a.report = r
+	a.speed.told(r)
 	a.reportedAt = s.clock.Now()
 	a.covered()
 	waiting := s.requeued
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -46,6 +46,9 @@
 	yielding map[string]*job
 	// shares counts refusals by the name of the queue.
 	shares map[string]*share
+	// fleets are the workers by service, as compared at comparedAt.
+	fleets     map[string]fleet
+	comparedAt time.Time
 	// forget lists the records in the order of their making.
 	forget  []string
 	number  uint64
@@ -217,6 +220,7 @@
 	}
 	s.resume()
 	s.moveSlow(now)
+	s.compareSpeeds(now)
 	s.forgetOld(now)
 	s.pass()
 }
@@ -302,7 +306,7 @@
 func (s *Scheduler) agentNamed(name string) *agent {
 	a := s.agents[name]
 	if a == nil {
-		a = &agent{name: name, tasks: make(map[messenger.Run]*task), withdrawn: make(map[messenger.Run]*task)}
+		a = &agent{name: name, tasks: make(map[messenger.Run]*task), withdrawn: make(map[messenger.Run]*task), speed: usualSpeed}
 		s.agents[name] = a
 		at, _ := slices.BinarySearchFunc(s.byName, name, func(a *agent, name string) int {
 			return strings.Compare(a.name, name)
--- /dev/null
+++ b/scheduler/speed_test.go
@@ -0,0 +1,476 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/messenger"
+	"github.com/pomeloferry/pomeloferry/scheduler"
+)
+
+const (
+	// fastSlow and usualSlow stretch the work on a quarter of the workers and on
+	// the others.
+	fastSlow  = 1 / 1.8
+	usualSlow = 1 / 0.83
+	// unevenRoom is the factor of load that takes all room of an uneven fleet of
+	// twelve workers.
+	unevenRoom = 1.79
+)
+
+// newUnevenWorld returns a world with a fleet of which a quarter is fast.
+func newUnevenWorld(t testing.TB, seed uint64) *world {
+	w := newWorld(t, seed, 3, 12, cores)
+	for i, a := range w.agents {
+		a.worker.slow = usualSlow
+		if i%4 == 0 {
+			a.worker.slow = fastSlow
+		}
+	}
+	return w
+}
+
+// TestUnevenFleet plays a fleet of which a quarter is 1.8 times as fast and the
+// others 0.83 times, on which jobs were late that a fast worker does in time.
+func TestUnevenFleet(t *testing.T) {
+	for _, load := range []struct{ share, fewest float64 }{{0.6, 0.995}, {1, 0.972}} {
+		t.Run(fmt.Sprintf("share %.1f", load.share), func(t *testing.T) {
+			var sum summary
+			kindSum := make([]float64, len(kinds))
+			const seeds = 6
+			for seed := range uint64(seeds) {
+				w := newUnevenWorld(t, 600+seed)
+				w.load(8*time.Second, load.share*unevenRoom)
+				w.run(12 * time.Second)
+				w.check()
+				s := w.summary()
+				sum.all += s.all
+				sum.inAim += s.inAim
+				sum.late += s.late
+				sum.refused += s.refused
+				sum.failed += s.failed
+				for k, v := range w.served() {
+					kindSum[k] += v / seeds
+				}
+			}
+			t.Logf("%+v by kind %.3f", sum, kindSum)
+			require.Zero(t, sum.failed)
+			require.GreaterOrEqual(t, float64(sum.inAim), load.fewest*float64(sum.all))
+		})
+	}
+}
+
+// TestFleetThatChanges plays a load of nine tenths of the room while a worker becomes
+// slow, or agents of fast workers restart and forget what they knew.
+func TestFleetThatChanges(t *testing.T) {
+	tests := []struct {
+		name   string
+		world  func(t testing.TB, seed uint64) *world
+		load   float64
+		change func(w *world)
+		// fewest is the least share of the jobs that is in time.
+		fewest float64
+	}{
+		{
+			"a worker turns slow",
+			func(t testing.TB, seed uint64) *world { return newWorld(t, seed, 3, 11, cores) },
+			0.9 * 1.53,
+			func(w *world) { w.agents[4].worker.slow = 2.2 },
+			0.965,
+		},
+		{
+			"a fast worker turns slow",
+			newUnevenWorld,
+			0.9 * unevenRoom,
+			func(w *world) { w.agents[4].worker.slow = 1.8 },
+			0.955,
+		},
+		{
+			"agents of fast workers restart",
+			newUnevenWorld,
+			0.8 * unevenRoom,
+			func(w *world) {
+				w.agents[0].kill(100 * time.Millisecond)
+				w.agents[4].kill(100 * time.Millisecond)
+			},
+			0.995,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var all, good int
+			for seed := range uint64(4) {
+				w := tt.world(t, 700+seed)
+				w.load(8*time.Second, tt.load)
+				w.after(3*time.Second, func() { tt.change(w) })
+				w.run(12 * time.Second)
+				w.check()
+				s := w.summary()
+				t.Logf("%+v by kind %.3f", s, w.served())
+				require.Zero(t, s.unanswered)
+				all += s.all
+				good += s.inAim
+			}
+			t.Logf("%d of %d in time", good, all)
+			require.GreaterOrEqual(t, float64(good), tt.fewest*float64(all))
+		})
+	}
+}
+
+// TestLostAnswersToStartsDelayJobsLittle plays a load of half of the room
+// while 4% of the starts are not answered, which held up every fourth of the short
+// wide jobs by half of what it has to spare.
+func TestLostAnswersToStartsDelayJobsLittle(t *testing.T) {
+	w := newWorld(t, 800, 3, 11, cores)
+	for _, a := range w.agents {
+		a.worker.lostShare = 0.04
+	}
+	w.load(10*time.Second, 0.5*1.53)
+	w.run(14 * time.Second)
+	w.check()
+	require.Empty(t, w.repeated)
+	var beyond []time.Duration
+	for _, r := range w.results {
+		if r.got && r.answer.Outcome == scheduler.Complete && len(r.job.Steps) == 1 && r.job.Steps[0].Count == kinds[0].tasks {
+			beyond = append(beyond, r.took-w.longest(r.job))
+		}
+	}
+	slices.Sort(beyond)
+	tenth := beyond[len(beyond)*9/10]
+	t.Logf("%+v, a tenth of the short wide jobs takes %v beyond its work", w.summary(), tenth)
+	require.LessOrEqual(t, tenth, 25*time.Millisecond)
+}
+
+// TestNoTaskRunsTwiceAtOnceWhenStartsAreLateOrNotAnswered guards against a start that is
+// taken for one that did nothing after a short time, and takes effect later.
+func TestNoTaskRunsTwiceAtOnceWhenStartsAreLateOrNotAnswered(t *testing.T) {
+	seeds := uint64(12)
+	if testing.Short() {
+		seeds = 3
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprintf("seed %d", 900+seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, 900+seed, 3, 7, cores)
+			for i, a := range w.agents {
+				a.worker.lostShare = 0.05 * float64(i)
+			}
+			w.load(6*time.Second, 0.6)
+			for range 6 {
+				at := time.Duration(w.rng.Int64N(int64(6 * time.Second)))
+				w.after(at, fault(w, 200*time.Millisecond+time.Duration(w.rng.Int64N(int64(2*time.Second)))))
+			}
+			w.run(12 * time.Second)
+			w.check()
+			t.Logf("%+v", w.summary())
+		})
+	}
+}
+
+// speedReport is the word of an agent in a fleet of four, with a speed.
+func speedReport(b *bench, agent string, speed float64) messenger.Report {
+	r := report(agent, 0)
+	r.Upstream = nil
+	r.Echo = b.clock.Since(b.opened[agent])
+	r.Speed, r.SpeedJobs = speed, 16
+	return r
+}
+
+// newSpeedBench returns a scheduler whose agents have told of their speeds: d is
+// fast.
+func newSpeedBench(t *testing.T) *bench {
+	b := newBench(t)
+	for _, a := range []string{"a", "b", "c", "d"} {
+		b.open(a)
+	}
+	b.tell(0.83, 0.83, 0.83, 1.8)
+	return b
+}
+
+// tell has agents a, b and so on tell of their speeds, which are then compared.
+func (b *bench) tell(speeds ...float64) {
+	for i, v := range speeds {
+		b.s.Report(speedReport(b, string(rune('a'+i)), v))
+	}
+	b.clock.Advance(100 * time.Millisecond)
+	for i := range speeds {
+		r := speedReport(b, string(rune('a'+i)), 0)
+		r.SpeedJobs = 0
+		b.s.Report(r)
+	}
+	b.s.Tick()
+	b.drain()
+}
+
+// fill takes the room of agents but for some of it.
+func (b *bench) fill(left int, agents ...string) {
+	for _, a := range agents {
+		r := speedReport(b, a, 0)
+		r.Free = messenger.Demand{CPU: left, Memory: 64_000}
+		b.s.Report(r)
+	}
+	b.drain()
+}
+
+// relative returns the speeds of the agents as they are used.
+func (b *bench) relative() []float64 {
+	var out []float64
+	for _, a := range b.s.Dump().Agents {
+		out = append(out, a.Speed)
+	}
+	return out
+}
+
+// agents returns where the last messages place tasks.
+func (b *bench) agents() []string {
+	var out []string
+	for _, e := range b.s.Drain() {
+		if m, ok := e.(scheduler.Send); ok {
+			if _, ok := m.Message.(messenger.Place); ok {
+				out = append(out, m.Agent)
+			}
+		}
+	}
+	return out
+}
+
+// TestFasterWorkerIsTakenWhenNothingWaits guards against fast workers that stand idle
+// beside slow ones that work.
+func TestFasterWorkerIsTakenWhenNothingWaits(t *testing.T) {
+	b := newSpeedBench(t)
+	b.s.Submit(1, b.job(jobID, 2))
+	require.Equal(t, []string{"d"}, b.agents())
+}
+
+// TestJobWithSlackLeavesFastWorkersToOthersThatWait guards against fast workers that are
+// full of jobs which any worker would have done in time.
+func TestJobWithSlackLeavesFastWorkersToOthersThatWait(t *testing.T) {
+	b := newSpeedBench(t)
+	b.fill(1000, "a", "b", "c", "d")
+	large := b.job("0000000000000002", 1)
+	large.Steps[0].Demand.CPU = 30_000
+	b.s.Submit(2, large)
+	b.fill(7000, "a", "d")
+	b.s.Submit(1, b.job(jobID, 2))
+	require.Equal(t, []string{"a"}, b.agents())
+}
+
+// TestJobThatNeedsAFastWorkerIsPlacedThereFirst guards against a fast worker that takes
+// a job which slow ones would do in time, while another one becomes late.
+func TestJobThatNeedsAFastWorkerIsPlacedThereFirst(t *testing.T) {
+	tests := []struct {
+		name  string
+		agent string
+		first string
+	}{
+		{"room at a slow worker", "a", jobID},
+		{"room at a fast worker", "d", "0000000000000002"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newSpeedBench(t)
+			b.fill(1000, "a", "b", "c", "d")
+			needs := b.job("0000000000000002", 2)
+			needs.Steps[0].Estimate = 300 * time.Millisecond
+			b.s.Submit(2, needs)
+			b.clock.Advance(130 * time.Millisecond)
+			b.fill(1000, "a", "b", "c", "d")
+			b.s.Submit(1, b.job(jobID, 2))
+			b.drain()
+			r := speedReport(b, tt.agent, 0)
+			r.Free = messenger.Demand{CPU: 7000, Memory: 64_000}
+			b.s.Report(r)
+			require.Equal(t, tt.first, b.drain()[0].(messenger.Place).Job)
+		})
+	}
+}
+
+// TestJobTooLateForSlowWorkersMayStillGoToAFastOne guards against refusing a job that a
+// fast worker does in time, and against doing it late on a slow one.
+func TestJobTooLateForSlowWorkersMayStillGoToAFastOne(t *testing.T) {
+	for _, agent := range []string{"a", "d"} {
+		t.Run(agent, func(t *testing.T) {
+			b := newSpeedBench(t)
+			b.fill(1000, "a", "b", "c", "d")
+			j := b.job(jobID, 2)
+			j.Steps[0].Estimate = 300 * time.Millisecond
+			b.s.Submit(1, j)
+			// Its patience is 144 ms.
+			b.clock.Advance(150 * time.Millisecond)
+			b.fill(1000, "a", "b", "c", "d")
+			b.s.Tick()
+			b.drain()
+			require.Empty(t, b.replies)
+			b.clock.Advance(40 * time.Millisecond)
+			r := speedReport(b, agent, 0)
+			r.Free = messenger.Demand{CPU: 7000, Memory: 64_000}
+			b.s.Report(r)
+			require.Equal(t, agent == "d", len(b.agents()) > 0)
+			b.clock.Advance(200 * time.Millisecond)
+			b.s.Tick()
+			b.drain()
+			require.Equal(t, agent == "a", len(b.replies) > 0, "refused in the end, unless it runs")
+		})
+	}
+}
+
+// TestRunIsNotMovedForTheKnownSpeedOfItsWorker guards against a run that is taken for a
+// straggler since it was placed on a slow worker.
+func TestRunIsNotMovedForTheKnownSpeedOfItsWorker(t *testing.T) {
+	tests := []struct {
+		name    string
+		speed   float64
+		percent int
+		moved   bool
+	}{
+		{"as slow as known", 0.5, 25, false},
+		{"slower than known", 0.5, 10, true},
+		{"not known to be slow", 1, 25, true},
+		{"so slow that it has a fault", 0.1, 10, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench(t)
+			for _, a := range []string{"a", "b", "c", "d"} {
+				b.open(a)
+			}
+			b.tell(1, 1, 1, tt.speed)
+			b.fill(1000, "a", "b", "c")
+			j := b.lasting()
+			j.Steps[0].Estimate = 500 * time.Millisecond
+			b.s.Submit(1, j)
+			require.Equal(t, []string{"d"}, b.agents())
+			b.clock.Advance(500 * time.Millisecond)
+			b.fill(1000, "a", "b", "c")
+			r := speedReport(b, "d", 0)
+			r.Seen = 1
+			r.FailedJobs = 2
+			r.Runs = []messenger.Progress{{Run: messenger.Run{Task: jobID + ".0.0.0", Number: 1}, Percent: tt.percent, Age: 500 * time.Millisecond}}
+			b.s.Report(r)
+			b.s.Tick()
+			withdrawn := false
+			for _, m := range b.drain() {
+				_, ok := m.(messenger.Withdraw)
+				withdrawn = withdrawn || ok
+			}
+			require.Equal(t, tt.moved, withdrawn)
+		})
+	}
+}
+
+// TestWorkersThatDoNotDifferAreServedAsBefore guards against choosing by the error of
+// the estimates, which are off by 40% either way, where all workers are as fast.
+func TestWorkersThatDoNotDifferAreServedAsBefore(t *testing.T) {
+	for _, n := range []int{4, 11, 26} {
+		for _, jobs := range []int{4, 8, 16} {
+			took := 0
+			const fleets = 100
+			for seed := range uint64(fleets) {
+				b := newFleetBench(t, n)
+				b.tellFleet(seed, jobs, func(int) float64 { return 0.9 })
+				if slices.ContainsFunc(b.relative(), func(v float64) bool { return v != 1 }) {
+					took++
+				}
+			}
+			t.Logf("%d workers, %d jobs behind each: in effect in %d of %d fleets", n, jobs, took, fleets)
+			require.LessOrEqual(t, took, fleets/20)
+		}
+	}
+}
+
+// TestWorkersThatDifferAreFound guards against noise that hides that every third worker
+// takes 1.3 times as long, or that a quarter is faster.
+func TestWorkersThatDifferAreFound(t *testing.T) {
+	fleets := map[string]func(i int) float64{
+		"every third slow": func(i int) float64 { return []float64{1, 1, 1 / 1.3}[i%3] },
+		"a quarter fast":   func(i int) float64 { return []float64{1.8, 0.83, 0.83, 0.83}[i%4] },
+	}
+	for name, speed := range fleets {
+		t.Run(name, func(t *testing.T) {
+			found := 0
+			const seeds = 50
+			for seed := range uint64(seeds) {
+				b := newFleetBench(t, 24)
+				b.tellFleet(seed, 16, speed)
+				if slices.ContainsFunc(b.relative(), func(v float64) bool { return v != 1 }) {
+					found++
+				}
+			}
+			t.Logf("found in %d of %d", found, seeds)
+			require.GreaterOrEqual(t, found, seeds*9/10)
+		})
+	}
+}
+
+// newFleetBench returns a scheduler with n agents.
+func newFleetBench(t *testing.T, n int) *bench {
+	b := newBench(t)
+	for i := range n {
+		b.open(string(rune('a' + i)))
+	}
+	return b
+}
+
+// tellFleet has agents tell of speeds that are the mean of as many jobs, whose
+// estimates are off by up to 40%.
+func (b *bench) tellFleet(seed uint64, jobs int, speed func(i int) float64) {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	for i := range len(b.opened) {
+		var sum float64
+		for range jobs {
+			sum += math.Log(speed(i) * (0.6 + 0.8*rng.Float64()))
+		}
+		r := speedReport(b, string(rune('a'+i)), math.Exp(sum/float64(jobs)))
+		r.SpeedJobs = jobs
+		b.s.Report(r)
+	}
+	b.clock.Advance(100 * time.Millisecond)
+	b.s.Tick()
+	b.drain()
+}
+
+// TestSpeedWithFewJobsBehindItDoesNotCount guards against a worker that is chosen for
+// one wrong estimate.
+func TestSpeedWithFewJobsBehindItDoesNotCount(t *testing.T) {
+	b := newSpeedBench(t)
+	require.InDelta(t, 1.8/0.83, b.relative()[3], 0.01)
+	r := speedReport(b, "d", 1.8)
+	r.SpeedJobs = 3
+	b.s.Report(r)
+	b.clock.Advance(100 * time.Millisecond)
+	b.s.Tick()
+	require.InDelta(t, 1, b.relative()[3], 0)
+}
+
+// TestSpeedOfAnAgentThatRestartsIsForgotten guards against a speed that nobody measures
+// any more. The agent of the worker tells of none on its next link.
+func TestSpeedOfAnAgentThatRestartsIsForgotten(t *testing.T) {
+	tests := []struct {
+		name    string
+		restart func(b *bench)
+	}{
+		{"the agent", func(b *bench) { b.open("d") }},
+		{"the worker", func(b *bench) {
+			r := report("d", 0)
+			r.Upstream.Born = 2
+			b.s.Report(r)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newSpeedBench(t)
+			require.Greater(t, b.relative()[3], 2.0)
+			tt.restart(b)
+			require.InDelta(t, 1, b.relative()[3], 0)
+			b.clock.Advance(100 * time.Millisecond)
+			b.s.Tick()
+			require.InDelta(t, 1, b.relative()[3], 0)
+		})
+	}
+}
