executor: Meter the worker's capacity by what it is used for

Cause: when callers complain of refusals, nothing showed whether the cores were full, waited for a placement, were too fragmented or were held by runs that nobody waits for. Ruled out: deriving it from the log, which has no ends of runs. Decisions are unchanged.

--- a/executor/dump.go
+++ b/executor/dump.go
@@ -17,8 +17,11 @@
 	// samples behind it, in jobs.
 	Speed     float64
 	SpeedJobs int
-	Runs      []RunDump
-	Entries   []string
+	// CoreSeconds is what the worker's capacity has been used for since the agent
+	// started, in core-seconds.
+	CoreSeconds map[string]float64
+	Runs        []RunDump
+	Entries     []string
 }
 
 // RunDump is the state of one run.
@@ -50,6 +53,10 @@
 	}
 	s := x.speedSamples.estimate(x.clock.Now())
 	d.Speed, d.SpeedJobs = s.value, s.jobs
+	d.CoreSeconds = make(map[string]float64)
+	for _, use := range CapacityUses {
+		d.CoreSeconds[use.String()] = x.CoreSeconds(use)
+	}
 	for _, r := range x.sortedRuns() {
 		d.Runs = append(d.Runs, RunDump{Run: r.Run, Owner: r.owner, Phase: r.phase.String(), Percent: r.percent})
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -143,6 +143,7 @@
 	reservation reservation
 	// reservationEnded is whether a reservation has ended since startWaiting last ran.
 	reservationEnded bool
+	usage            usageMeter
 
 	effects []Effect
 }
@@ -167,6 +168,7 @@
 func (x *Executor) TakeEffects() []Effect {
 	x.startInReleased()
 	x.sendDueReports()
+	x.meterUsage()
 	out := x.effects
 	x.effects = nil
 	return out
--- a/supervisor/actor.go
+++ b/supervisor/actor.go
@@ -215,7 +215,7 @@
 			s.logNote(e)
 		}
 	}
-	c.metrics.reservedMillicores.Set(float64(c.executor.ReservedCapacity().CPU))
+	c.metrics.setUsage(c.executor)
 }
 
 func (s *Supervisor) start(e executor.Start) {
--- a/supervisor/metrics.go
+++ b/supervisor/metrics.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/pomeloferry/pomeloferry/executor"
 )
 
 // agentMetrics are the counters of an agent.
@@ -16,9 +18,15 @@
 	// reservedMillicores is the capacity reserved for a large task, in thousandths of
 	// a core.
 	reservedMillicores *metrics.Gauge
+	// coreSeconds is what the worker's capacity is used for.
+	coreSeconds map[executor.CapacityUse]*metrics.FloatCounter
 }
 
 func newAgentMetrics(set *metrics.Set) agentMetrics {
+	coreSeconds := make(map[executor.CapacityUse]*metrics.FloatCounter)
+	for _, use := range executor.CapacityUses {
+		coreSeconds[use] = set.NewFloatCounter(fmt.Sprintf("pomeloferry_agent_core_seconds_total{use=%q}", use.String()))
+	}
 	return agentMetrics{
 		set:                set,
 		starts:             set.NewCounter("pomeloferry_agent_starts_total"),
@@ -26,6 +34,7 @@
 		polls:              set.NewCounter("pomeloferry_agent_looks_total"),
 		reports:            set.NewCounter("pomeloferry_agent_reports_total"),
 		reservedMillicores: set.NewGauge("pomeloferry_agent_reserved_millicores", nil),
+		coreSeconds:        coreSeconds,
 	}
 }
 
@@ -33,3 +42,11 @@
 func (m agentMetrics) countDecision(what string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("pomeloferry_agent_decisions_total{what=%q}", what)).Inc()
 }
+
+// setUsage sets the gauges and counters of the worker's capacity.
+func (m agentMetrics) setUsage(x *executor.Executor) {
+	m.reservedMillicores.Set(float64(x.ReservedCapacity().CPU))
+	for use, c := range m.coreSeconds {
+		c.Set(x.CoreSeconds(use))
+	}
+}
