scheduler: Index the held jobs that agents list

Change: the entry counts the agents that list a job, and looks at the agents only for jobs that any of them lists. Decisions are unchanged.

--- a/scheduler/heldjobs.go
+++ b/scheduler/heldjobs.go
@@ -96,8 +96,10 @@
 		}
 	}
 	if r.HeldJobs != nil {
+		s.heldJobs.remove(a)
 		a.keepEarlierHeldJobs(r.Incarnation, now)
 		a.heldJobs = holdStates(*r.HeldJobs)
+		s.heldJobs.add(a)
 	}
 	a.heldJobsAt = now
 	if r.HeldJobs != nil {
@@ -164,10 +166,44 @@
 	return true
 }
 
+// heldJobIndex counts, by job ID, the agents that list the job as held by another entry
+// or did so in an earlier incarnation. Nearly all jobs are listed by none, and each
+// waiting job is looked up in each scheduling pass.
+type heldJobIndex map[string]int
+
+// add counts the jobs that an agent lists.
+func (x heldJobIndex) add(a *agent) {
+	for id := range a.heldJobs {
+		x[id]++
+	}
+	for id := range a.earlierHeldJobs {
+		x[id]++
+	}
+}
+
+// remove reverts add, before the agent's lists change.
+func (x heldJobIndex) remove(a *agent) {
+	for id := range a.heldJobs {
+		x.decrement(id)
+	}
+	for id := range a.earlierHeldJobs {
+		x.decrement(id)
+	}
+}
+
+func (x heldJobIndex) decrement(id string) {
+	if x[id]--; x[id] == 0 {
+		delete(x, id)
+	}
+}
+
 // holdElsewhere returns how other entries hold a job according to recent reports of the
 // agents.
 func (s *Scheduler) holdElsewhere(id string, now time.Time) holdState {
 	state := notHeld
+	if s.heldJobs[id] == 0 {
+		return state
+	}
 	for _, a := range s.agentsByName {
 		if now.Sub(a.heldJobsAt) <= messenger.HeldJobsTTL {
 			state = max(state, a.heldJobs[id])
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -48,6 +48,8 @@
 	// withdrawnRuns counts, by job ID, the runs of finished jobs that are not known to
 	// have ended.
 	withdrawnRuns map[string]int
+	// heldJobs indexes the held jobs that the agents list.
+	heldJobs heldJobIndex
 	// yielding holds the jobs that wait because another entry holds them.
 	yielding map[string]*job
 	// refusals counts recent refusals by queue name.
@@ -123,6 +125,7 @@
 		tickets:        make(map[uint64]*job),
 		records:        make(map[string]record),
 		withdrawnRuns:  make(map[string]int),
+		heldJobs:       make(heldJobIndex),
 		yielding:       make(map[string]*job),
 		refusals:       make(map[string]*refusalStats),
 		startRates:     make(map[string]*startRate),
