scheduler: Limit the jobs that wait by the outcomes of those that waited

Change: an entry counts the jobs that waited and were placed or refused; of the waiting jobs, 24 may be before a new one, half as many for each 1.5% refused, at least one. Each priority has an advantage over the next, so that the less urgent are refused first.

--- a/acceptor/jobs.go
+++ b/acceptor/jobs.go
@@ -83,6 +83,7 @@
 			"expected_wait_ms": r.Wait.Milliseconds(),
 			"jobs_before":      r.JobsBefore,
 			"started_a_second": r.StartRate,
+			"window":           r.Window,
 			"retry_after_ms":   answer.RetryAfter.Milliseconds(),
 		})
 	}
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -43,7 +43,8 @@
 	if now.Before(s.warmUpEnd) {
 		return Answer{}, true
 	}
-	if s.backlogTimeBefore(j) > s.waitLimit(j) && !s.hasCapacity(j, now) {
+	tooLong := s.backlogTimeBefore(j) > s.waitLimit(j)
+	if (tooLong || !s.mayWait(j, now)) && !s.hasCapacity(j, now) {
 		s.refusedForCapacity = true
 		f := s.forecastWait(j, now)
 		return Answer{Outcome: Overloaded, RetryAfter: s.retryAfter(j), Why: f.String(), Refusal: f.refusal(AtOnce)}, false
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -65,6 +65,8 @@
 	JobsBefore int
 	// StartRate is the number of jobs of its queue started per second; zero if unknown.
 	StartRate float64
+	// Window is the number of jobs that could wait before a new one.
+	Window float64
 }
 
 // Effect is an action for the entry process: a Send, a Reply or a Note.
--- a/scheduler/forecast.go
+++ b/scheduler/forecast.go
@@ -14,6 +14,8 @@
 	// startRate is the rate of first placements of its queue, in jobs a second; zero
 	// when it is not known.
 	startRate float64
+	// window is the size of the job's waiting window.
+	window float64
 }
 
 func (f waitForecast) String() string {
@@ -22,7 +24,7 @@
 
 // refusal returns the details of a refusal for the log and the metrics.
 func (f waitForecast) refusal(at RefusalPoint) Refusal {
-	return Refusal{Point: at, Wait: f.wait, JobsBefore: f.jobsBefore, StartRate: f.startRate}
+	return Refusal{Point: at, Wait: f.wait, JobsBefore: f.jobsBefore, StartRate: f.startRate, Window: f.window}
 }
 
 // forecastWait returns the expected wait of a new or waiting job. A job that nothing
@@ -32,11 +34,13 @@
 // Elsewhere, or while that rate is not known, it is the time that the work before the
 // job takes.
 func (s *Scheduler) forecastWait(j *job, now time.Time) waitForecast {
+	f := waitForecast{window: s.windowOf(j).size(now)}
 	work := s.backlogTimeBefore(j)
 	if work == 0 {
-		return waitForecast{}
+		return f
 	}
-	f := waitForecast{wait: work, jobsBefore: s.countJobsBefore(j)}
+	f.wait = work
+	f.jobsBefore = s.countJobsBefore(j)
 	rate, known := s.startRateOf(j.Queue.Name).perSecond(now)
 	if !known {
 		return f
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -10,10 +10,13 @@
 const (
 	// refusalHalfLife is the half-life of the refusal stats of a queue.
 	refusalHalfLife = time.Second
-	// urgentAdvantage is added to the refused share of a queue of priority 0. Such a
-	// queue waits for another one only if the refused share of that one is greater by
-	// this much.
+	// urgentAdvantage is added to the refused share of a queue of priority 0, and the
+	// more of it is added to that of the others the lower their priority number is; see
+	// advantageOf. So a queue waits for a more urgent one unless a greater share of its
+	// own jobs is refused.
 	urgentAdvantage = 0.5
+	// advantageHalving is the number of priority levels that halve the advantage.
+	advantageHalving = 2
 	// refusedShareStep is the smallest difference between refused shares that changes
 	// the order.
 	refusedShareStep = 0.05
@@ -52,14 +55,16 @@
 
 // queueRank returns the rank of a queue for the time when capacity is scarce, lowest
 // first: the queue with the greatest refused share comes first, with an advantage for
-// priority 0. So no kind of request is starved by another one that happens to fit
+// the more urgent ones. So no kind of request is starved by another one that happens to fit
 // better.
 func (s *Scheduler) queueRank(q Queue) int {
 	refusedShare := s.refusalsOf(q).refusedShare()
-	if q.Priority == 0 {
-		refusedShare += urgentAdvantage
-	}
-	return -int(refusedShare / refusedShareStep)
+	return -int((refusedShare + advantageOf(q.Priority)) / refusedShareStep)
+}
+
+// advantageOf returns what is added to the refused share of a queue with a priority.
+func advantageOf(priority int) float64 {
+	return urgentAdvantage * math.Exp2(-float64(priority)/advantageHalving)
 }
 
 // sortQueue sorts the queue into the order in which its jobs are placed.
--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -1,6 +1,8 @@
 package scheduler_test
 
 import (
+	"cmp"
+	"slices"
 	"testing"
 	"time"
 
@@ -66,6 +68,60 @@
 	}
 }
 
+// TestOverloadStarvesNoSize guards against the largest jobs of a kind being refused or
+// failed far more often than the others under overload. The bound is that of the
+// platform's pages.
+func TestOverloadStarvesNoSize(t *testing.T) {
+	const (
+		span = 6 * time.Second
+		// factor is the factor of the load, which is half above the full capacity.
+		factor = 2.4
+		// minShareOfKind is the least ratio of the served share of a size to that of the
+		// whole kind.
+		minShareOfKind = 0.5
+	)
+	for seed := range uint64(4) {
+		sim := newSimulation(t, 70+seed, 3, 11, workerCPU)
+		sim.load(span, factor)
+		sim.run(span + 4*time.Second)
+		sim.check()
+		require.Zero(t, sim.summary().unanswered)
+		for k, shares := range sim.completeSharesBySize() {
+			t.Logf("seed %d, kind %d: complete in all %.2f, largest tenth %.2f, fifth below %.2f", seed, k, shares[0], shares[1], shares[2])
+			require.GreaterOrEqual(t, shares[1], minShareOfKind*shares[0])
+			require.GreaterOrEqual(t, shares[2], minShareOfKind*shares[0])
+		}
+	}
+}
+
+// completeSharesBySize returns, for each kind, the share of its jobs that were complete,
+// of the largest tenth of them by work, and of the fifth below that.
+func (sim *simulation) completeSharesBySize() [][3]float64 {
+	byKind := make([][]*result, len(jobKinds))
+	for _, r := range sim.results {
+		k := slices.IndexFunc(jobKinds, func(k jobKind) bool { return k.tasks == r.job.Steps[0].Count })
+		byKind[k] = append(byKind[k], r)
+	}
+	var out [][3]float64
+	for _, results := range byKind {
+		slices.SortFunc(results, func(a, b *result) int { return cmp.Compare(sim.longestTask(b.job), sim.longestTask(a.job)) })
+		tenth := len(results) / 10
+		out = append(out, [3]float64{completeShare(results), completeShare(results[:tenth]), completeShare(results[tenth : 3*tenth])})
+	}
+	return out
+}
+
+// completeShare returns the share of results with a complete answer.
+func completeShare(results []*result) float64 {
+	n := 0
+	for _, r := range results {
+		if r.answered && r.answer.Outcome == scheduler.Complete {
+			n++
+		}
+	}
+	return float64(n) / float64(len(results))
+}
+
 // refusals returns the number of callers that were refused, and of those among them that
 // got the refusal within immediateLimit.
 func (sim *simulation) refusals() (all, immediate int) {
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -37,6 +37,7 @@
 	s.capacityScarce = s.passBacklog.noCapacity > 0
 	for _, j := range slices.Clone(s.queue) {
 		if s.tooLate(j, now) && !s.deferToFastWorker(j, now) {
+			s.windowOf(j).recordRefused(now)
 			s.giveUp(j, "no room in time")
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -57,6 +57,7 @@
 	// startRates and retrySchedules are also kept by queue name.
 	startRates     map[string]*startRate
 	retrySchedules map[string]*retrySchedule
+	windows        map[windowKey]*waitingWindow
 	// speedProfiles describes the spread of the workers' speeds by service, as compared
 	// at speedsComparedAt.
 	speedProfiles    map[string]speedProfile
@@ -130,6 +131,7 @@
 		refusals:       make(map[string]*refusalStats),
 		startRates:     make(map[string]*startRate),
 		retrySchedules: make(map[string]*retrySchedule),
+		windows:        make(map[windowKey]*waitingWindow),
 		maxCapacity:    make(map[string]messenger.Resources),
 	}
 }
--- a/scheduler/size.go
+++ b/scheduler/size.go
@@ -58,6 +58,16 @@
 	return Small
 }
 
+// sizeOfJob returns Large if the tasks of any step of a job are large.
+func (s *Scheduler) sizeOfJob(j *job) Size {
+	for step := range j.Steps {
+		if s.sizeOf(j, step) == Large {
+			return Large
+		}
+	}
+	return Small
+}
+
 // waitingLargeTask returns the first task of a job that is large and ready; nil when
 // there is none.
 func (s *Scheduler) waitingLargeTask(j *job) *task {
--- a/scheduler/startrate.go
+++ b/scheduler/startrate.go
@@ -96,11 +96,13 @@
 	}
 }
 
-// countStart counts the first placement of a job that has waited.
+// countStart counts the first placement of a job that has waited, in the start rate and
+// in the waiting window.
 func (s *Scheduler) countStart(j *job, now time.Time) {
 	if j.waitedForCapacity && j.unstarted() {
 		j.startCounted = true
 		s.startRateOf(j.Queue.Name).addStart(now)
+		s.windowOf(j).recordPlaced(now)
 	}
 }
 
