scheduler: Share the decay of counts

Cause: four counts of the entry wrote the same decay out. Change: decayFactor; a comment says what the window counts, another one is wrapped anew. Behaviour is unchanged.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -130,7 +130,7 @@
 	if t.at.IsZero() {
 		return 0
 	}
-	return t.sum * math.Exp2(-float64(now.Sub(t.at))/float64(throughputHalfLife))
+	return t.sum * decayFactor(now.Sub(t.at), throughputHalfLife)
 }
 
 // perSecond returns the rate of finished work in core-seconds per second.
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -33,7 +33,7 @@
 // decay applies the decay since the last call to the counts.
 func (r *refusalStats) decay(now time.Time) {
 	if !r.at.IsZero() {
-		factor := math.Exp2(-float64(now.Sub(r.at)) / float64(refusalHalfLife))
+		factor := decayFactor(now.Sub(r.at), refusalHalfLife)
 		r.submitted *= factor
 		r.refused *= factor
 	}
@@ -55,8 +55,8 @@
 
 // queueRank returns the rank of a queue for the time when capacity is scarce, lowest
 // first: the queue with the greatest refused share comes first, with an advantage for
-// the more urgent ones. So no kind of request is starved by another one that happens to fit
-// better.
+// the more urgent ones. So no kind of request is starved by another one that happens to
+// fit better.
 func (s *Scheduler) queueRank(q Queue) int {
 	refusedShare := s.refusalsOf(q).refusedShare()
 	return -int((refusedShare + advantageOf(q.Priority)) / refusedShareStep)
--- a/scheduler/startrate.go
+++ b/scheduler/startrate.go
@@ -49,7 +49,7 @@
 // decay applies the decay since at, and adds that time if jobs waited in it.
 func (r *startRate) decay(now time.Time) {
 	if !r.at.IsZero() {
-		factor := math.Exp2(-float64(now.Sub(r.at)) / float64(startRateHalfLife))
+		factor := decayFactor(now.Sub(r.at), startRateHalfLife)
 		r.starts *= factor
 		r.waitingSeconds *= factor
 		if r.jobsWait {
--- a/scheduler/window.go
+++ b/scheduler/window.go
@@ -35,7 +35,8 @@
 // waitingWindow limits how many jobs may wait before a new one, by decaying counts of
 // the jobs that have waited for capacity.
 type waitingWindow struct {
-	// placed counts those that were placed, and refused those that were refused.
+	// placed counts the placements of those jobs, also the ones that agents then refuse,
+	// and refused the jobs that were refused.
 	placed  float64
 	refused float64
 	at      time.Time
@@ -56,7 +57,7 @@
 // decay applies the decay since the last call to the counts.
 func (w *waitingWindow) decay(now time.Time) {
 	if !w.at.IsZero() {
-		factor := math.Exp2(-float64(now.Sub(w.at)) / float64(waitHalfLife))
+		factor := decayFactor(now.Sub(w.at), waitHalfLife)
 		w.placed *= factor
 		w.refused *= factor
 	}
