scheduler: Count the jobs before a job in one place

Cause: the waiting window walked the queue with a copy of countJobsBefore's loop. Change: countBefore with a condition serves both. Behaviour is unchanged.

--- a/scheduler/forecast.go
+++ b/scheduler/forecast.go
@@ -63,13 +63,7 @@
 // countJobsBefore counts the jobs of a job's queue that wait before it for their first
 // placement.
 func (s *Scheduler) countJobsBefore(j *job) int {
-	n := 0
-	for _, other := range s.queue {
-		if other.Queue.Name == j.Queue.Name && other.unstarted() && compareJobs(other, j) < 0 {
-			n++
-		}
-	}
-	return n
+	return s.countBefore(j, func(other *job) bool { return other.Queue.Name == j.Queue.Name })
 }
 
 // backlogTimeBefore estimates how long the work takes that is queued here and comes
--- a/scheduler/window.go
+++ b/scheduler/window.go
@@ -94,9 +94,16 @@
 // before a job.
 func (s *Scheduler) countWaitingBefore(j *job) int {
 	size := s.sizeOfJob(j)
+	return s.countBefore(j, func(other *job) bool {
+		return other.Queue.Service == j.Queue.Service && s.sizeOfJob(other) == size
+	})
+}
+
+// countBefore counts the unstarted jobs that wait before a job and match.
+func (s *Scheduler) countBefore(j *job, matches func(other *job) bool) int {
 	n := 0
 	for _, other := range s.queue {
-		if other.Queue.Service == j.Queue.Service && s.sizeOfJob(other) == size && other.unstarted() && compareJobs(other, j) < 0 {
+		if other.unstarted() && matches(other) && compareJobs(other, j) < 0 {
 			n++
 		}
 	}
