executor: Say in the log and to entries that runs were lost with their worker

Cause: runs of a worker that crashed, whose lease expired, or that did not answer were all reported as Lapsed, and no line said that a worker had crashed or what it had. Change: RunLost for runs that end because their worker does not answer or another incarnation answers; the call result NoListener for a refused connection; notes 'worker lost', 'worker crashed', 'lost worker answers again', 'worker ended with runs', each counted in pomeloferry_agent_decisions_total. Entries treat Lost as they treated Lapsed. Four expectations of tests name the new reason or result in place of the old one; they are as strict. Result: TestLossOfAWorkerIsLoggedWithItsCause.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -125,6 +125,12 @@
 	waiting []*run
 	used    messenger.Resources
 
+	// losses holds what was lost with workers that do not answer, until an answer
+	// settles it.
+	losses map[messenger.Incarnation]*loss
+	// leaving is the last incarnation that has announced its end.
+	leaving messenger.Incarnation
+
 	// unclaimed holds the ends of runs that no entry had claimed.
 	unclaimed map[messenger.Run]unclaimedEnd
 
@@ -160,6 +166,7 @@
 		runs:      make(map[messenger.Run]*run),
 		byTask:    make(map[string]*run),
 		entries:   make(map[string]*entry),
+		losses:    make(map[messenger.Incarnation]*loss),
 		unclaimed: make(map[messenger.Run]unclaimedEnd),
 	}
 }
@@ -201,6 +208,7 @@
 	x.lapseExpired(now)
 	x.markRunsKnownAfterLeases(now)
 	x.expireUnclaimedEnds(now)
+	x.expireLosses(now)
 	x.expireHeld(now)
 	x.sendDuePoll()
 	x.sendHeartbeats(now)
--- a/executor/poll.go
+++ b/executor/poll.go
@@ -29,6 +29,8 @@
 	lastEnd int64
 	// unanswered counts the calls without an answer since the last answer.
 	unanswered int
+	// noListener is whether the last poll found no process at the worker's address.
+	noListener bool
 }
 
 func (s *pollState) reset() {
@@ -91,7 +93,7 @@
 func (x *Executor) renewLease(now time.Time) time.Time {
 	x.leaseRenewedAt = now
 	for _, r := range x.runs {
-		if r.phase == detached && r.worker == x.upstream.ID {
+		if r.phase == detached && r.worker.ID == x.upstream.ID {
 			r.lapsedBy = latestLeaseExpiry(now)
 		}
 	}
@@ -170,6 +172,7 @@
 		return
 	}
 	state.open = false
+	state.noListener = result == NoListener
 	switch result {
 	case Fenced:
 		x.raiseToken(state.token)
@@ -198,6 +201,7 @@
 		return
 	}
 	state.open = false
+	state.noListener = false
 	state.notBefore = time.Time{}
 	if result.Born != 0 && result.Born != x.upstream.Born {
 		x.handleWorkerRestart(result.Born)
@@ -212,6 +216,7 @@
 	x.runsKnown = true
 	x.recordEnds(result.Ended)
 	x.reconcileRuns(result.Running)
+	x.settleLosses()
 	state.answeredAt = x.clock.Now()
 	x.startWaiting()
 	x.sendDuePoll()
@@ -259,6 +264,7 @@
 		if r.phase == detached {
 			x.reattach(r)
 		}
+		r.worker = x.upstream.Incarnation()
 		r.percent = p.Percent
 		r.progressAge = x.clock.Since(r.sentAt)
 		x.markRunning(r)
@@ -270,14 +276,14 @@
 		}
 		switch {
 		case r.phase == unconfirmed && r.token <= state.token && !r.startedAt.IsZero():
-			x.finish(r, messenger.RunLapsed)
+			x.endUnlisted(r)
 		case r.phase == unconfirmed && r.token <= state.token:
 			// The poll carried a token at least as high as the run's, which was raised
 			// after the start: the start has had no effect and cannot have one any
 			// more.
 			x.retryStart(r)
 		case (r.phase == running || r.phase == stopping) && r.startedAt.Before(state.sentAt):
-			x.finish(r, messenger.RunLapsed)
+			x.endUnlisted(r)
 		}
 	}
 }
@@ -288,7 +294,7 @@
 	now := x.clock.Now()
 	r := &run{
 		Task:      messenger.Task{Run: p.Run},
-		worker:    x.upstream.ID,
+		worker:    x.upstream.Incarnation(),
 		phase:     running,
 		sentAt:    now,
 		startedAt: now,
@@ -296,7 +302,7 @@
 		percent:   p.Percent,
 	}
 	x.add(r)
-	x.emit(Note{Run: r.Run, Worker: r.worker, What: "run found at worker"})
+	x.emit(Note{Run: r.Run, Worker: r.worker.ID, What: "run found at worker"})
 	for _, e := range x.entries {
 		e.runsSent = false
 	}
--- a/executor/run.go
+++ b/executor/run.go
@@ -39,8 +39,9 @@
 	job   string
 	spec  string
 	phase phase
-	// worker is the ID of the worker that the run was sent to.
-	worker string
+	// worker is the incarnation of the worker that the run was sent to, or that last
+	// listed it.
+	worker messenger.Incarnation
 	// lapsedBy is when a detached run has ended for certain.
 	lapsedBy time.Time
 	// joined are the other placements of the task, which get the outcome too.
@@ -104,7 +105,7 @@
 	}
 	if reason != messenger.RunDone {
 		// Runs that were done are covered by the entry's log line on the job.
-		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run ended", Why: string(reason), Age: x.clock.Since(r.sentAt)})
+		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker.ID, What: "run ended", Why: string(reason), Age: x.clock.Since(r.sentAt)})
 	}
 }
 
@@ -148,9 +149,9 @@
 
 // lapseRunsOf ends every run of a worker at whose address another one answers.
 func (x *Executor) lapseRunsOf(worker string) {
-	for _, r := range x.sortedRunsWhere(func(r *run) bool { return r.phase != waiting && r.worker == worker }) {
+	for _, r := range x.sortedRunsWhere(func(r *run) bool { return r.phase != waiting && r.worker.ID == worker }) {
 		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: worker, What: "run lost", Why: "another worker answers at its address"})
-		x.finish(r, messenger.RunLapsed)
+		x.lose(r)
 	}
 }
 
@@ -158,7 +159,7 @@
 // has expired for certain.
 func (x *Executor) detachAll(why string) {
 	for _, r := range x.sortedRunsWhere((*run).holdsCapacity) {
-		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run detached", Why: why, Age: x.clock.Since(x.leaseRenewedAt)})
+		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker.ID, What: "run detached", Why: why, Age: x.clock.Since(x.leaseRenewedAt)})
 		x.used = x.used.Minus(r.Demand)
 		r.phase = detached
 		r.lapsedBy = latestLeaseExpiry(x.leaseRenewedAt)
@@ -169,7 +170,7 @@
 func (x *Executor) reattach(r *run) {
 	x.emit(Note{Run: r.Run, Owner: r.owner, Worker: x.upstream.ID, What: "run found again"})
 	x.used = x.used.Plus(r.Demand)
-	r.worker = x.upstream.ID
+	r.worker = x.upstream.Incarnation()
 	r.phase = unconfirmed
 }
 
@@ -180,7 +181,7 @@
 func (x *Executor) markAllUnconfirmed(why string) {
 	x.token++
 	for _, r := range x.sortedRunsWhere((*run).holdsCapacity) {
-		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run in doubt", Why: why})
+		x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker.ID, What: "run in doubt", Why: why})
 		r.phase = unconfirmed
 		r.token = x.token
 		if r.startedAt.IsZero() {
@@ -197,7 +198,7 @@
 		return (r.phase == detached && now.After(r.lapsedBy)) || (r.holdsCapacity() && now.After(latestExpiry))
 	}
 	for _, r := range x.sortedRunsWhere(expired) {
-		x.finish(r, messenger.RunLapsed)
+		x.lose(r)
 	}
 }
 
--- a/executor/start.go
+++ b/executor/start.go
@@ -30,6 +30,9 @@
 	Misdirected
 	// NotSent calls never reached the worker.
 	NotSent
+	// NoListener calls never reached the worker, since no process listens at its
+	// address.
+	NoListener
 	// Unanswered calls may have taken effect, or may still do so.
 	Unanswered
 )
@@ -86,7 +89,7 @@
 		x.claimOrphan(known, e.name, t, p)
 	case known.Run != t.Run || known.owner != e.name:
 		known.joined = append(known.joined, joinedPlacement{entry: e.name, run: t.Run})
-		x.emit(Note{Run: t.Run, Owner: e.name, Worker: known.worker, What: "run joined", Why: fmt.Sprintf("run %d of entry %q is active", known.Number, known.owner)})
+		x.emit(Note{Run: t.Run, Owner: e.name, Worker: known.worker.ID, What: "run joined", Why: fmt.Sprintf("run %d of entry %q is active", known.Number, known.owner)})
 	}
 }
 
@@ -176,7 +179,7 @@
 		x.used = x.used.Plus(r.Demand)
 	}
 	r.phase = starting
-	r.worker = x.upstream.ID
+	r.worker = x.upstream.Incarnation()
 	r.sentAt = x.clock.Now()
 	r.token = x.token
 	r.attempts++
@@ -217,7 +220,7 @@
 		x.refuse(r, messenger.RefusedUnhealthy)
 	case Misdirected:
 		x.refuse(r, messenger.RefusedNoWorker)
-	case NotSent:
+	case NotSent, NoListener:
 		x.poll.unanswered++
 		x.refuse(r, messenger.RefusedUnhealthy)
 	case Unanswered:
@@ -231,7 +234,7 @@
 func (x *Executor) recordCallTime(r *run, result CallResult) {
 	now := x.clock.Now()
 	switch result {
-	case NotSent:
+	case NotSent, NoListener:
 	case Unanswered:
 		x.callTimes.addUnanswered(now)
 	default:
@@ -246,7 +249,7 @@
 	}
 	r.phase = running
 	r.startedAt = x.clock.Now()
-	x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "run started", Age: r.startedAt.Sub(r.sentAt)})
+	x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker.ID, What: "run started", Age: r.startedAt.Sub(r.sentAt)})
 	if r.cancelled {
 		x.stopRun(r)
 	}
@@ -267,7 +270,7 @@
 		r.token = x.token
 		x.poll.dueNow = true
 	}
-	x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker, What: "start unanswered", Age: x.clock.Since(r.sentAt)})
+	x.emit(Note{Run: r.Run, Owner: r.owner, Worker: r.worker.ID, What: "start unanswered", Age: x.clock.Since(r.sentAt)})
 	if x.hasLongUnconfirmed() {
 		x.poll.unanswered++
 		x.markStateChanged()
--- a/executor/upstream.go
+++ b/executor/upstream.go
@@ -28,6 +28,7 @@
 		x.drainingSince = x.clock.Now()
 	}
 	x.upstream = u
+	x.recordLeaving(u.Draining)
 	switch {
 	case u.Draining:
 		x.endReservation("worker draining")
@@ -47,6 +48,7 @@
 		return
 	}
 	x.departed = true
+	x.recordLeaving(true)
 	x.endReservation("worker left")
 	x.refuseWaiting(messenger.RefusedNoWorker)
 	x.markUpstreamChanged()
@@ -92,3 +94,14 @@
 
 // Upstream returns the last known state of the worker.
 func (x *Executor) Upstream() messenger.Upstream { return x.upstream }
+
+// recordLeaving records whether the present incarnation of the worker has announced its
+// end.
+func (x *Executor) recordLeaving(leaving bool) {
+	switch {
+	case leaving:
+		x.leaving = x.upstream.Incarnation()
+	case x.leaving == x.upstream.Incarnation():
+		x.leaving = messenger.Incarnation{}
+	}
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -64,6 +64,13 @@
 	Number int    `cbor:"2,keyasint,omitempty"`
 }
 
+// Incarnation identifies one incarnation of a worker.
+type Incarnation struct {
+	ID string `cbor:"1,keyasint,omitempty"`
+	// Born is its start time in Unix milliseconds.
+	Born int64 `cbor:"2,keyasint,omitempty"`
+}
+
 // Hello is the first message of an entry on a link.
 type Hello struct {
 	Entry string `cbor:"1,keyasint,omitempty"`
@@ -201,6 +208,9 @@
 	Remaining time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
+// Incarnation returns the incarnation of the worker.
+func (u Upstream) Incarnation() Incarnation { return Incarnation{ID: u.ID, Born: u.Born} }
+
 // EndReason is the reason why a run ended.
 type EndReason string
 
@@ -210,8 +220,10 @@
 	RunFailed EndReason = "Failed"
 	// RunStopped runs were ended by a stop.
 	RunStopped EndReason = "Stopped"
-	// RunLapsed runs ended because their lease ran out or their worker died.
+	// RunLapsed runs ended because their lease ran out.
 	RunLapsed EndReason = "Lapsed"
+	// RunLost runs ended with their worker, or while their worker did not answer.
+	RunLost EndReason = "Lost"
 )
 
 // RunEnd reports that a run has ended.
