scheduler, executor: Reproduce tasks that crash worker after worker, as tests that fail

Cause: not fixed yet. What callers see: a job whose task crashes its workers gets no answer, and the other callers are refused while the workers are down.

--- a/scheduler/simcluster_test.go
+++ b/scheduler/simcluster_test.go
@@ -62,6 +62,9 @@
 	work   time.Duration
 	demand messenger.Resources
 	fails  bool
+	// crashAfter is how long after its start the task crashes its worker; 0 means that
+	// it does not.
+	crashAfter time.Duration
 	// rack is the label of the rack that has the task's data; empty means that it makes
 	// no difference where the task runs.
 	rack string
@@ -98,7 +101,23 @@
 	// firstStartAt is when each task was first started.
 	firstStartAt   map[string]time.Time
 	rerunAfterDone []string
-	jobs           int
+	// crashes counts the workers that have crashed under each task, and lateStarts the
+	// starts of each task since the third of them.
+	crashes, lateStarts map[string]int
+	// workerCrashes counts the crashes of workers.
+	workerCrashes int
+	// overCapacity lists the runs that brought an unguarded worker over its capacity.
+	overCapacity []string
+	// resendUnsettled makes callers send a job again whose answer says so.
+	resendUnsettled bool
+	// startedAt is when the load may begin.
+	startedAt time.Time
+	// deadlyJob reports whether a new job of a kind has a task that crashes its workers
+	// soon after its start; nil means that none has.
+	deadlyJob func(k jobKind) bool
+	// patience is how long the callers of new jobs wait; zero means as long as usual.
+	patience time.Duration
+	jobs     int
 	// placedRuns counts the runs that reached agents, and capacityRefusals those that
 	// agents refused for lack of capacity.
 	placedRuns, capacityRefusals int
@@ -173,6 +192,8 @@
 		runningCount: make(map[string]int),
 		done:         make(map[string]bool),
 		firstStartAt: make(map[string]time.Time),
+		crashes:      make(map[string]int),
+		lateStarts:   make(map[string]int),
 		linkDelay:    linkDelay,
 	}
 	for i := range agents {
@@ -201,6 +222,7 @@
 		}
 	})
 	sim.run(300 * time.Millisecond)
+	sim.startedAt = sim.clock.Now()
 	return sim
 }
 
@@ -238,6 +260,9 @@
 	if _, ok := sim.firstStartAt[r.Task]; !ok {
 		sim.firstStartAt[r.Task] = sim.clock.Now()
 	}
+	if sim.crashes[r.Task] >= crashBudget {
+		sim.lateStarts[r.Task]++
+	}
 	if sim.done[r.Task] {
 		sim.rerunAfterDone = append(sim.rerunAfterDone, fmt.Sprintf("%s run %d at %s", r.Task, r.Number, w.name))
 	}
@@ -304,6 +329,12 @@
 			rack:   k.rack,
 		}
 	}
+	if sim.deadlyJob != nil && sim.deadlyJob(k) {
+		sim.makeDeadly(id, usualCrashAfter)
+	}
+	if sim.patience > 0 {
+		j.Deadline = sim.clock.Now().Add(sim.patience)
+	}
 	sim.results[id] = &result{job: j, sent: sim.clock.Now()}
 	sim.send(e, j)
 	return id
--- /dev/null
+++ b/scheduler/simcrash_test.go
@@ -0,0 +1,108 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pomeloferry/pomeloferry/messenger"
+	"github.com/pomeloferry/pomeloferry/scheduler"
+)
+
+const (
+	// crashBudget is the number of workers that have crashed under a task from which its
+	// starts are counted, and maxLateStarts the most starts after that: with a third one
+	// the rule BUDGET of the users' pages is broken.
+	crashBudget   = 3
+	maxLateStarts = 2
+	// minDowntime and maxDowntime bound the time until a crashed worker is back.
+	minDowntime = 3 * time.Second
+	maxDowntime = 3400 * time.Millisecond
+	// usualCrashAfter is how long after its start a deadly task crashes its worker.
+	usualCrashAfter = 8 * time.Millisecond
+)
+
+// crashWith crashes the worker if the run is still active there.
+func (w *simWorker) crashWith(r *simRun) {
+	if w.running[r.run.Task] == r {
+		w.crash()
+	}
+}
+
+// crash ends the worker with all its runs. A new incarnation with another ID follows.
+func (w *simWorker) crash() {
+	if w.down {
+		return
+	}
+	w.announced = w.upstream
+	w.down = true
+	w.sim.workerCrashes++
+	for _, r := range w.sortedRuns() {
+		w.sim.crashes[r.run.Task]++
+	}
+	w.restart()
+	w.upstream.ID = fmt.Sprintf("worker-%s-%d", w.name, w.upstream.Born)
+	downtime := minDowntime + time.Duration(w.sim.rng.Int64N(int64(maxDowntime-minDowntime)))
+	w.sim.schedule(downtime, func() {
+		w.down = false
+		w.announce()
+	})
+}
+
+// announce sends a heartbeat to the worker's agent.
+func (w *simWorker) announce() {
+	for _, a := range w.sim.agents {
+		if a.worker == w {
+			a.do(func() { a.core.SetUpstream(w.upstream) })
+		}
+	}
+}
+
+// lastAnnounced returns the worker as it last announced itself.
+func (w *simWorker) lastAnnounced() messenger.Upstream {
+	if w.down {
+		return w.announced
+	}
+	return w.upstream
+}
+
+// capacityExceeded records a start that brings a worker over its capacity.
+func (sim *simulation) capacityExceeded(w *simWorker, r messenger.Run) {
+	sim.overCapacity = append(sim.overCapacity, fmt.Sprintf("%s run %d at %s", r.Task, r.Number, w.name))
+}
+
+// makeDeadly makes one task of a job crash each worker that starts it.
+func (sim *simulation) makeDeadly(id string, crashAfter time.Duration) {
+	name := id + ".0.0.0"
+	t := sim.tasks[name]
+	t.crashAfter = crashAfter
+	sim.tasks[name] = t
+}
+
+// deadly reports whether a task of a job crashes its workers.
+func (sim *simulation) deadly(id string) bool { return sim.tasks[id+".0.0.0"].crashAfter > 0 }
+
+// seriesTooLong lists the tasks that crash their workers and that were started more than
+// maxLateStarts times after the third crash.
+func (sim *simulation) seriesTooLong() []string {
+	var out []string
+	for task, n := range sim.lateStarts {
+		id, _, _ := strings.Cut(task, ".")
+		if sim.deadly(id) && n > maxLateStarts {
+			out = append(out, fmt.Sprintf("%s: %d crashes, %d starts after the third", task, sim.crashes[task], n))
+		}
+	}
+	return out
+}
+
+// failedInnocents lists the jobs that were answered as failed although all of their tasks
+// could be done.
+func (sim *simulation) failedInnocents() []string {
+	var out []string
+	for id, r := range sim.results {
+		if r.answered && r.answer.Outcome == scheduler.JobFailed && !sim.deadly(id) {
+			out = append(out, id+": "+r.answer.Why)
+		}
+	}
+	return out
+}
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -78,6 +78,10 @@
 		return
 	}
 	e.sim.schedule(linkDelay, func() {
+		if m.Answer.Outcome == scheduler.Unsettled && e.sim.resendUnsettled {
+			e.sim.resend(r.job)
+			return
+		}
 		if !r.answered {
 			r.answered = true
 			r.answer = m.Answer
@@ -233,7 +237,7 @@
 		Agent: a.name, DataCentre: a.dataCentre, Incarnation: a.incarnation, Token: uint64(now.UnixMilli()) * 1000,
 	}, executor.Config{DrainTimeout: 2 * time.Second})
 	core := a.core
-	a.core.SetUpstream(a.worker.upstream)
+	a.core.SetUpstream(a.worker.lastAnnounced())
 	var tick func()
 	tick = func() {
 		if a.core != core || a.down {
@@ -324,6 +328,10 @@
 			}
 		})
 	}
+	if a.worker.down {
+		a.sim.schedule(localDelay, func() { answer(executor.NoListener) })
+		return
+	}
 	if a.sim.clock.Now().Before(a.worker.unresponsiveUntil) {
 		startDelay := time.Duration(a.sim.rng.Int64N(int64(3 * time.Second)))
 		a.sim.schedule(startDelay, func() { a.worker.start(s, deadline) })
@@ -340,6 +348,10 @@
 		return
 	}
 	a.sim.schedule(localDelay, func() {
+		if a.worker.down {
+			a.sim.schedule(localDelay, func() { answer(executor.NoListener) })
+			return
+		}
 		out := a.worker.start(s, deadline)
 		a.sim.schedule(localDelay, func() { answer(out) })
 	})
@@ -357,6 +369,10 @@
 			}
 		})
 	}
+	if a.worker.down {
+		a.sim.schedule(localDelay, func() { fail(executor.NoListener) })
+		return
+	}
 	if a.sim.clock.Now().Before(a.worker.unresponsiveUntil) {
 		a.sim.schedule(p.MaxWait+callTimeout, func() { fail(executor.Unanswered) })
 		return
@@ -373,6 +389,10 @@
 	end := a.sim.clock.Now().Add(p.MaxWait)
 	var attempt func()
 	attempt = func() {
+		if a.worker.down {
+			fail(executor.Unanswered) // The connection breaks.
+			return
+		}
 		if p.Upstream.Born != a.worker.upstream.Born || p.Upstream.ID != a.worker.upstream.ID {
 			fail(executor.Misdirected)
 			return
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -37,6 +37,12 @@
 	// lateStopsUntil is the time until which stops take effect two seconds late, and
 	// lostAnswersUntil the one until which polls take effect but are not answered.
 	lateStopsUntil, lostAnswersUntil time.Time
+	// down is whether the worker has crashed and not started again yet; announced is
+	// then the incarnation that its agent knows.
+	down      bool
+	announced messenger.Upstream
+	// unguarded workers start what exceeds their capacity.
+	unguarded bool
 	// starts counts the starts that have taken effect.
 	starts        int
 	running       map[string]*simRun
@@ -76,7 +82,10 @@
 	}
 	t := w.sim.tasks[s.Run.Task]
 	if !t.demand.FitsIn(w.free()) {
-		return executor.Full
+		if !w.unguarded {
+			return executor.Full
+		}
+		w.sim.capacityExceeded(w, s.Run)
 	}
 	w.extendLease(deadline)
 	w.sim.runStarted(w, s.Run)
@@ -93,6 +102,9 @@
 	if w.failsAll {
 		work = 5 * time.Millisecond
 	}
+	if t.crashAfter > 0 {
+		w.sim.schedule(t.crashAfter, func() { w.crashWith(r) })
+	}
 	if !w.hangs {
 		w.sim.schedule(work, func() { w.finish(r) })
 	}
