scheduler, executor: Count the workers that crash under a task, and give it up

What callers saw: a job whose task crashes its workers got no answer before its deadline, and took a worker from everybody else every 0.7 s until then. Cause: the agent saw the crash and reported its runs as lapsed; the entry made them ready again and counted nothing. The class of fault: a retry without a budget, where the witness of the failure forgets it. Change: an agent reports each crash with the tasks that had a run at the worker, to all entries, for two minutes, and takes it back if the worker answers again. A loss counts as a crash when nothing listens at the worker's address any more, or once another incarnation answers; not when the worker had announced its end. Entries count crashes by task and worker incarnation. From two on, a task runs alone, on a worker reserved for it; it is given up once a worker has crashed while it was alone there, or after one more start once three have. Placements carry the earlier crashes, a Hello those under isolated tasks, and an entry concludes from a restarted agent's worker what happened to its runs, so no single process has to live on. Why it works: all bystanders of a crash pass a run of their own before they are given up, and what crashes its worker alone is not a bystander.

--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -108,6 +108,7 @@
 		Entry:       c.acceptor.cfg.ID,
 		Incarnation: c.acceptor.incarnation,
 		Upstream:    c.scheduler.Upstream(m.agent),
+		Crashes:     c.scheduler.IsolatedCrashes(),
 	})
 }
 
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -54,6 +54,8 @@
 	// heartbeatAt is when the last heartbeat, with the progress of runs, was sent.
 	heartbeatAt time.Time
 	outcomes    outcomeQueue
+	// crashesSent is the number of the last crash sent on this link.
+	crashesSent int
 	held        heldJobs
 }
 
@@ -84,12 +86,14 @@
 	e.lastTimestamp = 0
 	e.linkOpen = true
 	e.outcomes.sentNumber = 0
+	e.crashesSent = 0
 	e.runsSent = false
 	e.upstreamSent = false
 	e.reportedSpeed = speedEstimate{value: 1}
 	e.held.sent = false
 	e.stateChanged = true
 	e.backlog = messenger.Backlog{}
+	x.noteCrashesOf(h)
 	if x.upstream.Born == 0 && x.upstream.ID == "" && h.Upstream.Born != 0 {
 		x.SetUpstream(h.Upstream)
 	}
@@ -255,7 +259,7 @@
 func (x *Executor) reportDue(e *entry, interval time.Duration, now time.Time) bool {
 	since := now.Sub(e.reportedAt)
 	switch {
-	case e.outcomes.hasUnsent(), x.completionUnreported(e), x.turn.contended && x.offerDiffers(e, now):
+	case e.outcomes.hasUnsent(), e.crashesSent < x.lastCrash, x.completionUnreported(e), x.turn.contended && x.offerDiffers(e, now):
 		return true
 	case e.stateChanged, e.capacityChanged && e.backlog.Tasks > 0:
 		return since >= interval
@@ -294,6 +298,7 @@
 		Backfill:              x.backfillFor(e, now),
 	}
 	r.Ended, r.Refused, r.LastOutcome = e.outcomes.takeUnsent()
+	r.Crashes = x.takeUnsentCrashes(e)
 	r.Pace, r.PaceJobs = x.paceSamples.median(now)
 	if e.backlog.WantsForecast {
 		r.Forecast = x.forecast(now)
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -128,6 +128,10 @@
 	// losses holds what was lost with workers that do not answer, until an answer
 	// settles it.
 	losses map[messenger.Incarnation]*loss
+	// crashes are those that entries may have to learn of, the oldest first, and
+	// lastCrash is the number of the last one.
+	crashes   []notedCrash
+	lastCrash int
 	// leaving is the last incarnation that has announced its end.
 	leaving messenger.Incarnation
 
@@ -174,6 +178,7 @@
 // TakeEffects returns the effects since the last call.
 func (x *Executor) TakeEffects() []Effect {
 	x.startInReleased()
+	x.settleLosses()
 	x.sendDueReports()
 	x.meterUsage()
 	out := x.effects
--- a/executor/poll.go
+++ b/executor/poll.go
@@ -216,7 +216,6 @@
 	x.runsKnown = true
 	x.recordEnds(result.Ended)
 	x.reconcileRuns(result.Running)
-	x.settleLosses()
 	state.answeredAt = x.clock.Now()
 	x.startWaiting()
 	x.sendDuePoll()
--- a/executor/run.go
+++ b/executor/run.go
@@ -46,6 +46,9 @@
 	lapsedBy time.Time
 	// joined are the other placements of the task, which get the outcome too.
 	joined []joinedPlacement
+	// alone means that the run is to be the only one at the worker. Its demand is all of
+	// the worker's capacity.
+	alone bool
 	// stopDeadline is when a run that has to end begins to keep leases from being
 	// renewed; zero for other runs.
 	stopDeadline time.Time
--- a/executor/start.go
+++ b/executor/start.go
@@ -65,6 +65,7 @@
 			continue
 		}
 		r := &run{Task: t, owner: owner, job: p.Job, spec: p.Spec, phase: waiting, expiresAt: now.Add(p.MaxWait)}
+		x.setDemand(r, t.Demand, p.Alone)
 		x.add(r)
 		x.enqueue(r)
 		admitted++
@@ -93,16 +94,28 @@
 	}
 }
 
+// setDemand sets the demand of a run, which is all of the worker for one that is to be
+// alone.
+func (x *Executor) setDemand(r *run, d messenger.Resources, alone bool) {
+	r.alone = alone
+	r.Demand = d
+	if alone {
+		r.Demand = d.Max(x.upstream.Capacity)
+	}
+}
+
 // claimOrphan gives a run that was found at the worker to the entry that places it.
 func (x *Executor) claimOrphan(r *run, owner string, t messenger.Task, p messenger.Place) {
+	before := r.Demand
+	x.setDemand(r, t.Demand, p.Alone)
 	if r.holdsCapacity() {
-		x.used = x.used.Minus(r.Demand).Plus(t.Demand)
+		x.used = x.used.Minus(before).Plus(r.Demand)
 	}
 	r.owner = owner
 	r.job = p.Job
 	r.spec = p.Spec
-	r.Demand = t.Demand
 	r.Estimate = t.Estimate
+	r.Crashed = t.Crashed
 }
 
 // admit reports whether a new run may wait here, and if not, the reason.
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -14,6 +14,10 @@
 	// HeldJobsTTL is how long agents report the held jobs of an entry that sends no
 	// heartbeats.
 	HeldJobsTTL = 1290 * time.Millisecond
+	// CrashTTL is how long agents and entries remember the crash of a worker, so that a
+	// job that is sent again does not crash more of them. Callers wait for a minute at
+	// most.
+	CrashTTL = 2 * time.Minute
 )
 
 // Resources is an amount of CPU, memory and GPUs: what a task needs, or what a worker has
@@ -79,6 +83,9 @@
 	// Upstream is the worker that the entry last saw at this agent, for an agent that
 	// has restarted and has received nothing from its worker yet.
 	Upstream Upstream `cbor:"3,keyasint,omitempty"`
+	// Crashes lists the crashes of workers under tasks that the entry knows to be isolated,
+	// for the agent and, through it, for the other entries.
+	Crashes []Crash `cbor:"4,keyasint,omitempty"`
 }
 
 // Heartbeat is the periodic message of an entry. Timestamp is read from the entry's
@@ -158,6 +165,8 @@
 	Echo time.Duration `cbor:"7,keyasint,omitempty"`
 	// Backlog is what still waits after this placement.
 	Backlog Backlog `cbor:"8,keyasint,omitempty"`
+	// Alone means that each of the tasks is to be the only run at the worker.
+	Alone bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Task is one run to start.
@@ -166,6 +175,30 @@
 	Demand Resources `cbor:"2,keyasint,omitempty"`
 	// Estimate is the approximate duration of the task on a healthy worker.
 	Estimate time.Duration `cbor:"3,keyasint,omitempty"`
+	// Crashed lists the workers that have crashed under the task.
+	Crashed []Incarnation `cbor:"4,keyasint,omitempty"`
+}
+
+// Crash reports that a worker has crashed, or is assumed to have because no process
+// listens at its address.
+type Crash struct {
+	Worker Incarnation `cbor:"1,keyasint,omitempty"`
+	// Refuted means that the worker has answered again: it had not crashed.
+	Refuted bool `cbor:"2,keyasint,omitempty"`
+	// Tasks lists the tasks that had a run at the worker.
+	Tasks []CrashedTask `cbor:"3,keyasint,omitempty"`
+	// Age is the time since the crash became known.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// CrashedTask is a task that had a run at a worker which has crashed.
+type CrashedTask struct {
+	Task string `cbor:"1,keyasint,omitempty"`
+	// Alone means that the task was placed to be alone, and no other job had one at the
+	// worker.
+	Alone bool `cbor:"2,keyasint,omitempty"`
+	// Earlier lists the workers that had crashed under the task before.
+	Earlier []Incarnation `cbor:"3,keyasint,omitempty"`
 }
 
 // Withdraw asks an agent to cancel runs: those that wait are refused, and those that may
@@ -320,6 +353,9 @@
 	// ReservationNumber is the number of the entry's Reserve that the agent has in
 	// effect; zero means none.
 	ReservationNumber uint64 `cbor:"24,keyasint,omitempty"`
+	// Crashes lists the crashes of the agent's workers in the last CrashTTL. Each is
+	// reported once on a link, and again when more is known of it.
+	Crashes []Crash `cbor:"25,keyasint,omitempty"`
 	// Backfill is capacity, in addition to Free, that only tasks which end soon may
 	// use.
 	Backfill Backfill `cbor:"30,keyasint,omitempty"`
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -56,7 +56,11 @@
 	tasks map[messenger.Run]*task
 	// withdrawn are the runs of finished jobs that are not known to have ended.
 	withdrawn map[messenger.Run]*task
-	health    health
+	// unexplained has, by worker, the runs that ended without an outcome.
+	unexplained map[messenger.Incarnation][]unexplainedRun
+	// leaving is the last worker that was draining.
+	leaving messenger.Incarnation
+	health  health
 	// reservation is the last one requested from the agent; nil for none.
 	reservation *reservation
 	// reserveNumber is the number of the last Reserve on the link that requests
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,6 +56,7 @@
 				a.kill(500 * time.Millisecond)
 			}
 		}},
+		{"agents die with their workers", time.Minute, func(sim *simulation) {}},
 		{"callers disconnect unnoticed and send again", 150 * time.Millisecond, func(sim *simulation) {
 			misleadingSignals[5].trigger(sim)
 		}},
@@ -66,6 +68,7 @@
 			t.Run(fmt.Sprintf("%s, seed %d", tt.name, 900+seed), func(t *testing.T) {
 				t.Parallel()
 				sim := newSimulation(t, 900+seed, 3, 11, workerCPU)
+				sim.agentsDieToo = strings.Contains(tt.name, "with their workers")
 				sim.loadWithCrashes(10*time.Second, 0.5, time.Second)
 				for at := time.Second; at < 20*time.Second; at += tt.gap {
 					sim.schedule(at, func() { tt.fault(sim) })
@@ -74,6 +77,7 @@
 				sim.check()
 				t.Logf("%+v, %d crashes of workers", sim.summary(), sim.workerCrashes)
 				require.Empty(t, sim.seriesTooLong())
+				require.Empty(t, sim.givenUpTooSoon())
 			})
 		}
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -132,6 +132,8 @@
 	// runNumber is the number of the last run.
 	runNumber int
 	agent     *agent
+	// worker is the worker that the last run was placed at.
+	worker messenger.Incarnation
 	// placedAt is when the last run was sent. linkNumber and placeNumber identify the
 	// agent's link and the Place message on it.
 	placedAt    time.Time
@@ -147,6 +149,10 @@
 	// progressPercent is the progress of the last run when it had the age progressAge.
 	progressPercent int
 	progressAge     time.Duration
+	// lastStart means that the last run was placed as the last one that is allowed.
+	lastStart bool
+	// alone means that the last run is to be the only one at its worker.
+	alone bool
 	// moving means that the last run is being stopped so that the task can run
 	// elsewhere.
 	moving bool
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -147,9 +147,14 @@
 	for step := range j.Steps {
 		var waiting []*task
 		for _, t := range j.tasks {
-			if t.step == step && t.state == ready {
-				waiting = append(waiting, t)
+			if t.step != step || t.state != ready {
+				continue
 			}
+			if s.crashes.isolated(t.id) {
+				s.placeAlone(t, agents, now)
+				continue
+			}
+			waiting = append(waiting, t)
 		}
 		for len(waiting) > 0 {
 			a, n := s.chooseAgent(agents, j, step, waiting, now)
@@ -182,6 +187,7 @@
 		Service: j.Queue.Service,
 		MaxWait: placementWaitLimit,
 		Echo:    a.report.Timestamp,
+		Alone:   tasks[0].alone,
 	}
 	var total messenger.Resources
 	newRuns := 0
@@ -192,6 +198,8 @@
 			t.state = placed
 			t.placedAt = now
 			t.agent = a
+			t.worker = a.upstream.Incarnation()
+			t.lastStart = s.crashes.startsOnce(t.id)
 			t.deferred = false
 			t.farFactor = s.config.farFactor(a, j.Steps[t.step])
 			t.placedSpeed = a.expectedSpeed()
@@ -204,11 +212,16 @@
 			Run:      t.current(),
 			Demand:   t.demand(),
 			Estimate: t.estimate(),
+			Crashed:  s.crashes.workers(t.id),
 		})
 	}
 	s.backlog = s.backlog.Without(newRuns, total)
 	p.Backlog = s.backlog
-	a.pending = append(a.pending, pendingPlacement{number: p.Number, demand: total})
+	pending := pendingPlacement{number: p.Number, demand: total}
+	if p.Alone {
+		pending.demand = a.upstream.Capacity // No other task is to follow.
+	}
+	a.pending = append(a.pending, pending)
 	a.health.recordPlacement(p.Tasks[0].Run)
 	if newRuns > 0 {
 		s.useReservation(a, j, tasks[0].step)
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -61,6 +61,9 @@
 		}
 		oldService := a.upstream.Service
 		a.upstream = *r.Upstream
+		if a.upstream.Draining {
+			a.leaving = a.upstream.Incarnation()
+		}
 		s.updateMaxCapacity(oldService)
 		s.updateMaxCapacity(a.upstream.Service)
 	}
@@ -70,6 +73,8 @@
 	a.dropReported()
 	s.confirmReservation(a)
 	enqueuedBefore := s.enqueueCount
+	s.handleCrashes(r.Crashes)
+	s.settleUnexplained(a)
 	for _, e := range r.Ended {
 		s.handleEnd(a, e)
 	}
@@ -107,6 +112,10 @@
 			// The run is not there now, but it may have been: an agent evicts finished
 			// runs eventually.
 			t.job.mayHaveStarted = true
+			if restarted {
+				a.noteUnexplained(t)
+				s.settleUnexplained(a)
+			}
 			s.requeueTask(t, "not in the run list of the agent")
 		case !listed[t.current()]:
 		case restarted:
@@ -132,6 +141,7 @@
 func (s *Scheduler) requeueLost(a *agent) {
 	for _, t := range a.sortedTasks() {
 		t.job.mayHaveStarted = true
+		a.noteUnexplained(t)
 		s.requeueTask(t, "agent lost")
 	}
 	for _, t := range sortTasks(a.withdrawn) {
@@ -271,6 +281,7 @@
 	if r.Reason != messenger.RefusedNoRoom {
 		t.avoidAgent(a, s.clock.Now().Add(avoidAfterRefusal))
 	}
+	t.lastStart = false // It was not used.
 	queuedAt := t.job.queuedAt
 	s.requeueTask(t, "refused: "+string(r.Reason))
 	t.job.queuedAt = queuedAt
@@ -285,14 +296,24 @@
 	t.agent = nil
 }
 
-// requeueTask makes a placed task ready again.
+// requeueTask makes a placed task ready again, unless it is to be given up because workers
+// have crashed under it. It does nothing if the task is no longer placed, since its job
+// has ended.
 func (s *Scheduler) requeueTask(t *task, why string) {
+	if t.agent == nil {
+		return
+	}
+	if t.lastStart || s.crashes.condemned(t.id) {
+		s.failCrashed(t)
+		return
+	}
 	s.emit(Note{Job: t.job.ID, Queue: t.job.Queue.Name, Run: t.current(), Agent: t.agent.name, What: "task to be placed again", Why: why, Age: s.clock.Since(t.job.arrived)})
 	t.unplace()
 	t.state = ready
 	t.progressPercent = 0
 	t.progressAge = 0
 	t.moving = false
+	t.alone = false
 	s.enqueue(t.job)
 }
 
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -78,7 +78,7 @@
 			misses++
 			continue
 		}
-		s.requestReservation(a, t, now, ttl)
+		s.requestReservation(a, t, t.demand(), now, ttl)
 	}
 }
 
@@ -109,10 +109,10 @@
 }
 
 // requestReservation asks an agent to reserve capacity for a task.
-func (s *Scheduler) requestReservation(a *agent, t *task, now time.Time, ttl time.Duration) {
+func (s *Scheduler) requestReservation(a *agent, t *task, demand messenger.Resources, now time.Time, ttl time.Duration) {
 	a.reserveNumber++
 	r := &reservation{
-		agent: a, job: t.job, step: t.step, number: a.reserveNumber, demand: t.demand(),
+		agent: a, job: t.job, step: t.step, number: a.reserveNumber, demand: demand,
 		requestedAt: now, expiresAt: now.Add(ttl),
 	}
 	a.reservation = r
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -50,6 +50,7 @@
 	withdrawnRuns map[string]int
 	// heldJobs indexes the held jobs that the agents list.
 	heldJobs heldJobIndex
+	crashes  crashLog
 	// yielding holds the jobs that wait because another entry holds them.
 	yielding map[string]*job
 	// refusals counts recent refusals by queue name.
@@ -127,6 +128,7 @@
 		records:        make(map[string]record),
 		withdrawnRuns:  make(map[string]int),
 		heldJobs:       make(heldJobIndex),
+		crashes:        newCrashLog(),
 		yielding:       make(map[string]*job),
 		refusals:       make(map[string]*refusalStats),
 		startRates:     make(map[string]*startRate),
@@ -172,6 +174,9 @@
 	}
 	s.lastJobNumber++
 	j := newJob(in, s.lastJobNumber, now, r)
+	if s.answerIfCondemned(ticket, j) {
+		return
+	}
 	stats := s.refusalsOf(in.Queue)
 	stats.decay(now)
 	stats.submitted++
@@ -265,6 +270,7 @@
 	s.moveSlowRuns(now)
 	s.compareSpeeds(now)
 	s.expireRecords(now)
+	s.crashes.expire(now)
 	s.schedulingPass()
 }
 
@@ -302,8 +308,13 @@
 		}
 		t.state = finished
 	}
-	s.records[j.ID] = record{answer: a, endedAt: now, lastRunNumber: j.lastRunNumber(), mayHaveStarted: j.mayHaveStarted || len(placedTasks) > 0, announced: !j.hold.announcedAt.IsZero()}
-	s.recordOrder = append(s.recordOrder, j.ID)
+	s.keepRecord(j.ID, record{answer: a, endedAt: now, lastRunNumber: j.lastRunNumber(), mayHaveStarted: j.mayHaveStarted || len(placedTasks) > 0, announced: !j.hold.announcedAt.IsZero()})
+}
+
+// keepRecord keeps the outcome of a job.
+func (s *Scheduler) keepRecord(id string, r record) {
+	s.records[id] = r
+	s.recordOrder = append(s.recordOrder, id)
 }
 
 // withdraw asks the agents to withdraw the current runs of tasks, with one message to
--- a/scheduler/simcluster_test.go
+++ b/scheduler/simcluster_test.go
@@ -115,6 +115,9 @@
 	// deadlyJob reports whether a new job of a kind has a task that crashes its workers
 	// soon after its start; nil means that none has.
 	deadlyJob func(k jobKind) bool
+	// agentsDieToo makes a crash of a worker end its agent at the same moment, half of the
+	// time.
+	agentsDieToo bool
 	// patience is how long the callers of new jobs wait; zero means as long as usual.
 	patience time.Duration
 	jobs     int
--- a/scheduler/simcrash_test.go
+++ b/scheduler/simcrash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -15,6 +16,9 @@
 	// the rule BUDGET of the users' pages is broken.
 	crashBudget   = 3
 	maxLateStarts = 2
+	// crashesToGiveUp is the number of workers that must have crashed under a task for it
+	// to be given up, by the same pages.
+	crashesToGiveUp = 2
 	// minDowntime and maxDowntime bound the time until a crashed worker is back.
 	minDowntime = 3 * time.Second
 	maxDowntime = 3400 * time.Millisecond
@@ -40,22 +44,22 @@
 	for _, r := range w.sortedRuns() {
 		w.sim.crashes[r.run.Task]++
 	}
+	if a := w.agent(); w.sim.agentsDieToo && !a.down && w.sim.rng.IntN(2) == 0 {
+		a.kill(500 * time.Millisecond)
+	}
 	w.restart()
 	w.upstream.ID = fmt.Sprintf("worker-%s-%d", w.name, w.upstream.Born)
 	downtime := minDowntime + time.Duration(w.sim.rng.Int64N(int64(maxDowntime-minDowntime)))
 	w.sim.schedule(downtime, func() {
 		w.down = false
-		w.announce()
+		a := w.agent()
+		a.do(func() { a.core.SetUpstream(w.upstream) })
 	})
 }
 
-// announce sends a heartbeat to the worker's agent.
-func (w *simWorker) announce() {
-	for _, a := range w.sim.agents {
-		if a.worker == w {
-			a.do(func() { a.core.SetUpstream(w.upstream) })
-		}
-	}
+// agent returns the agent of the worker.
+func (w *simWorker) agent() *simAgent {
+	return w.sim.agents[slices.IndexFunc(w.sim.agents, func(a *simAgent) bool { return a.worker == w })]
 }
 
 // lastAnnounced returns the worker as it last announced itself.
@@ -95,6 +99,25 @@
 	return out
 }
 
+// givenUpTooSoon lists the jobs that were answered as failed although fewer workers than
+// the users' pages ask for have crashed under each of their tasks.
+func (sim *simulation) givenUpTooSoon() []string {
+	var out []string
+	for id, r := range sim.results {
+		if !r.answered || r.answer.Outcome != scheduler.JobFailed {
+			continue
+		}
+		crashes := 0
+		for i := range r.job.Steps[0].Count {
+			crashes = max(crashes, sim.crashes[fmt.Sprintf("%s.0.0.%d", id, i)])
+		}
+		if crashes < crashesToGiveUp {
+			out = append(out, fmt.Sprintf("%s: %s; it was %d", id, r.answer.Why, crashes))
+		}
+	}
+	return out
+}
+
 // failedInnocents lists the jobs that were answered as failed although all of their tasks
 // could be done.
 func (sim *simulation) failedInnocents() []string {
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -134,7 +134,7 @@
 		e.do(func() {
 			e.links[a.name] = l
 			core.LinkOpened(a.name)
-			l.toAgent(messenger.Hello{Entry: e.name, Incarnation: e.incarnation, Upstream: core.Upstream(a.name)})
+			l.toAgent(messenger.Hello{Entry: e.name, Incarnation: e.incarnation, Upstream: core.Upstream(a.name), Crashes: core.IsolatedCrashes()})
 		})
 	}
 	e.sim.schedule(20*time.Millisecond, func() { e.connect(a, core) })
