executor: Start nothing beside a run of unknown demand

What callers saw: nothing yet; on workers that do not guard their capacity (LIMIT) an agent that had restarted brought its worker over it. Cause: a run that a restarted agent finds at its worker has no known demand before an entry claims it. One that nobody claims is stopped, and while it was being stopped it counted as nothing. Change: nothing starts while such a run is there. Why it works: a run leaves the list only with its end, or gets its demand with the claim.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -222,6 +222,17 @@
 // freeCapacity returns the capacity that no run holds.
 func (x *Executor) freeCapacity() messenger.Resources { return x.upstream.Capacity.Minus(x.used) }
 
+// usageUnknown reports whether the worker may have a run of which it is not known how much
+// capacity it uses. A worker that does not guard its capacity starts whatever it is sent.
+func (x *Executor) usageUnknown() bool {
+	for _, r := range x.runs {
+		if r.holdsCapacity() && r.demandUnknown {
+			return true
+		}
+	}
+	return false
+}
+
 // uncommittedCapacity returns the capacity that no run holds or waits for.
 func (x *Executor) uncommittedCapacity() messenger.Resources {
 	d := x.freeCapacity()
--- a/executor/poll.go
+++ b/executor/poll.go
@@ -299,6 +299,8 @@
 		startedAt: now,
 		expiresAt: now.Add(orphanTimeout),
 		percent:   p.Percent,
+
+		demandUnknown: true,
 	}
 	x.add(r)
 	x.emit(Note{Run: r.Run, Worker: r.worker.ID, What: "run found at worker"})
--- a/executor/run.go
+++ b/executor/run.go
@@ -49,6 +49,9 @@
 	// alone means that the run is to be the only one at the worker. Its demand is all of
 	// the worker's capacity.
 	alone bool
+	// demandUnknown means that the run was found at the worker, and no entry has told its
+	// demand yet.
+	demandUnknown bool
 	// stopDeadline is when a run that has to end begins to keep leases from being
 	// renewed; zero for other runs.
 	stopDeadline time.Time
--- a/executor/start.go
+++ b/executor/start.go
@@ -107,6 +107,7 @@
 // claimOrphan gives a run that was found at the worker to the entry that places it.
 func (x *Executor) claimOrphan(r *run, owner string, t messenger.Task, p messenger.Place) {
 	before := r.Demand
+	r.demandUnknown = false
 	x.setDemand(r, t.Demand, p.Alone)
 	if r.holdsCapacity() {
 		x.used = x.used.Minus(before).Plus(r.Demand)
@@ -171,7 +172,7 @@
 	now := x.clock.Now()
 	x.expireTimedOut(now)
 	x.refuseExpired(now)
-	if x.leaseWithheld(now) {
+	if x.leaseWithheld(now) || x.usageUnknown() {
 		return
 	}
 	x.updateReservation(now)
