executor: Count the runs of a worker that is back before anything starts there

Cause: when another worker announces itself, the runs of the last one are detached and hold no capacity. If that worker turns out not to be there, the last one is used again at once, while its runs are attached only when it lists them. In between, the agent started others as if it were empty. Change: nothing starts at a worker that detached runs may still be at. Why it works: they are attached with the next list of runs, or end with their leases.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -222,11 +222,12 @@
 // freeCapacity returns the capacity that no run holds.
 func (x *Executor) freeCapacity() messenger.Resources { return x.upstream.Capacity.Minus(x.used) }
 
-// usageUnknown reports whether the worker may have a run of which it is not known how much
-// capacity it uses. A worker that does not guard its capacity starts whatever it is sent.
+// usageUnknown reports whether the worker may have runs that are not counted: one of unknown
+// demand, or one that was detached from it when another worker seemed to have replaced it.
+// A worker that does not guard its capacity starts whatever it is sent.
 func (x *Executor) usageUnknown() bool {
 	for _, r := range x.runs {
-		if r.holdsCapacity() && r.demandUnknown {
+		if r.holdsCapacity() && r.demandUnknown || r.phase == detached && r.worker == x.upstream.Incarnation() {
 			return true
 		}
 	}
