executor, supervisor: Take no capacity of an unguarded worker on trust

What callers saw: nothing yet; on workers that do not guard their capacity (LIMIT) an agent that had restarted started up to a whole worker's tasks on one that had shrunk. Cause: an agent that starts takes the worker, with its capacity, from its registration or from an entry's Hello, and the registration was not renewed when the capacity changed. A worker that guards itself rejects the excess; nothing read enforces_capacity, so an agent could not know that its worker does not. Change: queues know from the configuration whether their workers guard themselves, and placements say so. Where they do not, nothing starts before the worker's own heartbeat (1.5 s at most); a worker that is used again after another one seemed to have replaced it counts as not heard either. Changed capacity is registered. Why it works: the agent is the only one that starts anything on its worker, so its own count against what the worker last said is the guard.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -95,7 +95,7 @@
 	e.backlog = messenger.Backlog{}
 	x.noteCrashesOf(h)
 	if x.upstream.Born == 0 && x.upstream.ID == "" && h.Upstream.Born != 0 {
-		x.SetUpstream(h.Upstream)
+		x.RestoreUpstream(h.Upstream)
 	}
 }
 
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -96,6 +96,9 @@
 	// previousUpstream is the worker that upstream has replaced, until a poll has shown
 	// that upstream is reachable.
 	previousUpstream messenger.Upstream
+	// capacityReported is whether the worker itself has reported its capacity to this
+	// incarnation of the agent, and unguarded whether it starts what exceeds it.
+	capacityReported, unguarded bool
 	// departed is whether the worker has said that it leaves for good. It gets no new
 	// runs; those that it has are followed to their ends.
 	departed bool
@@ -234,6 +237,10 @@
 	return false
 }
 
+// capacityUnknown reports whether the worker may have less capacity than it is known to
+// have, and would not reject what exceeds it.
+func (x *Executor) capacityUnknown() bool { return x.unguarded && !x.capacityReported }
+
 // uncommittedCapacity returns the capacity that no run holds or waits for.
 func (x *Executor) uncommittedCapacity() messenger.Resources {
 	d := x.freeCapacity()
--- a/executor/reservation.go
+++ b/executor/reservation.go
@@ -208,6 +208,9 @@
 // excludes the reserved capacity. It is negative while waiting runs need more than is
 // free.
 func (x *Executor) sharedCapacity() messenger.Resources {
+	if x.capacityUnknown() {
+		return messenger.Resources{}
+	}
 	return x.uncommittedCapacity().Minus(x.ReservedCapacity())
 }
 
--- a/executor/start.go
+++ b/executor/start.go
@@ -47,6 +47,7 @@
 	x.recordContact(e, p.Echo)
 	now := x.clock.Now()
 	e.lastPlaceAt = now
+	x.unguarded = p.Unguarded
 	stale := x.timestamp()-p.Echo > maxPlaceAge
 	x.updateBacklog(e, p.Backlog)
 	x.recordReaction(e, p.Echo)
@@ -172,7 +173,7 @@
 	now := x.clock.Now()
 	x.expireTimedOut(now)
 	x.refuseExpired(now)
-	if x.leaseWithheld(now) || x.usageUnknown() {
+	if x.leaseWithheld(now) || x.usageUnknown() || x.capacityUnknown() {
 		return
 	}
 	x.updateReservation(now)
--- a/executor/upstream.go
+++ b/executor/upstream.go
@@ -6,6 +6,13 @@
 	"github.com/pomeloferry/pomeloferry/messenger"
 )
 
+// RestoreUpstream uses a worker of which the agent knows from an earlier incarnation or from
+// an entry. Its capacity may have changed since.
+func (x *Executor) RestoreUpstream(u messenger.Upstream) {
+	x.SetUpstream(u)
+	x.capacityReported = false
+}
+
 // SetUpstream processes a heartbeat of the worker. That a worker with another ID
 // announces itself does not show that the runs of the last one have ended.
 func (x *Executor) SetUpstream(u messenger.Upstream) {
@@ -13,6 +20,7 @@
 		return
 	}
 	x.departed = false
+	x.capacityReported = true
 	switch {
 	case u.ID != x.upstream.ID:
 		x.detachAll("another worker announced itself")
@@ -75,6 +83,7 @@
 		return
 	}
 	x.upstream = x.previousUpstream
+	x.capacityReported = false
 	x.previousUpstream = messenger.Upstream{}
 	x.resetWorkerState()
 	x.markUpstreamChanged()
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -167,6 +167,8 @@
 	Backlog Backlog `cbor:"8,keyasint,omitempty"`
 	// Alone means that each of the tasks is to be the only run at the worker.
 	Alone bool `cbor:"9,keyasint,omitempty"`
+	// Unguarded means that the worker starts what exceeds its capacity.
+	Unguarded bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Task is one run to start.
--- a/scheduler/configuration.go
+++ b/scheduler/configuration.go
@@ -54,6 +54,8 @@
 	Slack   time.Duration
 	// Timeout bounds the duration of a request.
 	Timeout time.Duration
+	// Unguarded means that the service's workers start what exceeds their capacity.
+	Unguarded bool
 	// Advised means that the queue has a service that must be queried about where a
 	// step may run.
 	Advised bool
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -188,6 +188,8 @@
 		MaxWait: placementWaitLimit,
 		Echo:    a.report.Timestamp,
 		Alone:   tasks[0].alone,
+
+		Unguarded: j.Queue.Unguarded,
 	}
 	var total messenger.Resources
 	newRuns := 0
--- a/scheduler/simcluster_test.go
+++ b/scheduler/simcluster_test.go
@@ -118,6 +118,8 @@
 	// agentsDieToo makes a crash of a worker end its agent at the same moment, half of the
 	// time.
 	agentsDieToo bool
+	// unguarded is whether the workers do not guard their capacity.
+	unguarded bool
 	// patience is how long the callers of new jobs wait; zero means as long as usual.
 	patience time.Duration
 	jobs     int
@@ -319,6 +321,7 @@
 	work := time.Duration(float64(k.work) * (0.6 + 0.8*sim.rng.Float64()))
 	estimate := time.Duration(float64(work) * (0.7 + 0.6*sim.rng.Float64()))
 	q := quotesQueue()
+	q.Unguarded = sim.unguarded
 	q.Name = fmt.Sprintf("queue-%d", k.priority)
 	q.Priority = k.priority
 	j := scheduler.Job{
--- a/scheduler/simcrash_test.go
+++ b/scheduler/simcrash_test.go
@@ -62,17 +62,17 @@
 	return w.sim.agents[slices.IndexFunc(w.sim.agents, func(a *simAgent) bool { return a.worker == w })]
 }
 
-// lastAnnounced returns the worker as it last announced itself.
-func (w *simWorker) lastAnnounced() messenger.Upstream {
+// registered returns the worker as its agent has registered it: with the capacity that it
+// had first, unless the agent registers changes.
+func (w *simWorker) registered() messenger.Upstream {
+	u := w.upstream
 	if w.down {
-		return w.announced
+		u = w.announced
 	}
-	return w.upstream
-}
-
-// capacityExceeded records a start that brings a worker over its capacity.
-func (sim *simulation) capacityExceeded(w *simWorker, r messenger.Run) {
-	sim.overCapacity = append(sim.overCapacity, fmt.Sprintf("%s run %d at %s", r.Task, r.Number, w.name))
+	if len(w.capacities) > 0 {
+		u.Capacity = w.capacities[0].Resources
+	}
+	return u
 }
 
 // makeDeadly makes one task of a job crash each worker that starts it.
--- a/scheduler/simworker_test.go
+++ b/scheduler/simworker_test.go
@@ -41,8 +41,10 @@
 	// then the incarnation that its agent knows.
 	down      bool
 	announced messenger.Upstream
-	// unguarded workers start what exceeds their capacity.
-	unguarded bool
+	// unguarded workers start what exceeds their capacity. capacities has what they had
+	// before each change.
+	unguarded  bool
+	capacities []pastCapacity
 	// starts counts the starts that have taken effect.
 	starts        int
 	running       map[string]*simRun
@@ -85,7 +87,7 @@
 		if !w.unguarded {
 			return executor.Full
 		}
-		w.sim.capacityExceeded(w, s.Run)
+		w.checkCapacity(s.Run, t.demand)
 	}
 	w.extendLease(deadline)
 	w.sim.runStarted(w, s.Run)
--- a/soaker/deployment_test.go
+++ b/soaker/deployment_test.go
@@ -243,7 +243,8 @@
 			"name": "quotes", "host": hostName, "prefix": pathPrefix, "service": service,
 			"timeout_ms": 1500, "target_latency_ms": 60, "max_attempts": maxAttempts, "stretch": 1.6,
 		}},
-		"limits": map[string]int{"max_body_bytes": 262144},
+		"services": []map[string]any{{"name": service, "enforces_capacity": true}},
+		"limits":   map[string]int{"max_body_bytes": 262144},
 	})
 	require.NoError(d.t, err)
 	d.store.Put("op/config", raw)
--- a/supervisor/actor.go
+++ b/supervisor/actor.go
@@ -120,7 +120,7 @@
 		c.supervisor.deps.Log.WithField("worker", h.ID).WithField("sequence", h.Sequence).Info("outdated heartbeat ignored")
 		return
 	}
-	if !sameIncarnation || h.Draining != up.Draining {
+	if !sameIncarnation || h.Draining != up.Draining || h.Capacity != up.Capacity {
 		c.supervisor.deps.Log.WithFields(logrus.Fields{
 			"worker":   h.ID,
 			"born":     h.Born,
@@ -143,7 +143,7 @@
 		return
 	}
 	c.supervisor.deps.Log.WithField("worker", u.ID).WithField("born", u.Born).Info("worker restored from the registration")
-	c.executor.SetUpstream(u)
+	c.executor.RestoreUpstream(u)
 }
 
 func (c *agentActor) handleLinkMessage(m linkMessage) {
--- a/supervisor/actor_test.go
+++ b/supervisor/actor_test.go
@@ -75,3 +75,19 @@
 	c.handleLinkMessage(linkMessage{link: link, msg: &messenger.Reserve{Number: 1, Demand: demand, TTL: time.Second}})
 	require.Equal(t, demand, c.executor.ReservedCapacity())
 }
+
+// TestChangedCapacityIsRegistered guards against an agent that restarts with a capacity that
+// its worker no longer has.
+func TestChangedCapacityIsRegistered(t *testing.T) {
+	s := &Supervisor{deps: provider.NewDeps(io.Discard), worker: noWorker{}, upstreamUpdates: make(chan messenger.Upstream, 1)}
+	c := newAgentActor(s)
+	for sequence, cpu := range []int{8000, 8000, 2000} {
+		capacity := messenger.Resources{CPU: cpu}
+		c.handleHeartbeat(platform.Heartbeat{Upstream: messenger.Upstream{ID: "w", Born: 1, Service: "quotes", Capacity: capacity}, Sequence: int64(sequence)})
+		if sequence == 1 {
+			require.Empty(t, s.upstreamUpdates, "nothing has changed")
+			continue
+		}
+		require.Equal(t, capacity, (<-s.upstreamUpdates).Capacity)
+	}
+}
