scheduler: Confine the queues whose tasks may crash workers to a part of them

Cause: all kinds share all workers. Giving a task up after two or three crashes is not enough: 3.4 such jobs a second take more workers than there are, with a first crash each. Change: three crashes at different moments within 3 s confine each queue that had tasks at most of them, each to its share of the workers by the work submitted (the bulkhead pattern; the agents are ordered by hash, so that the entries agree without a message). Crashes without its tasks, or 2 s without a crash among its own workers, release a queue; such a crash keeps it for 6 s. Crashes of one moment do not count. Why it works: where the next crashes happen shows which queue it is, and until then each queue can only take workers of its own.

--- a/executor/loss.go
+++ b/executor/loss.go
@@ -61,7 +61,7 @@
 	c := messenger.Crash{Worker: l.worker}
 	for _, r := range l.runs {
 		alone := r.alone && l.jobs() == 1
-		c.Tasks = append(c.Tasks, messenger.CrashedTask{Task: r.Run.Task, Alone: alone, Earlier: r.Crashed})
+		c.Tasks = append(c.Tasks, messenger.CrashedTask{Task: r.Run.Task, Alone: alone, Earlier: r.Crashed, Queue: r.queue})
 	}
 	return c
 }
--- a/executor/run.go
+++ b/executor/run.go
@@ -37,6 +37,7 @@
 	// no entry has claimed: it was found at the worker, or its entry has restarted.
 	owner string
 	job   string
+	queue string
 	spec  string
 	phase phase
 	// worker is the incarnation of the worker that the run was sent to, or that last
--- a/executor/start.go
+++ b/executor/start.go
@@ -65,7 +65,7 @@
 			x.reportRefusal(owner, t.Run, reason)
 			continue
 		}
-		r := &run{Task: t, owner: owner, job: p.Job, spec: p.Spec, phase: waiting, expiresAt: now.Add(p.MaxWait)}
+		r := &run{Task: t, owner: owner, job: p.Job, queue: p.Queue, spec: p.Spec, phase: waiting, expiresAt: now.Add(p.MaxWait)}
 		x.setDemand(r, t.Demand, p.Alone)
 		x.add(r)
 		x.enqueue(r)
@@ -115,6 +115,7 @@
 	}
 	r.owner = owner
 	r.job = p.Job
+	r.queue = p.Queue
 	r.spec = p.Spec
 	r.Estimate = t.Estimate
 	r.Crashed = t.Crashed
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -169,6 +169,8 @@
 	Alone bool `cbor:"9,keyasint,omitempty"`
 	// Unguarded means that the worker starts what exceeds its capacity.
 	Unguarded bool `cbor:"10,keyasint,omitempty"`
+	// Queue is the name of the job's queue.
+	Queue string `cbor:"11,keyasint,omitempty"`
 }
 
 // Task is one run to start.
@@ -201,6 +203,8 @@
 	Alone bool `cbor:"2,keyasint,omitempty"`
 	// Earlier lists the workers that had crashed under the task before.
 	Earlier []Incarnation `cbor:"3,keyasint,omitempty"`
+	// Queue is the name of the queue that the job was submitted to.
+	Queue string `cbor:"4,keyasint,omitempty"`
 }
 
 // Withdraw asks an agent to cancel runs: those that wait are refused, and those that may
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -116,6 +116,11 @@
 		!c.Evacuated[a.report.DataCentre]
 }
 
+// accepts reports whether tasks of a queue may be placed at an agent.
+func (s *Scheduler) accepts(a *agent, q Queue, now time.Time) bool {
+	return s.bulkhead.allows(q.Name, a.name) && a.acceptsQueue(q, s.config, now, s.resumedAt)
+}
+
 // healthy reports whether the worker may get tasks now: it answers its agent's calls,
 // and it is either not ejected or due for a probe.
 func (a *agent) healthy(now time.Time) bool {
--- a/scheduler/availability.go
+++ b/scheduler/availability.go
@@ -67,7 +67,7 @@
 		!now.Before(t.avoidUntil[a.name]) &&
 		t.demand().FitsIn(a.upstream.Capacity) &&
 		!a.health.ejected &&
-		a.acceptsQueue(t.job.Queue, s.config, now, s.resumedAt) && a.healthy(now) && a.matchesLabel(step) &&
+		s.accepts(a, t.job.Queue, now) && a.healthy(now) && a.matchesLabel(step) &&
 		(step.MaxPerWorker == 0 || a.countPlaced(t.job, t.step) < step.MaxPerWorker)
 }
 
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -131,13 +131,14 @@
 
 // handleCrashes processes the crashes in a report. A job that waits with a task that is to
 // be given up fails.
-func (s *Scheduler) handleCrashes(crashes []messenger.Crash) {
+func (s *Scheduler) handleCrashes(a *agent, crashes []messenger.Crash) {
 	for _, c := range crashes {
 		at := s.clock.Now().Add(-c.Age)
 		if c.Refuted {
 			s.crashes.remove(c.Worker)
 			continue
 		}
+		s.noteCrash(a, c, at)
 		for _, t := range c.Tasks {
 			for _, worker := range t.Earlier {
 				s.crashes.add(t.Task, taskCrash{worker: worker, at: at})
@@ -249,7 +250,7 @@
 // mayRunAlone reports whether an agent may run an isolated task.
 func (s *Scheduler) mayRunAlone(a *agent, t *task, now time.Time) bool {
 	step := t.job.Steps[t.step]
-	return a.acceptsQueue(t.job.Queue, s.config, now, s.resumedAt) && a.healthy(now) && a.matchesLabel(step) &&
+	return s.accepts(a, t.job.Queue, now) && a.healthy(now) && a.matchesLabel(step) &&
 		!a.health.ejected && t.demand().FitsIn(a.upstream.Capacity) && !now.Before(t.avoidUntil[a.name]) &&
 		(step.MaxPerWorker == 0 || a.countPlaced(t.job, t.step) < step.MaxPerWorker)
 }
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -34,6 +34,8 @@
 	Free     messenger.Resources
 	Tasks    int
 	Ejected  bool
+	// SetAsideFor is the confined queue that the worker is set aside for.
+	SetAsideFor string
 	// Pace is the pace that the agent last reported.
 	Pace float64
 	// Speed is the speed of the worker relative to the others of its service.
@@ -65,9 +67,11 @@
 			Free:     a.free(),
 			Tasks:    len(a.tasks),
 			Ejected:  a.health.ejected,
-			Pace:     a.report.Pace,
-			Speed:    a.speed.relative,
-			Failed:   a.report.ConsecutiveFailedJobs,
+
+			SetAsideFor: s.bulkhead.shards[a.name],
+			Pace:        a.report.Pace,
+			Speed:       a.speed.relative,
+			Failed:      a.report.ConsecutiveFailedJobs,
 		})
 	}
 	return dump
--- a/scheduler/fit.go
+++ b/scheduler/fit.go
@@ -37,7 +37,7 @@
 		if !j.Steps[step].Demand.FitsIn(a.capacityFor(j, step, now)) {
 			continue
 		}
-		if !a.acceptsQueue(j.Queue, s.config, now, s.resumedAt) || !a.healthy(now) || !a.matchesLabel(j.Steps[step]) {
+		if !s.accepts(a, j.Queue, now) || !a.healthy(now) || !a.matchesLabel(j.Steps[step]) {
 			continue
 		}
 		f := a.fit(j, step, waiting, now, criteria.fastOnly)
--- a/scheduler/locality.go
+++ b/scheduler/locality.go
@@ -199,7 +199,7 @@
 	st := j.Steps[step]
 	var out []*agent
 	for _, a := range s.agentsByName {
-		if a.near(st) && a.matchesLabel(st) && a.acceptsQueue(j.Queue, s.config, now, s.resumedAt) &&
+		if a.near(st) && a.matchesLabel(st) && s.accepts(a, j.Queue, now) &&
 			a.healthy(now) && !a.health.ejected && !now.Before(t.avoidUntil[a.name]) {
 			out = append(out, a)
 		}
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -190,6 +190,7 @@
 		Alone:   tasks[0].alone,
 
 		Unguarded: j.Queue.Unguarded,
+		Queue:     j.Queue.Name,
 	}
 	var total messenger.Resources
 	newRuns := 0
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -73,7 +73,7 @@
 	a.dropReported()
 	s.confirmReservation(a)
 	enqueuedBefore := s.enqueueCount
-	s.handleCrashes(r.Crashes)
+	s.handleCrashes(a, r.Crashes)
 	s.settleUnexplained(a)
 	for _, e := range r.Ended {
 		s.handleEnd(a, e)
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -171,7 +171,7 @@
 		return "placed elsewhere"
 	case !now.Before(r.expiresAt):
 		return "reservation expired"
-	case !r.agent.acceptsQueue(r.job.Queue, s.config, now, s.resumedAt) || !r.agent.healthy(now):
+	case !s.accepts(r.agent, r.job.Queue, now) || !r.agent.healthy(now):
 		return "agent no longer serves the queue or its worker is unhealthy"
 	}
 	return ""
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -51,6 +51,7 @@
 	// heldJobs indexes the held jobs that the agents list.
 	heldJobs heldJobIndex
 	crashes  crashLog
+	bulkhead bulkhead
 	// yielding holds the jobs that wait because another entry holds them.
 	yielding map[string]*job
 	// refusals counts recent refusals by queue name.
@@ -129,6 +130,7 @@
 		withdrawnRuns:  make(map[string]int),
 		heldJobs:       make(heldJobIndex),
 		crashes:        newCrashLog(),
+		bulkhead:       newBulkhead(),
 		yielding:       make(map[string]*job),
 		refusals:       make(map[string]*refusalStats),
 		startRates:     make(map[string]*startRate),
@@ -177,6 +179,7 @@
 	if s.answerIfCondemned(ticket, j) {
 		return
 	}
+	s.bulkhead.addDemand(in.Queue.Name, in.Queue.Service, j.queuedWork(), now)
 	stats := s.refusalsOf(in.Queue)
 	stats.decay(now)
 	stats.submitted++
@@ -271,6 +274,9 @@
 	s.compareSpeeds(now)
 	s.expireRecords(now)
 	s.crashes.expire(now)
+	if s.bulkhead.release(now) {
+		s.bulkheadChanged()
+	}
 	s.schedulingPass()
 }
 
