scheduler: Keep what is known of a crash when another agent names it without details

What callers saw: a job whose task had crashed a worker while it was alone there could be started once more after it was to be given up. Cause: a report that names an earlier crash does not say whether the task was alone; that overwrote what an earlier report had said. Change: an earlier crash that is known already changes nothing. Result: TestCrashUnderATaskAloneCountsWhenAnotherAgentNamesItWithoutDetails was red before.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -141,7 +141,9 @@
 		s.noteCrash(a, c, at)
 		for _, t := range c.Tasks {
 			for _, worker := range t.Earlier {
-				s.crashes.add(t.Task, taskCrash{worker: worker, at: at})
+				if !slices.Contains(s.crashes.workers(t.Task), worker) {
+					s.crashes.add(t.Task, taskCrash{worker: worker, at: at})
+				}
 			}
 			s.crashes.add(t.Task, taskCrash{worker: c.Worker, alone: t.Alone, at: at})
 			s.failIfWaiting(t.Task)
