scheduler: Count a crash once in the bulkhead

What callers saw: a queue that was rightly confined could be released, and crash the others' workers again, when an agent passed crashes on or a link was opened anew. Cause: agents report a crash again on each new link, and pass on what entries tell them, without the queues; each such report counted as another crash without any queue's tasks. Change: a crash that is known already does not count. Result: TestCrashThatIsReportedAgainReleasesNoConfinedQueue was red before; the tests of crashes and of unguarded workers are green.

--- a/executor/crash_test.go
+++ b/executor/crash_test.go
@@ -13,21 +13,8 @@
 // passRefused advances the clock while the entry sends heartbeats and no process listens
 // at the worker's address.
 func (h *harness) passRefused(d time.Duration) {
-	const step = 10 * time.Millisecond
-	var earlier []messenger.Report
 	h.x.HandlePollFailure(h.lastPoll, executor.NoListener)
-	for ; d > 0; d -= step {
-		h.clock.Advance(step)
-		h.x.HandleHeartbeat("e", messenger.Heartbeat{Timestamp: 1, Echo: h.timestamp})
-		h.x.Tick()
-		h.collect()
-		for _, p := range h.polls {
-			h.x.HandlePollFailure(p.Number, executor.NoListener)
-		}
-		earlier = append(earlier, h.reports...)
-	}
-	h.collect()
-	h.reports = append(earlier, h.reports...)
+	h.passWithoutWorker(d, executor.NoListener)
 }
 
 // crashes returns the crashes in the last reports, without their age.
--- a/executor/workerloss_test.go
+++ b/executor/workerloss_test.go
@@ -24,7 +24,10 @@
 
 // passUnanswered advances the clock while the entry sends heartbeats and the worker
 // answers nothing.
-func (h *harness) passUnanswered(d time.Duration) {
+func (h *harness) passUnanswered(d time.Duration) { h.passWithoutWorker(d, executor.Unanswered) }
+
+// passWithoutWorker is like passUnanswered, but the polls fail with a result.
+func (h *harness) passWithoutWorker(d time.Duration, result executor.CallResult) {
 	const step = 10 * time.Millisecond
 	var earlier []messenger.Report
 	for ; d > 0; d -= step {
@@ -33,7 +36,7 @@
 		h.x.Tick()
 		h.collect()
 		for _, p := range h.polls {
-			h.x.HandlePollFailure(p.Number, executor.Unanswered)
+			h.x.HandlePollFailure(p.Number, result)
 		}
 		earlier = append(earlier, h.reports...)
 	}
--- a/scheduler/bulkhead.go
+++ b/scheduler/bulkhead.go
@@ -224,8 +224,12 @@
 	}
 }
 
-// noteCrash updates the bulkhead with the crash of a worker.
+// noteCrash updates the bulkhead with the crash of a worker, unless it is known already: on
+// new links, and by agents that only pass it on, a crash is reported again.
 func (s *Scheduler) noteCrash(a *agent, c messenger.Crash, at time.Time) {
+	if s.crashes.knows(c.Worker) {
+		return
+	}
 	queues := make(map[string]bool)
 	for _, t := range c.Tasks {
 		queues[t.Queue] = true
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -61,7 +61,7 @@
 		list[i].alone = list[i].alone && c.alone
 		return
 	}
-	if _, known := l.tasks[c.worker]; !known {
+	if !l.knows(c.worker) {
 		l.order = append(l.order, reportedCrash{worker: c.worker, at: c.at})
 	}
 	l.tasks[c.worker] = append(l.tasks[c.worker], task)
@@ -88,6 +88,9 @@
 	}
 }
 
+// knows reports whether the crash of a worker has been reported.
+func (l *crashLog) knows(worker messenger.Incarnation) bool { return len(l.tasks[worker]) > 0 }
+
 // workers returns the workers that have crashed under a task.
 func (l *crashLog) workers(task string) []messenger.Incarnation {
 	var out []messenger.Incarnation
