scheduler: Ask in one place whether an agent suits a task

Cause: the conditions for a reservation and for an isolated task stood twice. Change: suits has those that both share; behaviour is unchanged. Result: the tests of reservations and crashes are green.

--- a/scheduler/availability.go
+++ b/scheduler/availability.go
@@ -60,11 +60,16 @@
 
 // mayReserveAt reports whether an agent may be asked to reserve capacity for a task.
 func (s *Scheduler) mayReserveAt(a *agent, t *task, now time.Time) bool {
-	step := t.job.Steps[t.step]
 	return a.reservation == nil &&
 		a.report.Backfill.Window == 0 && // Otherwise it is reserving for another entry.
 		!now.Before(a.nextReserveAt) &&
-		!now.Before(t.avoidUntil[a.name]) &&
+		s.suits(a, t, now)
+}
+
+// suits reports whether an agent may run a task once its worker has free capacity for it.
+func (s *Scheduler) suits(a *agent, t *task, now time.Time) bool {
+	step := t.job.Steps[t.step]
+	return !now.Before(t.avoidUntil[a.name]) &&
 		t.demand().FitsIn(a.upstream.Capacity) &&
 		!a.health.ejected &&
 		s.accepts(a, t.job.Queue, now) && a.healthy(now) && a.matchesLabel(step) &&
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -236,7 +236,7 @@
 // reserved.
 func (s *Scheduler) placeAlone(t *task, agents []*agent, now time.Time) {
 	for _, a := range agents {
-		if s.mayRunAlone(a, t, now) && a.upstream.Capacity.FitsIn(a.capacityFor(t.job, t.step, now)) {
+		if s.suits(a, t, now) && a.upstream.Capacity.FitsIn(a.capacityFor(t.job, t.step, now)) {
 			t.alone = true
 			s.placeTasks(a, t.job, []*task{t})
 			return
@@ -252,14 +252,6 @@
 	}
 }
 
-// mayRunAlone reports whether an agent may run an isolated task.
-func (s *Scheduler) mayRunAlone(a *agent, t *task, now time.Time) bool {
-	step := t.job.Steps[t.step]
-	return s.accepts(a, t.job.Queue, now) && a.healthy(now) && a.matchesLabel(step) &&
-		!a.health.ejected && t.demand().FitsIn(a.upstream.Capacity) && !now.Before(t.avoidUntil[a.name]) &&
-		(step.MaxPerWorker == 0 || a.countPlaced(t.job, t.step) < step.MaxPerWorker)
-}
-
 // emptiestAgent returns the agent with the greatest share of its capacity free of those
 // that may be asked to reserve all of it for a task; nil if there is none.
 func (s *Scheduler) emptiestAgent(t *task, now time.Time) *agent {
