--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -72,10 +74,18 @@
 			return o, fmt.Errorf("entry not usable: %v", a)
 		}
 	}
+	// With FREEZE=1 the whole machine stands still instead, its process and its network.
+	freeze := os.Getenv("FREEZE") == "1"
 	if trouble {
 		rec.note("from here nothing passes from the clients to %s", d.entries[0].name)
 		paths[0].cut()
+		if freeze {
+			d.entries[0].signal(syscall.SIGSTOP)
+		}
 		time.AfterFunc(cutTime, func() {
+			if freeze {
+				d.entries[0].signal(syscall.SIGCONT)
+			}
 			rec.note("everything passes again")
 			paths[0].heal()
 		})
