--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -26,9 +26,9 @@
 	if err != nil {
 		return nil, err
 	}
-	d.configure(true, route{name: "r-1", prefix: "/cycle/", timeout: timeout, attempts: 3})
+	d.configure(route{name: "r-1", prefix: "/cycle/", timeout: timeout, attempts: 3})
 	for i := range 4 {
-		if _, err := d.addAgent([]string{"didube", "gldani"}[i%2], workerSpec{labels: []string{"a", fmt.Sprintf("r1-%d", i)}, capacity: big, guards: true}); err != nil {
+		if _, err := d.addAgent([]string{"didube", "gldani"}[i%2], workerSpec{labels: []string{"a", fmt.Sprintf("r1-%d", i)}, capacity: big}); err != nil {
 			return d, err
 		}
 	}
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -187,15 +187,6 @@
 	_ = m.cmd.Process.Signal(s)
 }
 
-// kill kills the machine's process and waits for its end.
-func (m *machine) kill() {
-	m.signal(syscall.SIGKILL)
-	m.mu.Lock()
-	ended := m.ended
-	m.mu.Unlock()
-	<-ended
-}
-
 // close ends all processes and workers.
 func (d *deployment) close() {
 	for _, m := range append(append([]*machine{}, d.entries...), d.agents...) {
@@ -226,7 +217,7 @@
 }
 
 // configure writes a configuration, as the operator does.
-func (d *deployment) configure(guards bool, routes ...route) {
+func (d *deployment) configure(routes ...route) {
 	d.version += 3
 	list := []map[string]any{}
 	for i, r := range routes {
@@ -237,7 +228,7 @@
 	}
 	d.store.put("op/config", map[string]any{
 		"version": d.version, "routes": list,
-		"services": []map[string]any{{"name": service, "health_path": "/healthz", "max_conns": 64, "protocol": "h1", "tls": false, "enforces_capacity": guards, "spare": false}},
+		"services": []map[string]any{{"name": service, "health_path": "/healthz", "max_conns": 64, "protocol": "h1", "tls": false, "enforces_capacity": true, "spare": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 }
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -24,10 +24,10 @@
 	items    map[string]storeItem
 	events   []storeEvent
 	leases   map[int64]*storeLease
-	changed  chan struct{}
-	// reject decides whether a caller is turned away, by its address.
-	reject func(ip string) bool
-	server *http.Server
+	// lastLease is the number of the last lease.
+	lastLease int64
+	changed   chan struct{}
+	server    *http.Server
 }
 
 type storeItem struct {
@@ -64,11 +64,6 @@
 	}
 	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(storeLatency)
-		ip, _, _ := net.SplitHostPort(r.RemoteAddr)
-		if s.reject != nil && s.reject(ip) {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
 		mux.ServeHTTP(w, r)
 	})}
 	go func() { _ = s.server.Serve(l) }()
@@ -88,15 +83,6 @@
 	s.wake()
 }
 
-// remove removes a key as the operator does.
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	s.removeLocked(key)
-	s.wake()
-}
-
 func (s *store) putLocked(key string, value []byte, lease int64) {
 	i := storeItem{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: lease}
 	if old, ok := s.items[key]; ok {
@@ -271,10 +257,8 @@
 	ttl := time.Duration(max(req.TTL, 1000)) * time.Millisecond
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	id := int64(70000 + len(s.events)*1000 + len(s.leases) + int(time.Now().UnixNano()%100000)*7)
-	for s.leases[id] != nil {
-		id++
-	}
+	s.lastLease++
+	id := s.lastLease
 	s.leases[id] = &storeLease{ttl: ttl, expires: time.Now().Add(ttl)}
 	reply(w, http.StatusOK, map[string]int64{"lease": id, "ttl_ms": ttl.Milliseconds()})
 }
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,8 +15,10 @@
 
 const (
 	heartbeatInterval = 1500 * time.Millisecond
-	maxHold           = 1000 // milliseconds
-	stopTime          = 20 * time.Millisecond
+	// maxHold is the longest lease, in milliseconds.
+	maxHold = 1000
+	// stopTime is how long a stop takes.
+	stopTime = 20 * time.Millisecond
 )
 
 type resources struct {
@@ -31,7 +32,6 @@
 	id, zone, service, app, control string
 	labels                          []string
 	capacity                        resources
-	guards                          bool
 }
 
 // worker stands in for a worker of the platform.
@@ -45,7 +45,6 @@
 
 	mu       sync.Mutex
 	sequence int64
-	draining bool
 	dead     bool
 	token    uint64
 	// lease is the time on the worker's clock, in milliseconds, when the runs expire.
@@ -56,9 +55,6 @@
 	// highest has, by task, the highest run that was stopped or has ended.
 	highest map[string]int
 	changed chan struct{}
-	// late is the share of starts and stops that get no answer and are carried out 2 to
-	// 12 s later.
-	late float64
 }
 
 type runID struct {
@@ -149,28 +145,10 @@
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		w.mu.Lock()
-		late := r.URL.Path != "/api/hold" && rand.Float64() < w.late
-		w.mu.Unlock()
-		if late {
-			go func() {
-				time.Sleep(2*time.Second + time.Duration(rand.IntN(10_000))*time.Millisecond)
-				h(discard{}, body.Bytes())
-			}()
-			<-r.Context().Done()
-			return
-		}
 		h(rw, body.Bytes())
 	}
 }
 
-// discard is the response of a call that is carried out late.
-type discard struct{}
-
-func (discard) Header() http.Header         { return http.Header{} }
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
-func (discard) WriteHeader(int)             {}
-
 func (w *worker) conflict(rw http.ResponseWriter, reason string) {
 	reply(rw, http.StatusConflict, map[string]any{"clock_ms": w.clock(), "born": w.born, "reason": reason})
 }
@@ -237,11 +215,8 @@
 		used.Memory += o.demand.Memory
 	}
 	if used.CPU > w.capacity.CPU || used.Memory > w.capacity.Memory {
-		if w.guards {
-			w.conflict(rw, "room")
-			return
-		}
-		w.rec.note("LIMIT worker %s: start of %s run %d brings it to %d of %d millicores", w.id, c.Task, c.Run, used.CPU, w.capacity.CPU)
+		w.conflict(rw, "room")
+		return
 	}
 	w.runs[id] = r
 	w.rec.began(r.taskRun)
@@ -388,17 +363,10 @@
 func (w *worker) sendHeartbeat() bool {
 	w.mu.Lock()
 	w.sequence++
-	state := "ready"
-	if w.draining {
-		state = "draining"
-	}
 	body := map[string]any{
-		"service": w.service, "address": w.app, "zone": w.zone, "version": "v1", "task_slots": 8, "state": state,
+		"service": w.service, "address": w.app, "zone": w.zone, "version": "v1", "task_slots": 8, "state": "ready",
 		"cold_left_ms": 0, "capacity": w.capacity, "labels": w.labels, "clock_ms": w.clock(), "sequence": w.sequence, "born": w.born,
 	}
-	if w.draining {
-		body["remaining_ms"] = 2500
-	}
 	w.mu.Unlock()
 	raw, _ := json.Marshal(body)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -412,11 +380,3 @@
 	_ = resp.Body.Close()
 	return resp.StatusCode/100 == 2
 }
-
-// drain announces that the worker leaves, and reports whether that was acknowledged.
-func (w *worker) drain() bool {
-	w.mu.Lock()
-	w.draining = true
-	w.mu.Unlock()
-	return w.sendHeartbeat()
-}
