--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -40,6 +40,36 @@
 	return d, d.awaitReady(1500 * time.Millisecond)
 }
 
+// paths opens a path from the clients to each entry.
+func (d *deployment) paths() ([]*path, error) {
+	var out []*path
+	for i, e := range d.entries {
+		p, err := newPath(fmt.Sprintf("%s.%d:%d", d.net, 200+i, d.ports.front), e.front(), clientLatency)
+		if err != nil {
+			return nil, err
+		}
+		d.closers = append(d.closers, p.close)
+		out = append(out, p)
+	}
+	return out, nil
+}
+
+// usedConns opens n connections on a path. Each has carried a request already.
+func usedConns(p *path, n int) ([]*conn, error) {
+	conns := make([]*conn, n)
+	for i := range conns {
+		c, err := dial(p.addr())
+		if err != nil {
+			return nil, err
+		}
+		if a := c.call("GET", "/cycle/", "", time.Second); a.status != 200 {
+			return nil, fmt.Errorf("entry not usable: %v", a)
+		}
+		conns[i] = c
+	}
+	return conns, nil
+}
+
 // lateArrival: nothing passes from the clients to one entry for 2.5 s. Requests that were
 // sent meanwhile arrive after their clients have sent them again to the other entry.
 func lateArrival(rec *recorder, trouble bool) (o outcome, err error) {
@@ -55,24 +85,14 @@
 	if err != nil {
 		return o, err
 	}
-	var paths []*path
-	for i, e := range d.entries {
-		p, err := newPath(fmt.Sprintf("%s.%d:%d", d.net, 200+i, d.ports.front), e.front(), clientLatency)
-		if err != nil {
-			return o, err
-		}
-		defer p.close()
-		paths = append(paths, p)
+	paths, err := d.paths()
+	if err != nil {
+		return o, err
 	}
 	body := jobBody(step{count: 4, demand: resources{CPU: 2000, Memory: 64}, estimate: 900, millis: 900})
-	conns := make([]*conn, clients)
-	for i := range conns {
-		if conns[i], err = dial(paths[0].addr()); err != nil {
-			return o, err
-		}
-		if a := conns[i].call("GET", "/cycle/", "", deadline); a.status != 200 {
-			return o, fmt.Errorf("entry not usable: %v", a)
-		}
+	conns, err := usedConns(paths[0], clients)
+	if err != nil {
+		return o, err
 	}
 	// With FREEZE=1 the whole machine stands still instead, its process and its network.
 	freeze := os.Getenv("FREEZE") == "1"
@@ -152,11 +172,11 @@
 	if err != nil {
 		return o, err
 	}
-	p, err := newPath(fmt.Sprintf("%s.200:%d", d.net, d.ports.front), d.entries[0].front(), clientLatency)
+	paths, err := d.paths()
 	if err != nil {
 		return o, err
 	}
-	defer p.close()
+	p := paths[0]
 	demand := resources{CPU: 2000, Memory: 64}
 	body := jobBody(step{count: 2, demand: demand, estimate: 5000, millis: 5000}, step{count: 2, demand: demand, estimate: 1000, millis: 1000, after: []int{0}})
 	for range 3 {
@@ -224,3 +244,67 @@
 	}
 	return o, nil
 }
+
+// lateStart: nothing passes from the clients to one entry for 5 s. Clients whose requests got
+// no answer cancel their jobs, at the other entry. The requests arrive after that.
+func lateStart(rec *recorder, trouble bool) (o outcome, err error) {
+	const (
+		deadline = 1500 * time.Millisecond
+		cutTime  = 5 * time.Second
+		clients  = 8
+	)
+	d, err := twoZones(rec, 1500)
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return o, err
+	}
+	paths, err := d.paths()
+	if err != nil {
+		return o, err
+	}
+	body := jobBody(step{count: 4, demand: resources{CPU: 2000, Memory: 64}, estimate: 900, millis: 900})
+	conns, err := usedConns(paths[0], clients)
+	if err != nil {
+		return o, err
+	}
+	if trouble {
+		rec.note("from here nothing passes from the clients to %s", d.entries[0].name)
+		paths[0].cut()
+		time.AfterFunc(cutTime, func() {
+			rec.note("everything passes again")
+			paths[0].heal()
+		})
+	}
+	var all sync.WaitGroup
+	ids := make([]string, clients)
+	acked := make([]time.Duration, clients)
+	for i, c := range conns {
+		ids[i] = newID()
+		all.Go(func() {
+			rec.note("client %d sends job %s to %s", i, ids[i], d.entries[0].name)
+			a := c.call("POST", "/cycle/"+ids[i], body, deadline)
+			rec.note("client %d: job %s: %v", i, ids[i], a)
+			if a.status != 0 {
+				return
+			}
+			a = once(context.Background(), paths[1].addr(), "DELETE", "/cycle/"+ids[i], "", 4*time.Second)
+			rec.note("client %d: cancelling of job %s at %s: %v", i, ids[i], d.entries[1].name, a)
+			if a.status/100 == 2 || a.status == 410 {
+				acked[i] = rec.now()
+			}
+		})
+	}
+	all.Wait()
+	time.Sleep(6 * time.Second)
+	for i, id := range ids {
+		if acked[i] > 0 {
+			o.broken = append(o.broken, lateRuns(rec, id, acked[i])...)
+		}
+	}
+	if len(rec.allRuns()) == 0 && !trouble {
+		return o, fmt.Errorf("no task was run")
+	}
+	return o, nil
+}
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -32,6 +32,8 @@
 	agents  []*machine
 	workers []*worker
 	version int
+	// closers end the stand-ins of a case.
+	closers []func()
 }
 
 // machine is a machine of the system with its one process.
@@ -202,6 +204,9 @@
 		w.crash()
 	}
 	d.store.close()
+	for _, c := range d.closers {
+		c()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(d.dir)
 	} else {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -25,6 +25,7 @@
 	"late-arrival":     lateArrival,
 	"cancel-elsewhere": cancelElsewhere,
 	"cancel-again":     cancelAgain,
+	"late-start":       lateStart,
 }
 
 func main() {
