--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -58,9 +58,6 @@
 	MetricsAddr string
 	// GracePeriod bounds a shutdown.
 	GracePeriod time.Duration
-	// MinResendDelay is the minimum time after which a caller that got no answer
-	// sends its job again.
-	MinResendDelay time.Duration
 	// FarFactor is the factor by which a task takes longer away from its data; 0 or
 	// 1 means that this makes no difference.
 	FarFactor float64
@@ -146,10 +143,6 @@
 	g.Add(func() error { return newDirectives(a).follow(runCtx) }, func(error) { cancel() })
 	g.Add(func() error { return links.follow(runCtx) }, func(error) { cancel() })
 	a.deps.Log.WithField("front", a.cfg.FrontAddr).Info("entry started")
-	if a.cfg.MinResendDelay < scheduler.AgentLossTimeout {
-		a.deps.Log.WithField("resend", a.cfg.MinResendDelay.String()).WithField("needed", scheduler.AgentLossTimeout.String()).
-			Warn("callers may resend jobs while runs of a lost entry continue")
-	}
 	err := g.Run()
 	a.deps.Log.Info("entry stopped")
 	return err
--- a/acceptor/actor.go
+++ b/acceptor/actor.go
@@ -33,6 +33,8 @@
 	waitingQuery struct{ queue string }
 	// needQuery asks for the scheduler.CapacityNeed.
 	needQuery struct{}
+	// witnessesChanged carries the agents that keep locks of jobs.
+	witnessesChanged struct{ witnesses []scheduler.Witness }
 	// releaseLinks closes the links to those agents at which the entry has no runs.
 	// The answer holds the names of the agents that are not linked afterwards.
 	releaseLinks struct{ agents []string }
@@ -41,6 +43,8 @@
 		agent string
 		link  *messenger.Link
 	}
+	// linkRefused reports that no process listens at the address of an agent.
+	linkRefused struct{ agent string }
 	// linkMessage carries a message from an agent.
 	linkMessage struct {
 		link *messenger.Link
@@ -70,7 +74,7 @@
 func newEntryActor(a *Acceptor) *entryActor {
 	return &entryActor{
 		acceptor:    a,
-		scheduler:   scheduler.NewScheduler(a.deps.Clock, a.cfg.DataCentre),
+		scheduler:   scheduler.NewScheduler(a.deps.Clock, a.cfg.ID, a.cfg.DataCentre),
 		replies:     make(map[uint64]chan scheduler.Answer),
 		links:       make(map[string]*agentLink),
 		agentByLink: make(map[*messenger.Link]string),
@@ -93,8 +97,12 @@
 		c.scheduler.CallerLeft(m.ticket)
 	case configurationChanged:
 		c.scheduler.Configure(m.configuration)
+	case witnessesChanged:
+		c.scheduler.SetWitnesses(m.witnesses)
 	case linkOpened:
 		c.handleLinkOpened(m)
+	case linkRefused:
+		c.scheduler.LinkRefused(m.agent)
 	case linkMessage:
 		c.handleLinkMessage(m)
 	case linkClosed:
@@ -168,10 +176,13 @@
 	if !ok {
 		return
 	}
-	r, ok := m.msg.(*messenger.Report)
-	if !ok || r.Agent != name {
-		return
+	switch msg := m.msg.(type) {
+	case *messenger.Report:
+		if msg.Agent == name {
+			c.links[name].recordTimestamp(msg.Timestamp)
+			c.scheduler.HandleReport(*msg)
+		}
+	case *messenger.LockReply:
+		c.scheduler.HandleLockReply(name, *msg)
 	}
-	c.links[name].recordTimestamp(r.Timestamp)
-	c.scheduler.HandleReport(*r)
 }
--- a/acceptor/jobs.go
+++ b/acceptor/jobs.go
@@ -46,7 +46,6 @@
 		a.RecordRejection(j.ID, "entry shuts down before the job can end")
 		return scheduler.Answer{Outcome: scheduler.Unavailable, RetryAfter: time.Second, Why: "entry stops"}
 	}
-	j.EarliestSent = receivedAt.Add(-a.lag.maxUnreadAge())
 	ticket := a.lastTicket.Add(1)
 	reply := make(chan scheduler.Answer, 1)
 	a.post(submitJob{ticket: ticket, job: j, reply: reply})
--- a/acceptor/lag_test.go
+++ b/acceptor/lag_test.go
@@ -21,22 +21,3 @@
 	l.observeTick(clock.Now())
 	require.LessOrEqual(t, l.current(), time.Duration(0), "the actor has caught up")
 }
-
-func TestRequestReadAfterAPauseMayBeAsOldAsThePause(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	l := lag{clock: clock}
-	l.observeTick(clock.Now())
-	clock.Advance(tickInterval)
-	l.observeTick(clock.Now())
-	require.Zero(t, l.maxUnreadAge())
-	clock.Advance(time.Second)
-	l.observeTick(clock.Now())
-	clock.Advance(tickInterval)
-	l.observeTick(clock.Now())
-	require.Equal(t, time.Second+tickInterval, l.maxUnreadAge())
-	clock.Advance(time.Second - tickInterval)
-	l.observeTick(clock.Now())
-	require.Equal(t, 2*time.Second, l.maxUnreadAge(), "two pauses within the catch-up window add up")
-	clock.Advance(catchUpWindow + 1)
-	require.Zero(t, l.maxUnreadAge())
-}
--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -43,9 +43,6 @@
 	configuration, _ := c.acceptor.Configuration()
 	evacuated := slices.Sorted(maps.Keys(configuration.Evacuated))
 	backlog := c.scheduler.Backlog()
-	heldJobs := c.scheduler.HeldJobs()
-	// The timestamp is taken after the held jobs are collected, so that they count as
-	// announced from a time before it.
 	now := c.acceptor.deps.Clock.Now()
 	for _, l := range due {
 		l.heartbeatAt = now
@@ -56,7 +53,7 @@
 			Evacuated:    evacuated,
 			Backlog:      backlog,
 			AckedOutcome: c.scheduler.LastOutcome(c.agentByLink[l.Link]),
-			HeldJobs:     heldJobs,
+			Unlocked:     c.scheduler.TakeUnlocked(c.agentByLink[l.Link]),
 		})
 	}
 }
--- a/acceptor/linkset.go
+++ b/acceptor/linkset.go
@@ -5,8 +5,10 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/pomeloferry/pomeloferry/messenger"
@@ -62,6 +64,8 @@
 // depends on it.
 type linkSet struct {
 	acceptor *Acceptor
+	// post sends a message to the entry's actor.
+	post func(msg any)
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -72,12 +76,14 @@
 	selectedRevision int64
 	// selectionStale means that something has changed since the last selection.
 	selectionStale bool
+	// witnesses are those last selected.
+	witnesses []scheduler.Witness
 	// surplus lists the agents that are linked but were not selected the last time.
 	surplus []string
 }
 
 func newLinkSet(a *Acceptor) *linkSet {
-	return &linkSet{acceptor: a, agents: make(map[string]*knownAgent), budget: newLinkBudget()}
+	return &linkSet{acceptor: a, post: a.post, agents: make(map[string]*knownAgent), budget: newLinkBudget()}
 }
 
 // follow keeps the known agents up to date with the directory until ctx ends.
@@ -268,10 +274,16 @@
 			dataCentre: dc,
 			rank:       agent.rank,
 			reachable:  reachable,
+			witness:    agent.registered || reachable,
 			usable:     reachable && !configuration.Evacuated[dc],
 		})
 	}
-	selected := s.selectAll(candidates)
+	witnesses := selectWitnesses(candidates)
+	if !slices.Equal(witnesses, s.witnesses) {
+		s.witnesses = witnesses
+		s.post(witnessesChanged{witnesses: witnesses})
+	}
+	selected := s.selectAll(candidates, witnesses)
 	for name := range selected {
 		agent := s.agents[name]
 		if agent.stopLink != nil {
@@ -290,11 +302,11 @@
 }
 
 // selectAll returns the agents to link: those for the entry's tasks, within the link
-// budget, and those of the grid, which it has in common with the other entries.
-func (s *linkSet) selectAll(candidates []candidate) map[string]bool {
-	id, dc := s.acceptor.cfg.ID, s.acceptor.cfg.DataCentre
+// budget, and the witnesses, which it has in common with the other entries.
+func (s *linkSet) selectAll(candidates []candidate, witnesses []scheduler.Witness) map[string]bool {
+	dc := s.acceptor.cfg.DataCentre
 	out := make(map[string]bool)
-	for _, name := range slices.Concat(selectAgents(dc, candidates, s.budget.limit), gridAgents(id, candidates)) {
+	for _, name := range slices.Concat(selectAgents(dc, candidates, s.budget.limit), witnessAgents(witnesses)) {
 		out[name] = true
 	}
 	return out
@@ -359,9 +371,12 @@
 	for ctx.Err() == nil {
 		l, err := messenger.Dial(ctx, registration.Link, a)
 		s.recordDial(registration.Agent, err == nil)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			s.post(linkRefused{agent: registration.Agent})
+		}
 		if err == nil {
 			failures = 0
-			a.post(linkOpened{agent: registration.Agent, link: l})
+			s.post(linkOpened{agent: registration.Agent, link: l})
 			select {
 			case <-l.Done():
 			case <-ctx.Done():
--- a/acceptor/linkset_test.go
+++ b/acceptor/linkset_test.go
@@ -42,6 +42,7 @@
 	store := &growingStore{}
 	a := &Acceptor{deps: provider.NewDeps(io.Discard), cfg: Config{ID: "entry", DataCentre: "dc"}, store: store}
 	s := newLinkSet(a)
+	s.post = func(any) {}
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
 	for revision := int64(1); ctx.Err() == nil; {
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -66,14 +66,13 @@
 	}
 	reloadOnHangup(env, deps, s)
 	a, err := acceptor.NewAcceptor(deps, acceptor.Config{
-		ID:             s.NodeName,
-		DataCentre:     s.DataCentre,
-		FrontAddr:      s.FrontAddr,
-		ReadyAddr:      s.ReadyAddr,
-		MetricsAddr:    hostPort(s.IP, s.LastInternalPort),
-		GracePeriod:    s.GracePeriod,
-		MinResendDelay: s.MinResendDelay,
-		FarFactor:      s.FarFactor,
+		ID:          s.NodeName,
+		DataCentre:  s.DataCentre,
+		FrontAddr:   s.FrontAddr,
+		ReadyAddr:   s.ReadyAddr,
+		MetricsAddr: hostPort(s.IP, s.LastInternalPort),
+		GracePeriod: s.GracePeriod,
+		FarFactor:   s.FarFactor,
 	}, platform.NewStore(s.StoreAddr))
 	if err != nil {
 		return errors.Wrapf(err, "entry %s", s.NodeName)
--- a/executor/effect.go
+++ b/executor/effect.go
@@ -7,8 +7,8 @@
 	"github.com/pomeloferry/pomeloferry/messenger"
 )
 
-// Effect is an action for the agent process: a Start, Stop, Poll, SendReport, TickAfter
-// or Note.
+// Effect is an action for the agent process: a Start, Stop, Poll, SendReport,
+// SendLockReply, TickAfter or Note.
 type Effect interface{ effect() }
 
 // Start sends a start to the worker.
@@ -55,6 +55,12 @@
 	Report messenger.Report
 }
 
+// SendLockReply sends a LockReply to an entry.
+type SendLockReply struct {
+	Entry string
+	Reply messenger.LockReply
+}
+
 // TickAfter asks for a call of Tick after a delay.
 type TickAfter struct {
 	Delay time.Duration
@@ -71,12 +77,13 @@
 	Age    time.Duration
 }
 
-func (Start) effect()      {}
-func (Stop) effect()       {}
-func (Poll) effect()       {}
-func (SendReport) effect() {}
-func (TickAfter) effect()  {}
-func (Note) effect()       {}
+func (Start) effect()         {}
+func (Stop) effect()          {}
+func (Poll) effect()          {}
+func (SendLockReply) effect() {}
+func (SendReport) effect()    {}
+func (TickAfter) effect()     {}
+func (Note) effect()          {}
 
 func compareRuns(a, b messenger.Run) int {
 	if c := strings.Compare(a.Task, b.Task); c != 0 {
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -56,7 +56,9 @@
 	outcomes    outcomeQueue
 	// crashesSent is the number of the last crash sent on this link.
 	crashesSent int
-	held        heldJobs
+	// holder is the present incarnation as the holder of locks. Those of an earlier
+	// incarnation, whose runs may go on, expire on their own.
+	holder *lockHolder
 }
 
 // HandleHello processes a Hello, which opens a link of an entry. Runs of an earlier
@@ -75,8 +77,9 @@
 		x.orphanRunsOf(h.Entry)
 		e.incarnation = h.Incarnation
 		e.outcomes = outcomeQueue{}
-		e.held.retire()
+		e.holder = &lockHolder{entry: h.Entry}
 	}
+	e.holder.seenAt = now
 	if !x.hasRunsOf(h.Entry) {
 		// A Hello that was read late must not keep runs alive.
 		e.lastSeenAt = now
@@ -90,7 +93,6 @@
 	e.runsSent = false
 	e.upstreamSent = false
 	e.reportedSpeed = speedEstimate{value: 1}
-	e.held.sent = false
 	e.stateChanged = true
 	e.backlog = messenger.Backlog{}
 	x.noteCrashesOf(h)
@@ -121,7 +123,8 @@
 	e.outcomes.acknowledge(h.AckedOutcome)
 	x.applyDirectives(name, h)
 	x.updateBacklog(e, h.Backlog)
-	x.updateHeld(e, h.HeldJobs)
+	e.holder.seenAt = x.clock.Now()
+	x.unlockJobs(e, h.Unlocked)
 	x.recordContact(e, h.Echo)
 	// The agent's own heartbeat goes out with this one, while both processes are
 	// running.
@@ -310,11 +313,6 @@
 		r.Upstream = &up
 		e.upstreamSent = true
 	}
-	if (heartbeat || !e.runsSent) && !e.held.sent {
-		others := x.heldByOthers(e)
-		r.HeldJobs = &others
-		e.held.sent = true
-	}
 	// A list of runs is complete only once it is known which runs the worker has.
 	if !e.runsSent && x.runsKnown {
 		r.RunsComplete = true
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -138,6 +138,7 @@
 	// leaving is the last incarnation that has announced its end.
 	leaving messenger.Incarnation
 
+	locks lockTable
 	// unclaimed holds the ends of runs that no entry had claimed.
 	unclaimed map[messenger.Run]unclaimedEnd
 
@@ -175,6 +176,7 @@
 		entries:   make(map[string]*entry),
 		losses:    make(map[messenger.Incarnation]*loss),
 		unclaimed: make(map[messenger.Run]unclaimedEnd),
+		locks:     newLockTable(),
 	}
 }
 
@@ -217,7 +219,7 @@
 	x.markRunsKnownAfterLeases(now)
 	x.expireUnclaimedEnds(now)
 	x.expireLosses(now)
-	x.expireHeld(now)
+	x.locks.expire(now)
 	x.sendDuePoll()
 	x.sendHeartbeats(now)
 }
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -31,8 +31,8 @@
 	timestamp time.Duration
 	// reportCounts counts the reports in the last effects by entry.
 	reportCounts map[string]int
-	// reportedHeld holds, by entry, the other entries' jobs in the last effects.
-	reportedHeld map[string]*messenger.HeldJobs
+	// lockReplies holds the lock replies in the last effects by entry.
+	lockReplies map[string][]messenger.LockReply
 	// lossNotes are the notes so far on the loss of a worker.
 	lossNotes []string
 }
@@ -53,7 +53,7 @@
 
 func (h *harness) collect() {
 	h.starts, h.stops, h.polls, h.reports = nil, nil, nil, nil
-	h.reportedHeld = make(map[string]*messenger.HeldJobs)
+	h.lockReplies = make(map[string][]messenger.LockReply)
 	h.reportCounts = make(map[string]int)
 	for _, e := range h.x.TakeEffects() {
 		switch e := e.(type) {
@@ -75,9 +75,8 @@
 			h.reports = append(h.reports, e.Report)
 			h.timestamp = e.Report.Timestamp
 			h.reportCounts[e.Entry]++
-			if e.Report.HeldJobs != nil {
-				h.reportedHeld[e.Entry] = e.Report.HeldJobs
-			}
+		case executor.SendLockReply:
+			h.lockReplies[e.Entry] = append(h.lockReplies[e.Entry], e.Reply)
 		}
 	}
 }
--- a/executor/start.go
+++ b/executor/start.go
@@ -47,6 +47,7 @@
 	x.recordContact(e, p.Echo)
 	now := x.clock.Now()
 	e.lastPlaceAt = now
+	e.holder.seenAt = now
 	x.unguarded = p.Unguarded
 	stale := x.timestamp()-p.Echo > maxPlaceAge
 	x.updateBacklog(e, p.Backlog)
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -31,6 +31,8 @@
 	reflect.TypeFor[Withdraw](),
 	reflect.TypeFor[Report](),
 	reflect.TypeFor[Reserve](),
+	reflect.TypeFor[LockJobs](),
+	reflect.TypeFor[LockReply](),
 }
 
 // Handler receives the messages of a link. Its methods are called from one goroutine of
--- a/messenger/link_test.go
+++ b/messenger/link_test.go
@@ -50,7 +50,8 @@
 		messenger.Place{Number: 1, Job: "j", Spec: "spec", Service: "s", MaxWait: time.Millisecond, Echo: 5, Tasks: []messenger.Task{{Run: run, Demand: messenger.Resources{CPU: 3100}, Estimate: time.Second}}},
 		messenger.Withdraw{Runs: []messenger.Run{run}},
 		messenger.Reserve{Number: 4, Demand: messenger.Resources{CPU: 16_000}, TTL: time.Second},
-		messenger.Heartbeat{Timestamp: 7, Echo: 8, HeldJobs: messenger.HeldJobs{Running: []string{"j"}, Yielding: []string{"k"}, Finished: []string{"l"}}},
+		messenger.Heartbeat{Timestamp: 7, Echo: 8, Unlocked: []messenger.UnlockedJob{{Job: "j", Outcome: messenger.JobComplete}}},
+		messenger.LockJobs{Number: 9, Jobs: []string{"j"}, Unlocked: []messenger.UnlockedJob{{Job: "k"}}, Complete: true},
 	}
 	for _, m := range toAgent {
 		a.Send(m)
@@ -63,18 +64,18 @@
 		Runs:     []messenger.Progress{{Run: run, Percent: 41, Age: time.Second}},
 		Ended:    []messenger.RunEnd{{Run: run, Reason: messenger.RunDone}},
 		Refused:  []messenger.Refusal{{Run: run, Reason: messenger.RefusedNoRoom}},
-		HeldJobs: &messenger.HeldJobs{Running: []string{"j"}, Yielding: []string{"k"}, Finished: []string{"l"}},
 	}
 	b.Send(report)
-	emptyReport := messenger.Report{Agent: "a", HeldJobs: &messenger.HeldJobs{}}
-	b.Send(emptyReport)
+	reply := messenger.LockReply{Number: 9, Locked: []string{"j"}, Held: []string{"k"}, Ended: []messenger.UnlockedJob{{Job: "l", Outcome: messenger.JobFailed}}, Wanted: []string{"m"}}
+	b.Send(reply)
 	require.Equal(t, &report, <-ha.received)
-	require.Equal(t, &emptyReport, <-ha.received)
+	require.Equal(t, &reply, <-ha.received)
 	require.Equal(t, toAgent[0], *(<-hb.received).(*messenger.Hello))
 	require.Equal(t, toAgent[1], *(<-hb.received).(*messenger.Place))
 	require.Equal(t, toAgent[2], *(<-hb.received).(*messenger.Withdraw))
 	require.Equal(t, toAgent[3], *(<-hb.received).(*messenger.Reserve))
 	require.Equal(t, toAgent[4], *(<-hb.received).(*messenger.Heartbeat))
+	require.Equal(t, toAgent[5], *(<-hb.received).(*messenger.LockJobs))
 }
 
 func TestLinkClosesForBothWhenOneCloses(t *testing.T) {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -11,9 +11,11 @@
 	HeartbeatInterval = 120 * time.Millisecond
 	// IdleTimeout is the time without incoming traffic after which a link closes.
 	IdleTimeout = 400 * time.Millisecond
-	// HeldJobsTTL is how long agents report the held jobs of an entry that sends no
-	// heartbeats.
-	HeldJobsTTL = 1290 * time.Millisecond
+	// LockTTL is how long an agent keeps the locks of an entry from which nothing
+	// arrives. By then all runs of that entry have ended: an agent that the entry
+	// contacted last ends them within 1290 ms, and may have been contacted one
+	// heartbeat and one tick later than this one.
+	LockTTL = 1430 * time.Millisecond
 	// CrashTTL is how long agents and entries remember the crash of a worker, so that a
 	// job that is sent again does not crash more of them. Callers wait for a minute at
 	// most.
@@ -104,19 +106,54 @@
 	// AckedOutcome is the LastOutcome of the last Report on the link. The agent drops
 	// the outcomes up to it.
 	AckedOutcome uint64 `cbor:"6,keyasint,omitempty"`
-	// HeldJobs lists the held jobs that are announced to the other entries.
-	HeldJobs HeldJobs `cbor:"7,keyasint,omitempty"`
+	// Unlocked lists the jobs whose locks the entry gives up; see LockJobs. Field 7
+	// is no longer used.
+	Unlocked []UnlockedJob `cbor:"8,keyasint,omitempty"`
 }
 
-// HeldJobs lists jobs that an entry holds and that their callers may soon send, or have
-// already sent, to another entry.
-type HeldJobs struct {
-	// Running lists the jobs in progress at the entry.
-	Running []string `cbor:"1,keyasint,omitempty"`
-	// Yielding lists jobs that wait because another entry holds them.
-	Yielding []string `cbor:"2,keyasint,omitempty"`
-	// Finished lists jobs that have ended while some of their runs may still go on.
-	Finished []string `cbor:"3,keyasint,omitempty"`
+// JobOutcome is the final outcome of a job, or "" if it has none: the job has not run to
+// its end, so another entry may run it.
+type JobOutcome string
+
+// The final outcomes of a job.
+const (
+	JobComplete JobOutcome = "Complete"
+	JobFailed   JobOutcome = "Failed"
+)
+
+// UnlockedJob is a job whose lock an entry gives up.
+type UnlockedJob struct {
+	Job     string     `cbor:"1,keyasint,omitempty"`
+	Outcome JobOutcome `cbor:"2,keyasint,omitempty"`
+}
+
+// LockJobs asks an agent, as a witness, to lock jobs for the entry. An entry places the
+// tasks of a job only while it has the job locked at a quorum of its witnesses, so that
+// no two entries run one job at the same time. The agent answers with a LockReply if
+// Jobs is not empty.
+type LockJobs struct {
+	// Number identifies the request. It rises with each one on the link, from 1.
+	Number uint64   `cbor:"1,keyasint,omitempty"`
+	Jobs   []string `cbor:"2,keyasint,omitempty"`
+	// Unlocked lists the jobs whose locks the entry gives up. They are unlocked before
+	// Jobs are locked.
+	Unlocked []UnlockedJob `cbor:"3,keyasint,omitempty"`
+	// Complete means that the entry gives up all locks that are not in Jobs.
+	Complete bool `cbor:"4,keyasint,omitempty"`
+}
+
+// LockReply answers a LockJobs. Each of its jobs is in one of the lists.
+type LockReply struct {
+	// Number is the number of the request; 0 if there was none, with Wanted.
+	Number uint64 `cbor:"1,keyasint,omitempty"`
+	// Locked lists the jobs that are now locked for the entry, Held those that another
+	// entry has locked, and Ended those that another entry has run to their end.
+	Locked []string      `cbor:"2,keyasint,omitempty"`
+	Held   []string      `cbor:"3,keyasint,omitempty"`
+	Ended  []UnlockedJob `cbor:"4,keyasint,omitempty"`
+	// Wanted lists jobs that are locked for the receiver and that another entry has
+	// asked for since.
+	Wanted []string `cbor:"5,keyasint,omitempty"`
 }
 
 // Backlog counts and sums the tasks of an entry that wait for free capacity. Agents
@@ -344,9 +381,6 @@
 	// LastOutcome is the number of the last end or refusal that the agent has reported
 	// to the entry, on this link or an earlier one.
 	LastOutcome uint64 `cbor:"19,keyasint,omitempty"`
-	// HeldJobs lists the held jobs of the other entries, as of their last heartbeats;
-	// nil means unchanged since the last report on the link.
-	HeldJobs *HeldJobs `cbor:"20,keyasint,omitempty"`
 	// Speed is the estimated over the actual duration of the runs that have ended
 	// recently, and SpeedJobs is its weight in jobs. Unlike Pace, it covers a window of
 	// seconds. A Speed of zero means that both are unchanged since the last report on
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -31,15 +31,9 @@
 	if why := s.impossibleReason(j); why != "" {
 		return Answer{Outcome: Impossible, Why: why}, false
 	}
-	if !s.ownsExclusively(j, now) {
-		return Answer{Outcome: Overloaded, RetryAfter: minRetryAfter, Why: "may have been sent again since"}, false
-	}
 	if now.Add(j.minDuration()).After(j.Deadline) {
 		return Answer{Outcome: Overloaded, RetryAfter: minRetryAfter, Why: "caller waits for less than the work takes"}, false
 	}
-	if s.yieldIfHeld(j) {
-		return Answer{}, true
-	}
 	if now.Before(s.warmUpEnd) {
 		return Answer{}, true
 	}
@@ -52,6 +46,21 @@
 	return Answer{}, true
 }
 
+// refuseIfOverloaded refuses an unstarted job that may not wait for capacity any more,
+// and reports whether it did.
+func (s *Scheduler) refuseIfOverloaded(j *job, now time.Time) bool {
+	if !j.unstarted() {
+		return false
+	}
+	a, ok := s.admit(j, now)
+	if ok {
+		return false
+	}
+	s.refusalsOf(j.Queue).refused++
+	s.endJob(j, a)
+	return true
+}
+
 // waitLimit returns the longest time that a job may wait for its first placement.
 func (s *Scheduler) waitLimit(j *job) time.Duration {
 	limit := min(time.Duration(waitSlackShare*float64(j.latestStart.Sub(j.arrived))), maxWait)
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -31,15 +31,23 @@
 	reportedAt time.Time
 	// lastOutcome is the number of the last outcome reported on the link.
 	lastOutcome uint64
-	// heldJobs are the jobs that other entries hold, as the agent last reported at
-	// heldJobsAt.
-	heldJobs   map[string]holdState
-	heldJobsAt time.Time
-	// heldJobsIncarnation is the incarnation of the agent that reported heldJobs.
-	// earlierHeldJobs has the jobs reported by earlier incarnations, and until when
-	// they count.
-	heldJobsIncarnation int64
-	earlierHeldJobs     map[string]time.Time
+	// linked means that a link is open.
+	linked bool
+	// linkLostAt is when the last link closed, and refusedLink means that the agent's
+	// machine has refused a new one since.
+	linkLostAt  time.Time
+	refusedLink bool
+	// contactAt is when the newest message was sent on the link that is known to have
+	// arrived.
+	contactAt time.Time
+	// lockEpoch rises when locks that the agent has granted count no longer.
+	lockEpoch int
+	// lockNumber is the number of the last LockJobs on the link, and unlocked what the
+	// next one, or the next heartbeat, is to unlock.
+	lockNumber uint64
+	unlocked   []messenger.UnlockedJob
+	// asked means that the agent was asked for locks, so that it may keep some.
+	asked bool
 	// linkOpenedAt is when the link was opened; the entry's timestamps on it are
 	// relative to that.
 	linkOpenedAt time.Time
--- a/scheduler/choose_bench_test.go
+++ b/scheduler/choose_bench_test.go
@@ -24,7 +24,7 @@
 
 func benchmarkChooseAgent(b *testing.B, agents int, heterogeneous bool) {
 	clock := clockwork.NewFakeClock()
-	s := NewScheduler(clock, "dc-0")
+	s := NewScheduler(clock, "entry", "dc-0")
 	q := Queue{Name: "quotes", Service: "quotes", Stretch: 1.6, Slack: 60 * time.Millisecond}
 	s.Configure(Configuration{Version: 1, Queues: []Queue{q}})
 	clock.Advance(time.Second)
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -7,10 +7,10 @@
 	Version   uint64
 	Evacuated map[string]bool
 	Jobs      int
-	// Yielding counts the jobs that wait because another entry holds them.
-	Yielding int
-	Waiting  []JobDump
-	Agents   []AgentDump
+	// Contested counts the jobs that wait because another entry has locked them.
+	Contested int
+	Waiting   []JobDump
+	Agents    []AgentDump
 }
 
 // JobDump is the state of one job with ready tasks.
@@ -46,7 +46,7 @@
 
 // Dump returns the current state.
 func (s *Scheduler) Dump() Dump {
-	dump := Dump{Version: s.config.Version, Evacuated: s.config.Evacuated, Jobs: len(s.jobs), Yielding: len(s.yielding)}
+	dump := Dump{Version: s.config.Version, Evacuated: s.config.Evacuated, Jobs: len(s.jobs), Contested: s.contestedLocks()}
 	for _, j := range s.queue {
 		if n := len(j.tasksIn(ready)); n > 0 {
 			dump.Waiting = append(dump.Waiting, JobDump{
--- a/scheduler/fit.go
+++ b/scheduler/fit.go
@@ -147,9 +147,4 @@
 
 // agentOrder returns the agent's position in the job's own order of agents, which
 // differs between jobs.
-func (j *job) agentOrder(a *agent) uint64 {
-	// An odd multiplier that mixes all bits, as in Fibonacci hashing.
-	const multiplier = 0x9E3779B97F4A7C15
-	mixed := (j.hash ^ a.hash) * multiplier
-	return (mixed ^ mixed>>32) * multiplier
-}
+func (j *job) agentOrder(a *agent) uint64 { return mixHashes(j.hash, a.hash) }
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -19,9 +19,6 @@
 	Steps []Step
 	// Deadline is when the caller stops waiting for the answer.
 	Deadline time.Time
-	// EarliestSent is the earliest time at which the caller may have sent the job
-	// first; zero means the time of submission.
-	EarliestSent time.Time
 }
 
 // Step is a set of equal tasks.
@@ -194,7 +191,6 @@
 	// mayHaveStarted means that a run of one of the job's tasks may have started, here
 	// or at another entry.
 	mayHaveStarted bool
-	hold           hold
 	// overdue means that latestStart had passed, and rank is the queue's rank, both as
 	// of the last time that the scheduler's queue was sorted.
 	overdue bool
@@ -228,10 +224,6 @@
 		objectiveAt:    now.Add(j.objective()),
 		criticalPaths:  j.criticalPathsFrom(),
 		mayHaveStarted: last.mayHaveStarted,
-		hold:           hold{sentAt: j.EarliestSent},
-	}
-	if j.EarliestSent.IsZero() {
-		out.hold.sentAt = now
 	}
 	for i, s := range j.Steps {
 		out.unfinished[i] = s.Count
--- /dev/null
+++ b/scheduler/latecopy_test.go
@@ -0,0 +1,128 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// sendLate delivers a copy of a job's request to an entry that was sent earlier and held
+// up in the network. Its caller has left, which the entry may not notice.
+func (sim *simulation) sendLate(e *simEntry, id string, delay time.Duration) {
+	sim.schedule(delay, func() {
+		if e.down {
+			return // The connection is gone, and the bytes with it.
+		}
+		e.do(func() {
+			job := sim.results[id].job
+			if least := sim.clock.Now().Add(1500 * time.Millisecond); job.Deadline.Before(least) {
+				job.Deadline = least
+			}
+			e.lastTicket++
+			e.tickets[e.lastTicket] = id
+			e.core.Submit(e.lastTicket, job)
+		})
+	})
+}
+
+// copies has copies of each job of a load arrive at the other entries, after delays that
+// draw returns.
+func (sim *simulation) copies(span time.Duration, copies int, draw func() time.Duration) {
+	k := jobKind{tasks: 4, work: 900 * time.Millisecond, cpu: 3100}
+	for at := time.Duration(0); at < span; at += 60 * time.Millisecond {
+		sim.schedule(at, func() {
+			first := sim.rng.IntN(len(sim.entries))
+			id := sim.submit(sim.entries[first], k)
+			for c := range copies {
+				sim.sendLate(sim.entries[(first+1+c)%len(sim.entries)], id, draw())
+			}
+		})
+	}
+}
+
+// cutOneWay lets nothing pass in one direction between an entry and an agent for a while.
+// What is sent meanwhile arrives afterwards, unless the link has closed.
+func (sim *simulation) cutOneWay(e *simEntry, a *simAgent, toAgent bool, duration time.Duration) {
+	until := sim.clock.Now().Add(duration)
+	if l := a.links[e.name]; l != nil {
+		if toAgent {
+			l.toAgentHeldUntil = until
+		} else {
+			l.toEntryHeldUntil = until
+		}
+	}
+}
+
+// TestALateCopyOfARequestRunsNoTaskTwiceAtOnce guards against an entry that takes the
+// arrival of a request for the time when it was sent, and starts a job that another
+// entry runs.
+func TestALateCopyOfARequestRunsNoTaskTwiceAtOnce(t *testing.T) {
+	between := func(sim *simulation, from, to time.Duration) func() time.Duration {
+		return func() time.Duration { return from + time.Duration(sim.rng.Int64N(int64(to-from))) }
+	}
+	tests := []struct {
+		name     string
+		copies   int
+		from, to time.Duration
+		fault    func(sim *simulation)
+	}{
+		{"at both entries at once", 1, 0, 4 * time.Millisecond, nil},
+		{"three copies at once", 2, 0, 4 * time.Millisecond, nil},
+		{"up to 200 ms late", 1, 0, 200 * time.Millisecond, nil},
+		{"200 ms to 6 s late", 1, 200 * time.Millisecond, 6 * time.Second, nil},
+		{"three copies, up to 6 s late", 2, 0, 6 * time.Second, nil},
+		{"witnesses killed and restarted", 2, 0, time.Second, func(sim *simulation) {
+			if a := sim.agents[sim.rng.IntN(6)]; !a.down {
+				a.kill(time.Duration(sim.rng.Int64N(int64(600 * time.Millisecond))))
+			}
+		}},
+		{"links cut one way", 2, 0, time.Second, func(sim *simulation) {
+			e := sim.entries[sim.rng.IntN(len(sim.entries))]
+			sim.cutOneWay(e, sim.anyAgent(), sim.rng.IntN(2) == 0, time.Duration(sim.rng.Int64N(int64(3*time.Second))))
+		}},
+		{"an entry hears nothing", 2, 0, time.Second, func(sim *simulation) {
+			e := sim.entries[sim.rng.IntN(len(sim.entries))]
+			for _, a := range sim.agents {
+				sim.cutOneWay(e, a, false, 300*time.Millisecond)
+			}
+		}},
+		{"agents frozen", 2, 0, time.Second, func(sim *simulation) {
+			sim.anyAgent().pause(time.Duration(sim.rng.Int64N(int64(4 * time.Second))))
+		}},
+		{"entries frozen", 2, 0, 3 * time.Second, func(sim *simulation) {
+			sim.entries[sim.rng.IntN(len(sim.entries))].pause(time.Duration(sim.rng.Int64N(int64(3 * time.Second))))
+		}},
+		{"any fault", 2, 0, 3 * time.Second, func(sim *simulation) {
+			randomFault(sim, time.Duration(sim.rng.Int64N(int64(2*time.Second))))()
+		}},
+	}
+	seeds := uint64(4)
+	if testing.Short() {
+		seeds = 2
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range seeds {
+				sim := newSimulation(t, 900+seed, 3, 9, workerCPU)
+				sim.copies(6*time.Second, tt.copies, between(sim, tt.from, tt.to))
+				if tt.fault != nil {
+					for range 20 {
+						sim.schedule(time.Duration(sim.rng.Int64N(int64(6*time.Second))), func() { tt.fault(sim) })
+					}
+				}
+				sim.run(16 * time.Second)
+				s := sim.summary()
+				t.Logf("seed %d: %+v, %d locks requested for %d jobs", 900+seed, s, sim.lockRequests, s.all)
+				sim.check()
+				require.NotZero(t, s.inTime+s.late)
+				if tt.fault == nil {
+					require.Empty(t, sim.rerunAfterDone, "tasks that were run again after they were done")
+					require.Zero(t, s.failed+s.unanswered, fmt.Sprintf("seed %d", 900+seed))
+				}
+			}
+		})
+	}
+}
--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -70,28 +70,35 @@
 
 // TestOverloadStarvesNoSize guards against the largest jobs of a kind being refused or
 // failed far more often than the others under overload. The bound is that of the
-// platform's pages.
+// platform's pages, which count a day: the largest tenth of a kind is nine jobs a seed.
 func TestOverloadStarvesNoSize(t *testing.T) {
 	const (
-		span = 6 * time.Second
+		span  = 6 * time.Second
+		seeds = 8
 		// factor is the factor of the load, which is half above the full capacity.
 		factor = 2.4
 		// minShareOfKind is the least ratio of the served share of a size to that of the
 		// whole kind.
 		minShareOfKind = 0.5
 	)
-	for seed := range uint64(4) {
+	sums := make([][3]float64, len(jobKinds))
+	for seed := range uint64(seeds) {
 		sim := newSimulation(t, 70+seed, 3, 11, workerCPU)
 		sim.load(span, factor)
 		sim.run(span + 4*time.Second)
 		sim.check()
 		require.Zero(t, sim.summary().unanswered)
 		for k, shares := range sim.completeSharesBySize() {
-			t.Logf("seed %d, kind %d: complete in all %.2f, largest tenth %.2f, fifth below %.2f", seed, k, shares[0], shares[1], shares[2])
-			require.GreaterOrEqual(t, shares[1], minShareOfKind*shares[0])
-			require.GreaterOrEqual(t, shares[2], minShareOfKind*shares[0])
+			for i, share := range shares {
+				sums[k][i] += share / seeds
+			}
 		}
 	}
+	for k, shares := range sums {
+		t.Logf("kind %d: complete in all %.2f, largest tenth %.2f, fifth below %.2f", k, shares[0], shares[1], shares[2])
+		require.GreaterOrEqual(t, shares[1], minShareOfKind*shares[0])
+		require.GreaterOrEqual(t, shares[2], minShareOfKind*shares[0])
+	}
 }
 
 // completeSharesBySize returns, for each kind, the share of its jobs that were complete,
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -116,18 +116,18 @@
 }
 
 // pruneQueue removes the jobs without ready tasks from the queue, and those that have
-// ended or yield.
+// ended.
 func (s *Scheduler) pruneQueue() {
 	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool {
-		j.inQueue = s.jobs[j.ID] == j && s.yielding[j.ID] != j && j.hasTask(ready)
+		j.inQueue = s.jobs[j.ID] == j && j.hasTask(ready)
 		return !j.inQueue
 	})
 }
 
 // enqueue puts a job with ready tasks into the queue, unless withdrawn runs of an
-// earlier attempt may not have ended or another entry holds the job.
+// earlier attempt may not have ended or the job is not locked for this entry yet.
 func (s *Scheduler) enqueue(j *job) {
-	if s.withdrawnRuns[j.ID] > 0 || s.yieldIfHeld(j) {
+	if s.withdrawnRuns[j.ID] > 0 || !s.lockAcquired(j) {
 		return
 	}
 	s.enqueueCount++
@@ -141,7 +141,7 @@
 // placeJob places as many ready tasks of a job as there is capacity for. Tasks are
 // placed on as few workers as possible, so that one bad worker harms few jobs.
 func (s *Scheduler) placeJob(j *job, agents []*agent, now time.Time) {
-	if s.yieldIfHeld(j) || !s.ownsExclusively(j, now) {
+	if !s.mayPlace(j, now) {
 		return
 	}
 	for step := range j.Steps {
@@ -178,7 +178,6 @@
 func (s *Scheduler) placeTasks(a *agent, j *job, tasks []*task) {
 	now := s.clock.Now()
 	s.countStart(j, now)
-	j.hold.placedHere = true
 	a.placeNumber++
 	p := messenger.Place{
 		Number:  a.placeNumber,
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -23,6 +23,11 @@
 	a.synced = false
 	a.linkOpenedAt = s.clock.Now()
 	a.echoedHeartbeatAt = time.Time{}
+	a.linked = true
+	a.refusedLink = false
+	a.report.Timestamp = 0 // The agent may have restarted.
+	a.contactAt = a.linkOpenedAt
+	a.dropVotes()
 	a.linkNumber++
 	a.placeNumber = 0
 	a.pending = nil
@@ -30,6 +35,14 @@
 	a.reserveNumber = 0
 	s.reservationLinkEnded(a)
 	a.speed = defaultSpeed
+	s.relock(a, a.linkOpenedAt)
+	s.advanceLocks(a.linkOpenedAt)
+}
+
+// LinkRefused records that no process listens at the address of an agent.
+func (s *Scheduler) LinkRefused(name string) {
+	a := s.findOrAddAgent(name)
+	a.refusedLink = !a.linked
 }
 
 // LinkClosed records that the link to an agent has ended.
@@ -37,7 +50,11 @@
 	a := s.findOrAddAgent(name)
 	a.synced = false
 	a.pending = nil
+	a.linked = false
+	a.linkLostAt = s.clock.Now()
+	a.dropVotes()
 	s.reservationLinkEnded(a)
+	s.advanceLocks(s.clock.Now())
 	s.emit(Note{Agent: name, What: "agent out of touch", Why: "link closed", Age: s.clock.Since(a.reportedAt)})
 }
 
@@ -68,6 +85,9 @@
 		s.updateMaxCapacity(a.upstream.Service)
 	}
 	a.report = r
+	if r.Timestamp > allStartedWithin {
+		s.witnesses.allStarted = false
+	}
 	a.speed.update(r)
 	a.reportedAt = s.clock.Now()
 	a.dropReported()
@@ -84,7 +104,7 @@
 	for _, p := range r.Runs {
 		s.handleProgress(a, p)
 	}
-	s.handleHeldJobs(a, r)
+	s.recordEcho(a, r.Echo)
 	if r.RunsComplete {
 		s.reconcile(a, r)
 	}
@@ -96,6 +116,15 @@
 	s.schedulingPassAt(a)
 }
 
+// recordEcho records the newest heartbeat that an agent has received.
+func (s *Scheduler) recordEcho(a *agent, echo time.Duration) {
+	if echo <= 0 {
+		return
+	}
+	a.echoedHeartbeatAt = a.linkOpenedAt.Add(echo)
+	a.recordContact(a.echoedHeartbeatAt, s.clock.Now())
+}
+
 // reconcile compares an agent's complete list of runs with what was placed there.
 func (s *Scheduler) reconcile(a *agent, r messenger.Report) {
 	listed := make(map[messenger.Run]bool, len(r.Runs))
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -62,7 +62,7 @@
 		if len(s.reservations) >= maxReservations || misses >= maxReservations {
 			return
 		}
-		if saturated[j.Queue.Service] || now.Sub(j.queuedAt) < reserveAfter || !s.ownsExclusively(j, now) || s.hasReservation(j) {
+		if saturated[j.Queue.Service] || now.Sub(j.queuedAt) < reserveAfter || !s.mayPlace(j, now) || s.hasReservation(j) {
 			continue
 		}
 		t := s.waitingLargeTask(j)
@@ -87,7 +87,7 @@
 func (s *Scheduler) saturatedServices(now time.Time) map[string]bool {
 	saturated := make(map[string]bool)
 	for _, j := range s.queue {
-		if now.Sub(j.queuedAt) >= reserveAfter && s.ownsExclusively(j, now) && s.waitingLargeTask(j) == nil {
+		if now.Sub(j.queuedAt) >= reserveAfter && s.mayPlace(j, now) && s.waitingLargeTask(j) == nil {
 			saturated[j.Queue.Service] = true
 		}
 	}
--- a/scheduler/reservation_bench_test.go
+++ b/scheduler/reservation_bench_test.go
@@ -60,7 +60,7 @@
 // newFullScheduler returns a scheduler with full agents and large jobs that wait.
 func newFullScheduler(agents, jobs int) *Scheduler {
 	clock := clockwork.NewFakeClock()
-	s := NewScheduler(clock, "dc-0")
+	s := NewScheduler(clock, "entry", "dc-0")
 	for i := range agents {
 		name := fmt.Sprintf("agent-%03d", i)
 		s.LinkOpened(name)
--- a/scheduler/reservation_test.go
+++ b/scheduler/reservation_test.go
@@ -23,7 +23,6 @@
 // applies change to each report first.
 func (f *fixture) reportFull(change func(r *messenger.Report), agents ...string) {
 	for _, a := range agents {
-		f.s.HeldJobs()
 		r := newReport(a, 9)
 		r.Free = messenger.Resources{CPU: 3000, Memory: 64_000}
 		r.Echo = f.clock.Since(f.linkOpenedAt[a])
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -4,10 +4,8 @@
 // returns effects, which the entry process applies. The package decides for package
 // acceptor, the entry process of the deployment on the platform's machines.
 //
-// The entry that admits a job owns it. A caller whose connection broke sends the job
-// again only after a time within which every run of a lost owner has ended, and within
-// which the other entries have received the announcement of an owner that is still
-// running.
+// A job runs at one entry at a time: the one that has it locked at a quorum of witnesses,
+// which are agents.
 package scheduler
 
 import (
@@ -48,12 +46,14 @@
 	// withdrawnRuns counts, by job ID, the runs of finished jobs that are not known to
 	// have ended.
 	withdrawnRuns map[string]int
-	// heldJobs indexes the held jobs that the agents list.
-	heldJobs heldJobIndex
+	// locks holds the locks of unfinished jobs, and of finished ones whose runs may not
+	// have ended, by job ID.
+	locks     map[string]*jobLock
+	witnesses witnessSet
+	// nameHash is the hash of the entry's name.
+	nameHash uint64
 	crashes  crashLog
 	bulkhead bulkhead
-	// yielding holds the jobs that wait because another entry holds them.
-	yielding map[string]*job
 	// refusals counts recent refusals by queue name.
 	refusals map[string]*refusalStats
 	// startRates and retrySchedules are also kept by queue name.
@@ -96,9 +96,6 @@
 	maxBacklogDemand messenger.Resources
 	// reservations lists those requested from agents.
 	reservations []*reservation
-	// echoedHeartbeatAt is when the newest heartbeat that any agent has echoed was
-	// sent.
-	echoedHeartbeatAt time.Time
 	// resumedAt is when the last pause of this process ended; zero if there was none.
 	resumedAt time.Time
 	// warmUpEnd is when the entry is assumed to know the free capacity; zero before the
@@ -113,25 +110,23 @@
 	lastRunNumber int
 	// mayHaveStarted means that a run of one of the job's tasks may have started.
 	mayHaveStarted bool
-	// announced means that the job was listed in a heartbeat as held by this entry.
-	announced bool
 }
 
-// NewScheduler returns a scheduler without a configuration. Without queues no jobs can
+// NewScheduler returns the scheduler of an entry, without a configuration. Without queues no jobs can
 // be submitted to it.
-func NewScheduler(clock clockwork.Clock, dataCentre string) *Scheduler {
+func NewScheduler(clock clockwork.Clock, name, dataCentre string) *Scheduler {
 	return &Scheduler{
 		clock:          clock,
+		nameHash:       hashName(name),
 		dataCentre:     dataCentre,
 		agents:         make(map[string]*agent),
 		jobs:           make(map[string]*job),
 		tickets:        make(map[uint64]*job),
 		records:        make(map[string]record),
 		withdrawnRuns:  make(map[string]int),
-		heldJobs:       make(heldJobIndex),
+		locks:          make(map[string]*jobLock),
 		crashes:        newCrashLog(),
 		bulkhead:       newBulkhead(),
-		yielding:       make(map[string]*job),
 		refusals:       make(map[string]*refusalStats),
 		startRates:     make(map[string]*startRate),
 		retrySchedules: make(map[string]*retrySchedule),
@@ -193,11 +188,17 @@
 	s.jobs[j.ID] = j
 	s.rackJobSeen = s.rackJobSeen || j.hasRackData()
 	if n := s.withdrawnRuns[j.ID]; n > 0 {
-		j.hold.sentAt = now.Add(-max(announceAfter, now.Sub(j.hold.sentAt)))
 		s.emit(Note{Job: j.ID, Queue: j.Queue.Name, What: "job waits", Why: fmt.Sprintf("%d runs of its previous attempt may still be running", n)})
 	}
-	s.enqueue(j)
-	s.schedulingPass()
+	s.lockJob(j, now)
+}
+
+// Resumed records the end of a pause, in which the entry has processed nothing.
+// Messages read now may have been sent before the pause, so an agent is used again only
+// once it has echoed a newer heartbeat.
+func (s *Scheduler) Resumed() {
+	s.resumedAt = s.clock.Now()
+	s.emit(Note{What: "entry was paused"})
 }
 
 // CallerLeft records that the caller of a ticket has disconnected. A job without
@@ -251,8 +252,8 @@
 }
 
 // Tick applies the timeouts: it requeues the runs of lost agents, ends the jobs that
-// can no longer be completed here, releases yielding jobs, moves slow runs, compares
-// the speeds of the workers and expires records. It then runs a scheduling pass.
+// can no longer be completed here, requests locks, moves slow runs, compares the speeds
+// of the workers and expires records. It then runs a scheduling pass.
 func (s *Scheduler) Tick() {
 	now := s.clock.Now()
 	for _, a := range s.agentsByName {
@@ -260,16 +261,20 @@
 			s.requeueLost(a)
 		}
 	}
+	s.updateWitnesses(now)
+	s.advanceLocks(now)
+	s.reinforceLocks(now)
 	for _, j := range s.jobsByArrival() {
 		switch {
 		case !now.Before(j.Deadline):
 			s.giveUp(j, "deadline passed")
-		case s.giveUpIfHeld(j, now):
-		case !s.ownsExclusively(j, now) && now.Sub(s.resumedAt) >= pauseCatchUpTime:
-			s.giveUp(j, "other entries may not know of it")
+		case s.giveUpIfSentAgain(j, now):
+		case !s.lockAcquired(j) && s.tooLate(j, now):
+			s.giveUp(j, "no lock in time: "+s.missingQuorum(j.ID))
+		case s.lockLost(j, now) && now.Sub(s.resumedAt) >= pauseCatchUpTime:
+			s.giveUp(j, "its lock is lost: "+s.missingQuorum(j.ID))
 		}
 	}
-	s.releaseYielding()
 	s.moveSlowRuns(now)
 	s.compareSpeeds(now)
 	s.expireRecords(now)
@@ -302,9 +307,6 @@
 	}
 	j.tickets = nil
 	delete(s.jobs, j.ID)
-	if s.yielding[j.ID] == j {
-		delete(s.yielding, j.ID)
-	}
 	placedTasks := j.tasksIn(placed)
 	s.withdraw(placedTasks)
 	s.trackWithdrawn(placedTasks)
@@ -314,7 +316,10 @@
 		}
 		t.state = finished
 	}
-	s.keepRecord(j.ID, record{answer: a, endedAt: now, lastRunNumber: j.lastRunNumber(), mayHaveStarted: j.mayHaveStarted || len(placedTasks) > 0, announced: !j.hold.announcedAt.IsZero()})
+	s.keepRecord(j.ID, record{answer: a, endedAt: now, lastRunNumber: j.lastRunNumber(), mayHaveStarted: j.mayHaveStarted || len(placedTasks) > 0})
+	if s.withdrawnRuns[j.ID] == 0 {
+		s.unlock(j.ID)
+	}
 }
 
 // keepRecord keeps the outcome of a job.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -27,6 +26,12 @@
 	// sentMessages are the messages to agents that the last call of takeEffects
 	// returned.
 	sentMessages []any
+	// sentTo has the same messages by agent, and lastRequest the number of the last lock
+	// request to each agent.
+	sentTo      map[string][]any
+	lastRequest map[string]uint64
+	// fullAgents makes keepInContact report that no capacity is free.
+	fullAgents bool
 	// linkOpenedAt is when the link to each agent was opened.
 	linkOpenedAt map[string]time.Time
 }
@@ -42,7 +47,7 @@
 // its warm-up.
 func newStartingFixture(t *testing.T) *fixture {
 	clock := clockwork.NewFakeClock()
-	f := &fixture{t: t, clock: clock, s: scheduler.NewScheduler(clock, "dc-0"), replies: make(map[uint64]scheduler.Answer), linkOpenedAt: make(map[string]time.Time)}
+	f := &fixture{t: t, clock: clock, s: scheduler.NewScheduler(clock, "entry", "dc-0"), replies: make(map[uint64]scheduler.Answer), linkOpenedAt: make(map[string]time.Time), lastRequest: make(map[string]uint64)}
 	f.s.Configure(configuration())
 	return f
 }
@@ -51,12 +56,17 @@
 // messages to agents.
 func (f *fixture) takeEffects() []any {
 	f.sentMessages = nil
+	f.sentTo = make(map[string][]any)
 	for _, e := range f.s.TakeEffects() {
 		switch e := e.(type) {
 		case scheduler.Reply:
 			f.replies[e.Ticket] = e.Answer
 		case scheduler.Send:
 			f.sentMessages = append(f.sentMessages, e.Message)
+			f.sentTo[e.Agent] = append(f.sentTo[e.Agent], e.Message)
+			if r, ok := e.Message.(messenger.LockJobs); ok {
+				f.lastRequest[e.Agent] = r.Number
+			}
 		}
 	}
 	return f.sentMessages
@@ -82,22 +92,11 @@
 	f.takeEffects()
 }
 
-// heartbeat has the entry send a heartbeat, which an agent echoes in its report, and
-// returns the jobs that the heartbeat announces.
-func (f *fixture) heartbeat(agent string, ackedPlace uint64) []string {
-	held := f.s.HeldJobs()
+// heartbeat has the entry send a heartbeat, which an agent echoes in its report.
+func (f *fixture) heartbeat(agent string, ackedPlace uint64) {
 	r := newReport(agent, ackedPlace)
 	r.Echo = f.clock.Since(f.linkOpenedAt[agent])
 	f.s.HandleReport(r)
-	return slices.Concat(held.Running, held.Yielding, held.Finished)
-}
-
-// heartbeatAndTick has the entry send a heartbeat, which an agent that has processed one
-// placement echoes, and then calls Tick.
-func (f *fixture) heartbeatAndTick(agent string) {
-	f.heartbeat(agent, 1)
-	f.s.Tick()
-	f.takeEffects()
 }
 
 func (f *fixture) job(id string, tasks int) scheduler.Job {
@@ -157,6 +156,20 @@
 	return out[0]
 }
 
+// placedAt returns the agent that got the Place among the last messages.
+func (f *fixture) placedAt() string {
+	f.t.Helper()
+	for name, messages := range f.sentTo {
+		for _, m := range messages {
+			if _, ok := m.(messenger.Place); ok {
+				return name
+			}
+		}
+	}
+	require.Fail(f.t, "no task was placed")
+	return ""
+}
+
 func TestRunListOlderThanAPlacementDoesNotCoverIt(t *testing.T) {
 	f := newFixture(t)
 	f.connect("a")
--- a/scheduler/simcluster_test.go
+++ b/scheduler/simcluster_test.go
@@ -126,6 +126,8 @@
 	// placedRuns counts the runs that reached agents, and capacityRefusals those that
 	// agents refused for lack of capacity.
 	placedRuns, capacityRefusals int
+	// lockRequests counts the jobs that agents were asked to lock.
+	lockRequests int
 	// linkDelay is the delay of a message between an entry and an agent.
 	linkDelay time.Duration
 	// farFactor is the factor by which a task takes longer on a worker away from its
@@ -185,6 +187,34 @@
 	lastHeartbeatAt time.Time
 	lastReportAt    time.Time
 	echo            time.Duration
+	// toAgentHeldUntil and toEntryHeldUntil are until when messages in one direction are
+	// held up. heldToAgent and heldToEntry are those that are.
+	toAgentHeldUntil, toEntryHeldUntil time.Time
+	heldToAgent, heldToEntry           heldMessages
+}
+
+// heldMessages delivers held-up messages in their order.
+type heldMessages []func()
+
+// deliver calls do, or keeps it until the given time, after which what was kept is
+// delivered.
+func (h *heldMessages) deliver(sim *simulation, until time.Time, do func()) {
+	wait := until.Sub(sim.clock.Now())
+	if wait <= 0 && len(*h) == 0 {
+		do()
+		return
+	}
+	*h = append(*h, do)
+	if len(*h) > 1 {
+		return
+	}
+	sim.schedule(max(wait, 0), func() {
+		list := *h
+		*h = nil
+		for _, do := range list {
+			do()
+		}
+	})
 }
 
 func newSimulation(t testing.TB, seed uint64, entries, agents int, capacity int) *simulation {
@@ -278,6 +308,16 @@
 
 func (sim *simulation) runEnded(_ *simWorker, r messenger.Run) { sim.runningCount[r.Task]-- }
 
+// witnesses returns the witnesses of all entries: the first two agents of each of the
+// three data centres, and all others as spare ones.
+func (sim *simulation) witnesses() []scheduler.Witness {
+	var out []scheduler.Witness
+	for i, a := range sim.agents {
+		out = append(out, scheduler.Witness{Agent: a.name, Group: a.dataCentre, Spare: i >= 6})
+	}
+	return out
+}
+
 // configuration returns a configuration with one queue, for the service quotes.
 func configuration() scheduler.Configuration {
 	return scheduler.Configuration{Version: 1, Queues: []scheduler.Queue{quotesQueue()}, Evacuated: map[string]bool{}}
@@ -354,7 +394,6 @@
 			sim.resend(j)
 			return
 		}
-		j.EarliestSent = sim.clock.Now()
 		e.do(func() {
 			e.lastTicket++
 			e.tickets[e.lastTicket] = j.ID
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -13,7 +13,7 @@
 // boot starts an entry, which opens links to all agents.
 func (e *simEntry) boot() {
 	e.incarnation = e.sim.clock.Now().UnixMilli()
-	e.core = scheduler.NewScheduler(e.sim.clock, "dc-"+e.name[len("entry-"):])
+	e.core = scheduler.NewScheduler(e.sim.clock, e.name, "dc-"+e.name[len("entry-"):])
 	e.tickets = make(map[uint64]string)
 	e.links = make(map[string]*simLink)
 	e.disconnected = make(map[uint64]bool)
@@ -21,6 +21,7 @@
 	e.activeAt = e.sim.clock.Now()
 	core := e.core
 	core.Configure(e.sim.configuration())
+	core.SetWitnesses(e.sim.witnesses())
 	for _, a := range e.sim.agents {
 		e.connect(a, core)
 	}
@@ -38,6 +39,24 @@
 	tick()
 }
 
+// pause pauses the process. A pause during another one does not shorten it: what is
+// received is handled in order.
+func (e *simEntry) pause(d time.Duration) {
+	e.pausedUntil = later(e.pausedUntil, e.sim.clock.Now().Add(d))
+}
+
+// pause is like that of an entry.
+func (a *simAgent) pause(d time.Duration) {
+	a.pausedUntil = later(a.pausedUntil, a.sim.clock.Now().Add(d))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // do calls f, which handles one event of the entry, and then applies the effects. If the
 // process is paused, that happens after the pause.
 func (e *simEntry) do(f func()) {
@@ -137,6 +156,9 @@
 			l.toAgent(messenger.Hello{Entry: e.name, Incarnation: e.incarnation, Upstream: core.Upstream(a.name), Crashes: core.IsolatedCrashes()})
 		})
 	}
+	if a.down {
+		e.do(func() { core.LinkRefused(a.name) })
+	}
 	e.sim.schedule(20*time.Millisecond, func() { e.connect(a, core) })
 }
 
@@ -155,7 +177,7 @@
 		}
 		if early || now.Sub(l.lastHeartbeatAt) >= messenger.HeartbeatInterval {
 			l.lastHeartbeatAt = now
-			l.toAgent(messenger.Heartbeat{Timestamp: now.Sub(l.openedAt), Echo: l.echo, Backlog: e.core.Backlog(), AckedOutcome: e.core.LastOutcome(a.name), HeldJobs: e.core.HeldJobs()})
+			l.toAgent(messenger.Heartbeat{Timestamp: now.Sub(l.openedAt), Echo: l.echo, Backlog: e.core.Backlog(), AckedOutcome: e.core.LastOutcome(a.name), Unlocked: e.core.TakeUnlocked(a.name)})
 		}
 	}
 }
@@ -168,29 +190,40 @@
 	}
 	core := l.agent.core
 	l.agent.sim.schedule(l.agent.sim.linkDelay, func() {
-		if !l.open || l.cut || l.agent.core != core {
+		if l.cut {
 			return
 		}
-		l.agent.do(func() {
-			if l.agent.links[l.entry.name] != l {
-				return
-			}
-			switch m := msg.(type) {
-			case messenger.Hello:
-				core.HandleHello(m)
-			case messenger.Heartbeat:
-				core.HandleHeartbeat(l.entry.name, m)
-			case messenger.Place:
-				l.agent.sim.placedRuns += len(m.Tasks)
-				core.HandlePlace(l.entry.name, m)
-			case messenger.Withdraw:
-				core.HandleWithdraw(l.entry.name, m)
-			case messenger.Reserve:
-				if !l.agent.sim.ignoreReserve {
-					core.HandleReserve(l.entry.name, m)
-				}
+		l.heldToAgent.deliver(l.agent.sim, l.toAgentHeldUntil, func() { l.receive(core, msg) })
+	})
+}
+
+// receive has the agent handle a message, unless the link is closed or replaced.
+func (l *simLink) receive(core *executor.Executor, msg any) {
+	if !l.open || l.agent.core != core {
+		return
+	}
+	l.agent.do(func() {
+		if l.agent.links[l.entry.name] != l {
+			return
+		}
+		switch m := msg.(type) {
+		case messenger.Hello:
+			core.HandleHello(m)
+		case messenger.Heartbeat:
+			core.HandleHeartbeat(l.entry.name, m)
+		case messenger.Place:
+			l.agent.sim.placedRuns += len(m.Tasks)
+			core.HandlePlace(l.entry.name, m)
+		case messenger.LockJobs:
+			l.agent.sim.lockRequests += len(m.Jobs)
+			core.HandleLockJobs(l.entry.name, m)
+		case messenger.Withdraw:
+			core.HandleWithdraw(l.entry.name, m)
+		case messenger.Reserve:
+			if !l.agent.sim.ignoreReserve {
+				core.HandleReserve(l.entry.name, m)
 			}
-		})
+		}
 	})
 }
 
@@ -201,15 +234,32 @@
 		r.Speed, r.SpeedJobs = 0, 0
 	}
 	core := l.entry.core
-	l.entry.sim.schedule(l.entry.sim.linkDelay, func() {
-		if !l.open || l.cut || l.entry.core != core || l.agent.links[l.entry.name] != l {
+	l.sendToEntry(func() {
+		l.lastReportAt = l.entry.sim.clock.Now()
+		l.echo = r.Timestamp
+		l.agent.sim.countCapacityRefusals(r.Refused)
+		core.HandleReport(r)
+	})
+}
+
+// replyToEntry delivers the answer to a lock request to the entry, as toEntry does.
+func (l *simLink) replyToEntry(r messenger.LockReply) {
+	core := l.entry.core
+	l.sendToEntry(func() { core.HandleLockReply(l.agent.name, r) })
+}
+
+// sendToEntry has the entry handle a message after the link's delay, unless the link is
+// closed or replaced by then.
+func (l *simLink) sendToEntry(handle func()) {
+	sim, core := l.entry.sim, l.entry.core
+	sim.schedule(sim.linkDelay, func() {
+		if l.cut {
 			return
 		}
-		l.entry.do(func() {
-			l.lastReportAt = l.entry.sim.clock.Now()
-			l.echo = r.Timestamp
-			l.agent.sim.countCapacityRefusals(r.Refused)
-			core.HandleReport(r)
+		l.heldToEntry.deliver(sim, l.toEntryHeldUntil, func() {
+			if l.open && l.entry.core == core && l.agent.links[l.entry.name] == l {
+				l.entry.do(handle)
+			}
 		})
 	})
 }
@@ -312,6 +362,10 @@
 			if l := a.links[e.Entry]; l != nil && l.open {
 				l.toEntry(e.Report)
 			}
+		case executor.SendLockReply:
+			if l := a.links[e.Entry]; l != nil && l.open {
+				l.replyToEntry(e.Reply)
+			}
 		}
 	}
 }
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -179,9 +179,9 @@
 			}
 		}
 	case 2:
-		return func() { e.pausedUntil = sim.clock.Now().Add(duration) }
+		return func() { e.pause(duration) }
 	case 3:
-		return func() { a.pausedUntil = sim.clock.Now().Add(duration) }
+		return func() { a.pause(duration) }
 	case 4:
 		return func() { a.worker.unresponsiveUntil = sim.clock.Now().Add(duration) }
 	default:
--- a/scheduler/withdrawn.go
+++ b/scheduler/withdrawn.go
@@ -25,7 +25,9 @@
 	delete(s.withdrawnRuns, id)
 	if j := s.jobs[id]; j != nil {
 		s.enqueue(j)
+		return
 	}
+	s.unlock(id)
 }
 
 // handleWithdrawnEnd processes the end of a withdrawn run. If the run was done and its
--- a/supervisor/actor.go
+++ b/supervisor/actor.go
@@ -164,6 +164,8 @@
 		c.executor.HandleWithdraw(name, *msg)
 	case *messenger.Reserve:
 		c.executor.HandleReserve(name, *msg)
+	case *messenger.LockJobs:
+		c.executor.HandleLockJobs(name, *msg)
 	}
 }
 
@@ -208,6 +210,10 @@
 			if l := c.links[e.Entry]; l != nil {
 				l.Send(e.Report)
 			}
+		case executor.SendLockReply:
+			if l := c.links[e.Entry]; l != nil {
+				l.Send(e.Reply)
+			}
 		case executor.TickAfter:
 			s.deps.Clock.AfterFunc(e.Delay, func() { s.post(tick{}) })
 		case executor.Note:
