platform, acceptor: Take a registration only from the agent that its key names

Cause: the directory went by the name inside an item. The odd item replaced the agent's own one, its link was closed, and the new address dialled for ever.

An item with another address under the agent's own key no longer closes a link that works: the address is used from the next dial on. An item that names no agent at all may look like a witness; an agent that cannot be reached for 20 s is none any more.

--- a/acceptor/linkset.go
+++ b/acceptor/linkset.go
@@ -34,7 +34,8 @@
 	minStoreBackoff = 150 * time.Millisecond
 	maxStoreBackoff = 600 * time.Millisecond
 	// evictAfter is how long an agent has to be missing from the directory before it
-	// is evicted. It is evicted only if it cannot be reached either.
+	// is evicted. It is evicted only if it cannot be reached either. One that is in the
+	// directory and cannot be reached for so long is no witness any more.
 	evictAfter = 20 * time.Second
 	// reselectInterval is the time between two selections of the agents to link.
 	reselectInterval = 250 * time.Millisecond
@@ -55,6 +56,8 @@
 	rank uint64
 	// dialFailures is the number of failed dials since the last successful one.
 	dialFailures int
+	// unreachableSince is when dialFailures reached maxDialFailures.
+	unreachableSince time.Time
 	// stopLink stops the goroutine that maintains the link; nil if there is none.
 	stopLink context.CancelFunc
 }
@@ -78,12 +81,14 @@
 	selectionStale bool
 	// witnesses are those last selected.
 	witnesses []scheduler.Witness
+	// invalid has the revisions of the invalid registrations that were logged, by key.
+	invalid map[string]int64
 	// surplus lists the agents that are linked but were not selected the last time.
 	surplus []string
 }
 
 func newLinkSet(a *Acceptor) *linkSet {
-	return &linkSet{acceptor: a, post: a.post, agents: make(map[string]*knownAgent), budget: newLinkBudget()}
+	return &linkSet{acceptor: a, post: a.post, agents: make(map[string]*knownAgent), budget: newLinkBudget(), invalid: make(map[string]int64)}
 }
 
 // follow keeps the known agents up to date with the directory until ctx ends.
@@ -186,29 +191,39 @@
 }
 
 // register adds or updates a registered agent and returns its name, or "" if the
-// registration is invalid. A link to an earlier address of the agent is closed.
+// registration is invalid. An open link stays as long as the agent answers there, since
+// another writer may have left the registration; the next one goes to the new address.
 func (s *linkSet) register(item platform.Item) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	registration, err := platform.ParseRegistration(item)
 	if err != nil {
-		s.acceptor.deps.Log.WithError(err).WithField("key", item.Key).Warn("invalid registration ignored")
+		s.logInvalid(item, err)
 		return ""
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if agent := s.agents[registration.Agent]; agent != nil {
-		agent.registered = true
-		if agent.registration.SameEndpoint(registration) {
-			return registration.Agent
-		}
-		if agent.stopLink != nil {
-			agent.stopLink()
-		}
+	agent := s.agents[registration.Agent]
+	if agent == nil {
+		agent = &knownAgent{rank: rankOf(s.acceptor.cfg.ID, registration.Agent)}
+		s.agents[registration.Agent] = agent
 	}
-	s.agents[registration.Agent] = &knownAgent{registration: registration, registered: true, rank: rankOf(s.acceptor.cfg.ID, registration.Agent)}
-	s.selectionStale = true
+	if !agent.registration.SameEndpoint(registration) {
+		agent.registration = registration
+		agent.dialFailures = 0
+		s.selectionStale = true
+	}
+	agent.registered = true
 	return registration.Agent
 }
 
+// logInvalid logs an invalid registration once. The caller holds mu.
+func (s *linkSet) logInvalid(item platform.Item, err error) {
+	if s.invalid[item.Key] == item.Revision {
+		return
+	}
+	s.invalid[item.Key] = item.Revision
+	s.acceptor.deps.Log.WithError(err).WithField("key", item.Key).Warn("invalid registration ignored")
+}
+
 // reselect adjusts the links at intervals until ctx ends: it links more agents if others
 // fail or the entry is short of capacity, and fewer if it is not.
 func (s *linkSet) reselect(ctx context.Context) {
@@ -228,6 +243,7 @@
 func (s *linkSet) reselectOnce(ctx context.Context, need scheduler.CapacityNeed) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.selectionStale = s.selectionStale || s.lostWitness()
 	if s.budget.adjust(need, len(s.agents), s.acceptor.deps.Clock.Now()) {
 		s.selectionStale = true
 		s.acceptor.deps.Log.WithField("links", s.budget.limit).WithField("short", need.Shortage).WithField("workers", need.Workers).Info("link budget changed")
@@ -236,6 +252,15 @@
 	return slices.Clone(s.surplus)
 }
 
+// lostWitness reports whether a witness has been unreachable for evictAfter. The caller
+// holds mu.
+func (s *linkSet) lostWitness() bool {
+	return slices.ContainsFunc(s.witnesses, func(w scheduler.Witness) bool {
+		agent := s.agents[w.Agent]
+		return agent == nil || agent.dialFailures >= maxDialFailures && s.acceptor.deps.Clock.Since(agent.unreachableSince) >= evictAfter
+	})
+}
+
 // releaseSurplus closes the links to those of the named agents at which the entry has no
 // runs.
 func (s *linkSet) releaseSurplus(names []string) {
@@ -274,7 +299,7 @@
 			dataCentre: dc,
 			rank:       agent.rank,
 			reachable:  reachable,
-			witness:    agent.registered || reachable,
+			witness:    reachable || agent.registered && s.acceptor.deps.Clock.Since(agent.unreachableSince) < evictAfter,
 			usable:     reachable && !configuration.Evacuated[dc],
 		})
 	}
@@ -291,7 +316,7 @@
 		}
 		var linkCtx context.Context
 		linkCtx, agent.stopLink = context.WithCancel(ctx)
-		go s.maintainLink(linkCtx, agent.registration)
+		go s.maintainLink(linkCtx, name)
 	}
 	s.surplus = nil
 	for name, agent := range s.agents {
@@ -325,13 +350,17 @@
 		agent.dialFailures = 0
 	default:
 		agent.dialFailures++
-		s.selectionStale = s.selectionStale || agent.dialFailures == maxDialFailures
+		if agent.dialFailures == maxDialFailures {
+			agent.unreachableSince = s.acceptor.deps.Clock.Now()
+			s.selectionStale = true
+		}
 	}
 }
 
 func (s *linkSet) handleDeletion(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.invalid, platform.AgentPrefix+name)
 	if agent := s.agents[name]; agent != nil {
 		s.markUnregistered(agent)
 	}
@@ -364,26 +393,26 @@
 }
 
 // maintainLink keeps a link to an agent open, redialling as needed, until ctx ends or the
-// agent is evicted.
-func (s *linkSet) maintainLink(ctx context.Context, registration platform.Registration) {
+// agent is evicted. It dials the address that is registered at the time.
+func (s *linkSet) maintainLink(ctx context.Context, name string) {
 	a := s.acceptor
 	failures := 0
 	for ctx.Err() == nil {
-		l, err := messenger.Dial(ctx, registration.Link, a)
-		s.recordDial(registration.Agent, err == nil)
+		l, err := messenger.Dial(ctx, s.linkAddr(name), a)
+		s.recordDial(name, err == nil)
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			s.post(linkRefused{agent: registration.Agent})
+			s.post(linkRefused{agent: name})
 		}
 		if err == nil {
 			failures = 0
-			s.post(linkOpened{agent: registration.Agent, link: l})
+			s.post(linkOpened{agent: name, link: l})
 			select {
 			case <-l.Done():
 			case <-ctx.Done():
 				l.Close()
 			}
-		} else if s.evictIfExpired(registration.Agent) {
-			a.deps.Log.WithField("agent", registration.Agent).Info("agent evicted")
+		} else if s.evictIfExpired(name) {
+			a.deps.Log.WithField("agent", name).Info("agent evicted")
 			return
 		}
 		delay := redialDelay(failures)
@@ -392,6 +421,16 @@
 	}
 }
 
+// linkAddr returns the registered address of an agent, or "" if it has been evicted.
+func (s *linkSet) linkAddr(name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if agent := s.agents[name]; agent != nil {
+		return agent.registration.Link
+	}
+	return ""
+}
+
 // redialDelay returns the delay before the next dial after a number of failed ones,
 // without jitter.
 func redialDelay(failures int) time.Duration {
--- a/acceptor/linkset_test.go
+++ b/acceptor/linkset_test.go
@@ -1,16 +1,20 @@
 package acceptor
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/pomeloferry/pomeloferry/platform"
 	"github.com/pomeloferry/pomeloferry/provider"
+	"github.com/pomeloferry/pomeloferry/scheduler"
 )
 
 func TestRedialsComeOftenAtFirstAndSeldomInTheEnd(t *testing.T) {
@@ -34,8 +38,13 @@
 
 func (s *growingStore) Watch(_ context.Context, _ string, revision int64, _ time.Duration) ([]platform.Item, int64, error) {
 	s.calls++
-	value := fmt.Sprintf(`{"Agent":"agent-%d","DataCentre":"dc","Link":"127.0.0.1:1"}`, s.calls)
-	return []platform.Item{{Key: platform.AgentPrefix + "agent", Value: []byte(value)}}, revision + 1, nil
+	return []platform.Item{registrationItem(fmt.Sprintf("agent-%d", s.calls), "127.0.0.1:1")}, revision + 1, nil
+}
+
+// registrationItem returns the item by which an agent registers.
+func registrationItem(agent, link string) platform.Item {
+	value := fmt.Sprintf(`{"Agent":%q,"DataCentre":"dc","Link":%q}`, agent, link)
+	return platform.Item{Key: platform.AgentPrefix + agent, Value: []byte(value)}
 }
 
 func TestAgentsThatRegisterTogetherDoNotCostTheStoreACallEach(t *testing.T) {
@@ -63,3 +72,70 @@
 	require.GreaterOrEqual(t, total, 5*time.Second)
 	require.LessOrEqual(t, storeBackoff(1_000_000), maxStoreBackoff)
 }
+
+// newTestLinkSet returns a link set that posts to nobody.
+func newTestLinkSet() *linkSet {
+	s := newLinkSet(&Acceptor{deps: provider.NewDeps(io.Discard), cfg: Config{ID: "entry", DataCentre: "dc"}})
+	s.post = func(any) {}
+	return s
+}
+
+// TestRegistrationOfAnotherWriterClosesNoLink guards against an item under another key, or
+// with another address, that costs an agent its link.
+func TestRegistrationOfAnotherWriterClosesNoLink(t *testing.T) {
+	tests := []struct {
+		name string
+		item platform.Item
+		// want is the address that is dialled next.
+		want string
+	}{
+		{"under another key", platform.Item{Key: platform.AgentPrefix + "odd", Value: registrationItem("agent", "127.0.0.1:9").Value}, "127.0.0.1:1"},
+		{"with another address", registrationItem("agent", "127.0.0.1:9"), "127.0.0.1:9"},
+		{"unreadable", platform.Item{Key: platform.AgentPrefix + "agent", Value: []byte("{")}, "127.0.0.1:1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newTestLinkSet()
+			s.register(registrationItem("agent", "127.0.0.1:1"))
+			closed := false
+			s.agents["agent"].stopLink = func() { closed = true }
+			s.register(tt.item)
+			require.False(t, closed)
+			require.Len(t, s.agents, 1)
+			require.True(t, s.agents["agent"].registered)
+			require.Equal(t, tt.want, s.linkAddr("agent"))
+		})
+	}
+}
+
+// TestInvalidRegistrationIsLoggedOnce guards against a log that one odd item fills.
+func TestInvalidRegistrationIsLoggedOnce(t *testing.T) {
+	var out bytes.Buffer
+	s := newTestLinkSet()
+	s.acceptor.deps = provider.NewDeps(&out)
+	for range 3 {
+		s.register(platform.Item{Key: platform.AgentPrefix + "odd", Value: []byte("null"), Revision: 7})
+	}
+	require.Equal(t, 1, strings.Count(out.String(), "invalid registration ignored"))
+}
+
+// TestRegistrationOfNoAgentIsNoWitnessForLong guards against jobs that wait for an agent
+// that does not exist, since another writer has registered it.
+func TestRegistrationOfNoAgentIsNoWitnessForLong(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := newTestLinkSet()
+	s.acceptor.deps.Clock = clock
+	s.acceptor.configuration.Store(&scheduler.Configuration{})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	s.register(registrationItem("odd", "127.0.0.1:1"))
+	for range maxDialFailures {
+		s.recordDial("odd", false)
+	}
+	s.reselectOnce(ctx, scheduler.CapacityNeed{})
+	require.Len(t, s.witnesses, 1, "it may have been lost only now")
+	clock.Advance(evictAfter)
+	s.selectionStale = false
+	s.reselectOnce(ctx, scheduler.CapacityNeed{})
+	require.Empty(t, s.witnesses)
+}
