supervisor: Follow a worker's heartbeats after one with an odd sequence number

Cause: a heartbeat with a lower sequence number counted as overtaken, however far behind and however long after the last one.

Fix: it counts as overtaken only if it is behind by at most 100 and comes within 3 s, two heartbeats, of the last one. One that was delayed for longer comes while the worker is silent or is corrected by the next.

Test: TestTrueHeartbeatsAreFollowedAfterAnOddSequence, red before in its first two parts.

--- a/supervisor/actor.go
+++ b/supervisor/actor.go
@@ -1,6 +1,8 @@
 package supervisor
 
 import (
+	"time"
+
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/sirupsen/logrus"
 
@@ -45,6 +47,13 @@
 	}
 )
 
+const (
+	// maxOvertaken is by how many later ones a heartbeat may be overtaken, and
+	// maxHeartbeatDelay how long after the last of them it may arrive.
+	maxOvertaken      = 100
+	maxHeartbeatDelay = 3 * time.Second
+)
+
 // agentActor owns the executor and applies its effects.
 type agentActor struct {
 	supervisor *Supervisor
@@ -52,10 +61,11 @@
 	// links maps the name of an entry to its newest link.
 	links       map[string]*messenger.Link
 	entryByLink map[*messenger.Link]string
-	// lastHeartbeat is the last heartbeat that was accepted.
-	lastHeartbeat platform.Heartbeat
-	callPool      *callPool
-	metrics       agentMetrics
+	// lastHeartbeat is the last heartbeat that was accepted, and lastHeartbeatAt when.
+	lastHeartbeat   platform.Heartbeat
+	lastHeartbeatAt time.Time
+	callPool        *callPool
+	metrics         agentMetrics
 }
 
 func newAgentActor(s *Supervisor) *agentActor {
@@ -115,8 +125,8 @@
 func (c *agentActor) handleHeartbeat(h platform.Heartbeat) {
 	up := c.executor.Upstream()
 	sameIncarnation := h.ID == up.ID && h.Born == up.Born
-	outdated := h.ID == c.lastHeartbeat.ID && h.Born == c.lastHeartbeat.Born && h.Sequence < c.lastHeartbeat.Sequence
-	if h.Born < up.Born || outdated {
+	now := c.supervisor.deps.Clock.Now()
+	if h.Born < up.Born || c.overtaken(h, now) {
 		c.supervisor.deps.Log.WithField("worker", h.ID).WithField("sequence", h.Sequence).Info("outdated heartbeat ignored")
 		return
 	}
@@ -130,10 +140,21 @@
 		c.supervisor.publishUpstream(h.Upstream)
 	}
 	c.lastHeartbeat = h
+	c.lastHeartbeatAt = now
 	c.supervisor.worker.ObserveClock(h.ID, h.Born, h.ClockMillis)
 	c.executor.SetUpstream(h.Upstream)
 }
 
+// overtaken reports whether a heartbeat was sent before the last one of the same
+// incarnation. The last one may be of another writer, with an odd number: then the true
+// ones that follow are far behind it, or go on for longer than any is delayed.
+func (c *agentActor) overtaken(h platform.Heartbeat, now time.Time) bool {
+	last := c.lastHeartbeat
+	behind := last.Sequence - h.Sequence
+	return h.ID == last.ID && h.Born == last.Born && behind > 0 && behind <= maxOvertaken &&
+		now.Sub(c.lastHeartbeatAt) <= maxHeartbeatDelay
+}
+
 // restoreUpstream uses the worker that an earlier incarnation of the agent registered,
 // unless the worker has sent a heartbeat already. The first poll shows whether that
 // worker is still there, since each call names the incarnation of the worker that it is
--- a/supervisor/actor_test.go
+++ b/supervisor/actor_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/pomeloferry/pomeloferry/executor"
@@ -91,3 +92,34 @@
 		require.Equal(t, capacity, (<-s.upstreamUpdates).Capacity)
 	}
 }
+
+// TestTrueHeartbeatsAreFollowedAfterAnOddSequence guards against a worker whose heartbeats
+// are all ignored after one of another writer with a high sequence number.
+func TestTrueHeartbeatsAreFollowedAfterAnOddSequence(t *testing.T) {
+	tests := []struct {
+		name  string
+		odd   int64
+		after time.Duration
+		want  bool
+	}{
+		{"far ahead", 1 << 40, time.Second, true},
+		{"somewhat ahead, for long", 50, 3*time.Second + time.Millisecond, true},
+		{"overtaken by a true one", 50, time.Second, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			deps := provider.NewDeps(io.Discard)
+			deps.Clock = clock
+			c := newAgentActor(&Supervisor{deps: deps, worker: noWorker{}, upstreamUpdates: make(chan messenger.Upstream, 1)})
+			heartbeat := func(sequence int64, draining bool) {
+				c.handleHeartbeat(platform.Heartbeat{Upstream: messenger.Upstream{ID: "w", Born: 1, Service: "quotes", Draining: draining}, Sequence: sequence})
+			}
+			heartbeat(7, false)
+			heartbeat(tt.odd, false)
+			clock.Advance(tt.after)
+			heartbeat(8, true)
+			require.Equal(t, tt.want, c.executor.Upstream().Draining)
+		})
+	}
+}
