--- a/scheduler/witness.go
+++ b/scheduler/witness.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pomeloferry/pomeloferry/messenger"
 )
 
@@ -238,3 +240,16 @@
 	})
 	return out
 }
+
+func majority(n int) int { return n/2 + 1 }
+
+// mixHashes returns a hash of two hashes.
+func mixHashes(a, b uint64) uint64 {
+	// An odd multiplier that mixes all bits, as in Fibonacci hashing.
+	const multiplier = 0x9E3779B97F4A7C15
+	mixed := (a ^ b) * multiplier
+	return (mixed ^ mixed>>32) * multiplier
+}
+
+// hashName returns the hash of a name.
+func hashName(name string) uint64 { return xxhash.Sum64String(name) }
