--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -112,8 +112,8 @@
 	mayHaveStarted bool
 }
 
-// NewScheduler returns the scheduler of an entry, without a configuration. Without queues no jobs can
-// be submitted to it.
+// NewScheduler returns the scheduler of an entry, without a configuration. Without queues
+// no jobs can be submitted to it.
 func NewScheduler(clock clockwork.Clock, name, dataCentre string) *Scheduler {
 	return &Scheduler{
 		clock:          clock,
