--- a/review/rig-2/held.go
+++ b/review/rig-2/held.go
@@ -230,7 +230,7 @@
 }
 
 // cutOffEntry: the machine of one entry is cut off from all others: from the agents, the
-// store and the clients; three times at most.
+// store and the clients; five times at most.
 func cutOffEntry(w *world, trouble bool) (verdict, error) {
 	zones := fourZones[:3]
 	if err := w.deploy(zones, 2, zones); err != nil {
@@ -252,7 +252,7 @@
 			w.note("%s is cut off: %t", far.name, off)
 		}
 	}
-	const rounds = 3
+	const rounds = 5
 	for round := range rounds {
 		v, err := w.holdUp(round, far, near, trouble, set(true, (*proxy).cut), set(false, (*proxy).heal))
 		if err != nil || v.broken || round == rounds-1 {
