--- a/review/rig-2/held.go
+++ b/review/rig-2/held.go
@@ -216,6 +216,19 @@
 	return verdict{false, "no task ran twice at the same time"}, nil
 }
 
+// holdUpAgain plays holdUp until the rule breaks, five times at most.
+func (w *world) holdUpAgain(far, near *entry, trouble bool, cut, heal func()) (verdict, error) {
+	const rounds = 5
+	for round := range rounds {
+		v, err := w.holdUp(round, far, near, trouble, cut, heal)
+		if err != nil || v.broken || round == rounds-1 {
+			return v, err
+		}
+		time.Sleep(contact)
+	}
+	return verdict{}, nil
+}
+
 // heldRequests: two zones can't reach each other. Clients in one of them have open
 // connections to the node in the other one; their requests are held up, and they send them
 // again to a node that both zones reach.
@@ -224,7 +237,7 @@
 		return verdict{}, err
 	}
 	far, near := w.entries["edge-ost-graz-1"], w.entries["edge-ost-linz-1"]
-	return w.holdUp(1, far, near, trouble,
+	return w.holdUpAgain(far, near, trouble,
 		func() { w.cutBetween("ost-wien", "ost-graz", true) },
 		func() { w.cutBetween("ost-wien", "ost-graz", false) })
 }
@@ -252,15 +265,7 @@
 			w.note("%s is cut off: %t", far.name, off)
 		}
 	}
-	const rounds = 5
-	for round := range rounds {
-		v, err := w.holdUp(round, far, near, trouble, set(true, (*proxy).cut), set(false, (*proxy).heal))
-		if err != nil || v.broken || round == rounds-1 {
-			return v, err
-		}
-		time.Sleep(contact)
-	}
-	return verdict{}, nil
+	return w.holdUpAgain(far, near, trouble, set(true, (*proxy).cut), set(false, (*proxy).heal))
 }
 
 // maxCut is how long a cut lasts: the troubles of sites/marktblick-at.toml have 5.5 s.
