scheduler, platform: Check a job before anything is computed from it

Cause: Submit built the job, with paths over After, before admit asked Validate, and ParseJob checked no number. An index that is not there panicked in the entry's actor. Seen by the stack of the log: newJob, criticalPath, index out of range. Where the job was checked first (an entry that shuts down computes its duration) the same held.

Why it works: nothing before the check uses a number of the caller's.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -25,9 +25,6 @@
 
 // admit decides whether a new job is admitted, and returns the refusal if not.
 func (s *Scheduler) admit(j *job, now time.Time) (Answer, bool) {
-	if err := j.Validate(); err != nil {
-		return Answer{Outcome: Impossible, Why: err.Error()}, false
-	}
 	if why := s.impossibleReason(j); why != "" {
 		return Answer{Outcome: Impossible, Why: why}, false
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -10,7 +10,8 @@
 	"github.com/pomeloferry/pomeloferry/messenger"
 )
 
-// Job is a caller's request to run the tasks of one or more steps.
+// Job is a caller's request to run the tasks of one or more steps. Only Validate may be
+// called on a job that has not been validated.
 type Job struct {
 	ID    string
 	Queue Queue
@@ -39,26 +40,8 @@
 	MaxPerWorker int
 }
 
-// Validate returns an Invalid error if the job has no steps, a step has no tasks, or a
-// step depends on itself or a later one.
-func (j Job) Validate() error {
-	if len(j.Steps) == 0 {
-		return &Error{Op: "job", Kind: Invalid, Text: "no steps"}
-	}
-	for i, s := range j.Steps {
-		if s.Count <= 0 {
-			return &Error{Op: "job", Kind: Invalid, Text: fmt.Sprintf("step %d has no tasks", i)}
-		}
-		for _, a := range s.After {
-			if a < 0 || a >= i {
-				return &Error{Op: "job", Kind: Invalid, Text: fmt.Sprintf("step %d comes after step %d", i, a)}
-			}
-		}
-	}
-	return nil
-}
-
-// criticalPath returns the longest chain of estimated durations over dependent steps.
+// criticalPath returns the longest chain of estimated durations over dependent steps. The
+// job must be valid.
 func (j Job) criticalPath() time.Duration {
 	pathEnds := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
@@ -73,7 +56,7 @@
 }
 
 // criticalPathsFrom returns, for each step, the longest chain of estimated durations
-// that begins with it.
+// that begins with it. The job must be valid.
 func (j Job) criticalPathsFrom() []time.Duration {
 	paths := make([]time.Duration, len(j.Steps))
 	for i := len(j.Steps) - 1; i >= 0; i-- {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -154,9 +154,13 @@
 }
 
 // Submit admits or refuses a job. Each ticket gets exactly one Reply, unless its caller
-// leaves first. A job that is already running gets one more ticket; a job with a
+// leaves first. An invalid job is refused before anything is computed from it. A job that is already running gets one more ticket; a job with a
 // recorded outcome is answered with it.
 func (s *Scheduler) Submit(ticket uint64, in Job) {
+	if err := in.Validate(); err != nil {
+		s.emit(Reply{Ticket: ticket, Answer: Answer{Outcome: Impossible, Why: err.Error()}})
+		return
+	}
 	now := s.clock.Now()
 	if j := s.jobs[in.ID]; j != nil {
 		// The caller has sent the job again while it is running.
