server: End a process whose actor panics, in place of going on with empty state

Cause: the actor library restarts an actor that panics, with a new and empty one, and stops it for good after ten. The four processes (entry and agent of both products) spawned theirs so.

Change: package server owns the actor (Owner). A panic is logged and counted with message and cause, nothing more is processed, and the process ends with the error: callers see a closed connection at once, and state is rebuilt as after any other end. Weighed: ending it always, against refusing the one message. Both, in turn: a message that only reads (dump, state, waiting) is refused by itself, and so is a job whose own state cannot be built (tryNewJob), so that a caller who sends it to each entry in turn ends none. All others may have changed state half-way. An entry whose actor has failed, or lags by 1 s, says that it is not ready; lagging from 80 ms on it refused all, and said that it was. The receiver applied the effects of a message that panicked; it no longer does.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -70,8 +70,8 @@
 	store       Store
 	incarnation int64
 	listeners   struct{ front, ready, metrics net.Listener }
-	system      *actor.ActorSystem
-	pid         *actor.PID
+	// owner is set by Run.
+	owner *server.Owner
 	// configuration is the one in force; nil before the first one.
 	configuration atomic.Pointer[scheduler.Configuration]
 	// firstReadDone is closed when the first read of the operators' directives has
@@ -109,7 +109,6 @@
 		return nil, err
 	}
 	a.listeners.front, a.listeners.ready, a.listeners.metrics = list[0], list[1], list[2]
-	a.system = server.NewActorSystem(a.deps)
 	return a, nil
 }
 
@@ -119,12 +118,8 @@
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	links := newLinkSet(a)
-	a.pid = a.system.Root.Spawn(actor.PropsFromProducer(
-		func() actor.Actor { return newEntryActor(a) },
-		actor.WithMailbox(actor.Bounded(mailboxSize)),
-		actor.WithDispatcher(server.NewDispatcher(runCtx)),
-	))
-	defer a.system.Shutdown()
+	a.owner = a.startOwner(runCtx, newEntryActor(a))
+	defer a.owner.Stop()
 	front := server.NewGracefulServer(a.deps.Clock, &http.Server{
 		Handler:           platform.NewJobHandler(a.deps.Clock, a),
 		ReadHeaderTimeout: headerTimeout,
@@ -136,6 +131,7 @@
 
 	var g run.Group
 	g.Add(func() error { return a.drainOnShutdown(ctx, runCtx, front) }, func(error) { cancel() })
+	g.Add(func() error { return a.owner.Wait(runCtx) }, func(error) { cancel() })
 	g.Add(func() error { return front.Serve(runCtx) }, func(error) { front.Close() })
 	g.Add(func() error { return server.Serve(ready, a.listeners.ready) }, func(error) { _ = ready.Close() })
 	g.Add(func() error { return server.Serve(metrics, a.listeners.metrics) }, func(error) { _ = metrics.Close() })
@@ -148,10 +144,22 @@
 	return err
 }
 
+// startOwner starts the actor that owns the entry's state.
+func (a *Acceptor) startOwner(ctx context.Context, entry actor.Actor) *server.Owner {
+	return server.StartOwner(a.deps, server.OwnerConfig{
+		Process:     "entry",
+		MailboxSize: mailboxSize,
+		AskTimeout:  askTimeout,
+		OnlyReads:   onlyReads,
+		Dispatcher:  server.NewDispatcher(ctx),
+	}, entry)
+}
+
 // isReady reports whether the balancer should send callers to this entry: it is not
-// shutting down, has a configuration and has a link to an agent.
+// shutting down, has a configuration and a link to an agent, and its actor goes on.
 func (a *Acceptor) isReady() bool {
-	return !a.Stopping() && a.configuration.Load() != nil && a.hasLinks.Load()
+	return !a.Stopping() && a.configuration.Load() != nil && a.hasLinks.Load() &&
+		!a.owner.Failed() && a.lag.current() < maxReadyLag
 }
 
 // drainOnShutdown waits for ctx to end. It then makes the readiness check fail, waits
@@ -179,11 +187,9 @@
 }
 
 // post sends msg to the actor. It blocks while the mailbox is full.
-func (a *Acceptor) post(msg any) { a.system.Root.Send(a.pid, msg) }
+func (a *Acceptor) post(msg any) { a.owner.Post(msg) }
 
-func (a *Acceptor) ask(query any) (any, error) {
-	return a.system.Root.RequestFuture(a.pid, query, askTimeout).Result()
-}
+func (a *Acceptor) ask(query any) (any, error) { return a.owner.Ask(query) }
 
 // Dump implements server.Dumper.
 func (a *Acceptor) Dump() (any, error) { return a.ask(dumpQuery{}) }
--- a/acceptor/actor.go
+++ b/acceptor/actor.go
@@ -54,6 +54,15 @@
 	linkClosed struct{ link *messenger.Link }
 )
 
+// onlyReads reports whether processing a message changes no state.
+func onlyReads(msg any) bool {
+	switch msg.(type) {
+	case dumpQuery, stateQuery, waitingQuery:
+		return true
+	}
+	return false
+}
+
 // minPause is the minimum time without activity of the actor that counts as a pause of
 // the process.
 const minPause = 200 * time.Millisecond
--- a/acceptor/lag.go
+++ b/acceptor/lag.go
@@ -11,6 +11,10 @@
 // more, heartbeats would soon be late and agents would drop the runs.
 const maxLag = 80 * time.Millisecond
 
+// maxReadyLag is the lag from which the entry says that it is not ready. One that is only
+// loaded catches up sooner, and refuses new requests meanwhile.
+const maxReadyLag = time.Second
+
 // lag measures how late the actor processes its messages. An entry that lags rejects new
 // requests before they cost it more time, so that it catches up.
 type lag struct {
--- a/agent/actor.go
+++ b/agent/actor.go
@@ -44,6 +44,15 @@
 	}
 )
 
+// onlyReads reports whether processing a message changes no state.
+func onlyReads(msg any) bool {
+	switch msg.(type) {
+	case idleQuery, dumpQuery:
+		return true
+	}
+	return false
+}
+
 // entryLink is the actor's state of one open link.
 type entryLink struct {
 	link   *courier.Link
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"time"
 
-	"github.com/asynkron/protoactor-go/actor"
 	"github.com/google/uuid"
 	"github.com/oklog/run"
 
@@ -58,11 +57,11 @@
 	cfg      Config
 	listener net.Listener
 	identity starter.Identity
-	system   *actor.ActorSystem
-	pid      *actor.PID
-	links    *linkSet
-	runner   *runner
-	stop     chan struct{}
+	// owner is set by Run.
+	owner  *server.Owner
+	links  *linkSet
+	runner *runner
+	stop   chan struct{}
 }
 
 // NewAgent returns an agent that listens on cfg.Listen, but does not serve yet.
@@ -82,8 +81,7 @@
 			DataCentre:  cfg.DataCentre,
 			Rack:        cfg.Rack,
 		},
-		system: server.NewActorSystem(deps),
-		stop:   make(chan struct{}),
+		stop: make(chan struct{}),
 	}
 	a.runner = newRunner(deps, a.post)
 	a.links = newLinkSet(a)
@@ -93,18 +91,20 @@
 // Run serves until ctx ends, then drains: running tasks finish and their results reach
 // the owners before the links close, within DrainTimeout.
 func (a *Agent) Run(ctx context.Context) error {
-	props := actor.PropsFromProducer(
-		func() actor.Actor { return newLedgerActor(a) },
-		actor.WithMailbox(actor.Bounded(mailboxSize)),
-	)
-	a.pid = a.system.Root.Spawn(props)
-	defer a.system.Shutdown()
+	a.owner = server.StartOwner(a.deps, server.OwnerConfig{
+		Process:     "agent",
+		MailboxSize: mailboxSize,
+		AskTimeout:  askTimeout,
+		OnlyReads:   onlyReads,
+	}, newLedgerActor(a))
+	defer a.owner.Stop()
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	httpServer := &http.Server{Handler: a.handler(), ReadHeaderTimeout: 5 * time.Second}
 
 	var g run.Group
 	g.Add(func() error { return a.drainOnShutdown(ctx, inner) }, func(error) { cancel() })
+	g.Add(func() error { return a.owner.Wait(inner) }, func(error) { cancel() })
 	g.Add(func() error { return httpServer.Serve(a.listener) }, func(error) { _ = httpServer.Close() })
 	g.Add(func() error { return a.tick(inner) }, func(error) { cancel() })
 	g.Add(func() error { return a.links.run(inner) }, func(error) { cancel() })
@@ -143,11 +143,9 @@
 }
 
 // post sends msg to the ledger's actor. It waits while the mailbox is full.
-func (a *Agent) post(msg any) { a.system.Root.Send(a.pid, msg) }
+func (a *Agent) post(msg any) { a.owner.Post(msg) }
 
-func (a *Agent) ask(question any) (any, error) {
-	return a.system.Root.RequestFuture(a.pid, question, askTimeout).Result()
-}
+func (a *Agent) ask(question any) (any, error) { return a.owner.Ask(question) }
 
 // Receive implements courier.Handler for links to entries.
 func (a *Agent) Receive(l *courier.Link, msg any) {
--- a/receiver/actor.go
+++ b/receiver/actor.go
@@ -71,6 +71,15 @@
 	}
 )
 
+// onlyReads reports whether processing a message changes no state.
+func onlyReads(msg any) bool {
+	switch msg.(type) {
+	case idleQuery, dumpQuery:
+		return true
+	}
+	return false
+}
+
 // link is the part of courier.Link that the entry's actor uses.
 type link interface {
 	Send(msg any)
@@ -130,9 +139,16 @@
 	}
 }
 
-// handle handles one message and returns the answer if the message is a query.
+// handle processes one message, applies the effects, and returns the answer if the message
+// is a query. After a panic it applies no effects.
 func (c *entryActor) handle(msg any) any {
-	defer c.applyEffects()
+	answer := c.process(msg)
+	c.applyEffects()
+	return answer
+}
+
+// process processes one message and returns the answer if the message is a query.
+func (c *entryActor) process(msg any) any {
 	switch m := msg.(type) {
 	case tick:
 		c.tick()
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -13,7 +13,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/asynkron/protoactor-go/actor"
 	"github.com/oklog/run"
 
 	"github.com/pomeloferry/pomeloferry/approver"
@@ -74,9 +73,9 @@
 	listener     net.Listener
 	linkListener net.Listener
 	self         courier.EntryInfo
-	system       *actor.ActorSystem
-	pid          *actor.PID
-	peers        *peerSet
+	// owner is set by Run.
+	owner *server.Owner
+	peers *peerSet
 	// inFlight is the number of submissions in flight.
 	inFlight atomic.Int64
 }
@@ -101,7 +100,6 @@
 		linkListener: linkListener,
 		self:         courier.EntryInfo{ID: cfg.ID, Link: linkListener.Addr().String()},
 	}
-	r.system = server.NewActorSystem(r.deps)
 	r.peers = newPeerSet(r)
 	return r, nil
 }
@@ -109,12 +107,13 @@
 // Run serves until ctx ends, then hands its partitions over and returns when every
 // request in flight has been answered, or after DrainTimeout.
 func (r *Receiver) Run(ctx context.Context) error {
-	props := actor.PropsFromProducer(
-		func() actor.Actor { return newEntryActor(r.deps, r.cfg, r.self, r.peers.setEntries) },
-		actor.WithMailbox(actor.Bounded(mailboxSize)),
-	)
-	r.pid = r.system.Root.Spawn(props)
-	defer r.system.Shutdown()
+	r.owner = server.StartOwner(r.deps, server.OwnerConfig{
+		Process:     "entry",
+		MailboxSize: mailboxSize,
+		AskTimeout:  askTimeout,
+		OnlyReads:   onlyReads,
+	}, newEntryActor(r.deps, r.cfg, r.self, r.peers.setEntries))
+	defer r.owner.Stop()
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	httpServer := server.NewGracefulServer(r.deps.Clock, &http.Server{Handler: r.handler(), ReadHeaderTimeout: 5 * time.Second}, r.listener)
@@ -123,6 +122,7 @@
 
 	var g run.Group
 	g.Add(func() error { return r.drainOnShutdown(ctx, inner, httpServer, poller) }, func(error) { cancel() })
+	g.Add(func() error { return r.owner.Wait(inner) }, func(error) { cancel() })
 	g.Add(func() error { return httpServer.Serve(inner) }, func(error) { httpServer.Close() })
 	g.Add(func() error { return r.acceptLinks(inner) }, func(error) { _ = r.linkListener.Close() })
 	g.Add(func() error { return r.tick(inner) }, func(error) { cancel() })
@@ -191,11 +191,9 @@
 }
 
 // post sends msg to the actor. It waits while the mailbox is full.
-func (r *Receiver) post(msg any) { r.system.Root.Send(r.pid, msg) }
+func (r *Receiver) post(msg any) { r.owner.Post(msg) }
 
-func (r *Receiver) ask(question any) (any, error) {
-	return r.system.Root.RequestFuture(r.pid, question, askTimeout).Result()
-}
+func (r *Receiver) ask(question any) (any, error) { return r.owner.Ask(question) }
 
 // Receive implements courier.Handler for accepted links.
 func (r *Receiver) Receive(l *courier.Link, msg any) {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -194,6 +194,18 @@
 	criticalPaths []time.Duration
 }
 
+// tryNewJob is like newJob, but returns an error if that panics. Nothing else has been
+// changed by then, so that only this job has to be refused, and its caller can end no entry
+// by sending it to one after the other.
+func tryNewJob(j Job, number uint64, now time.Time, last record) (out *job, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = invalidJob("it cannot be processed: %v", cause)
+		}
+	}()
+	return newJob(j, number, now, last), nil
+}
+
 // newJob returns a job. last is the record of an earlier attempt, whose run numbers the
 // new one continues.
 func newJob(j Job, number uint64, now time.Time, last record) *job {
--- a/scheduler/latecopy_test.go
+++ b/scheduler/latecopy_test.go
@@ -94,6 +94,12 @@
 		{"entries frozen", 2, 0, 3 * time.Second, func(sim *simulation) {
 			sim.entries[sim.rng.IntN(len(sim.entries))].pause(time.Duration(sim.rng.Int64N(int64(3 * time.Second))))
 		}},
+		{"messages of entries panic", 2, 0, time.Second, func(sim *simulation) {
+			sim.entries[sim.rng.IntN(len(sim.entries))].events = 1 + sim.rng.IntN(100)
+		}},
+		{"messages of agents panic", 2, 0, time.Second, func(sim *simulation) {
+			sim.anyAgent().events = 1 + sim.rng.IntN(100)
+		}},
 		{"any fault", 2, 0, 3 * time.Second, func(sim *simulation) {
 			randomFault(sim, time.Duration(sim.rng.Int64N(int64(2*time.Second))))()
 		}},
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -174,7 +174,11 @@
 		return
 	}
 	s.lastJobNumber++
-	j := newJob(in, s.lastJobNumber, now, r)
+	j, err := tryNewJob(in, s.lastJobNumber, now, r)
+	if err != nil {
+		s.emit(Reply{Ticket: ticket, Answer: Answer{Outcome: Impossible, Why: err.Error()}})
+		return
+	}
 	if s.answerIfCondemned(ticket, j) {
 		return
 	}
--- a/scheduler/simcluster_test.go
+++ b/scheduler/simcluster_test.go
@@ -143,6 +143,7 @@
 
 // simEntry is an entry process.
 type simEntry struct {
+	panicCountdown
 	sim         *simulation
 	name        string
 	incarnation int64
@@ -165,6 +166,7 @@
 
 // simAgent is an agent process with its worker.
 type simAgent struct {
+	panicCountdown
 	sim         *simulation
 	name        string
 	core        *executor.Executor
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -39,6 +39,22 @@
 	tick()
 }
 
+// restartDelay is how long after its end a process starts again.
+const restartDelay = 200 * time.Millisecond
+
+// panicCountdown makes a process panic after a number of events, so that the effects of the
+// last one are lost and the process ends. Zero means never.
+type panicCountdown struct{ events int }
+
+// panicsNow counts an event and reports whether the process panics on it.
+func (c *panicCountdown) panicsNow() bool {
+	if c.events == 0 {
+		return false
+	}
+	c.events--
+	return c.events == 0
+}
+
 // pause pauses the process. A pause during another one does not shorten it: what is
 // received is handled in order.
 func (e *simEntry) pause(d time.Duration) {
@@ -73,6 +89,11 @@
 	}
 	e.activeAt = e.sim.clock.Now()
 	f()
+	if e.panicsNow() {
+		e.core.TakeEffects()
+		e.kill(restartDelay)
+		return
+	}
 	e.applyEffects()
 }
 
@@ -315,6 +336,11 @@
 		return
 	}
 	f()
+	if a.panicsNow() {
+		a.core.TakeEffects()
+		a.kill(restartDelay)
+		return
+	}
 	a.applyEffects()
 }
 
--- a/server/diagnostics.go
+++ b/server/diagnostics.go
@@ -19,8 +19,8 @@
 	"github.com/pomeloferry/pomeloferry/provider"
 )
 
-// NewActorSystem returns an actor system that logs its errors to the log of deps.
-func NewActorSystem(deps provider.Deps) *actor.ActorSystem {
+// newActorSystem returns an actor system that logs its errors to the log of deps.
+func newActorSystem(deps provider.Deps) *actor.ActorSystem {
 	handler := slog.NewJSONHandler(deps.Log.Logger.Out, &slog.HandlerOptions{Level: slog.LevelError})
 	return actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 		return slog.New(handler)
--- a/server/dispatcher_test.go
+++ b/server/dispatcher_test.go
@@ -26,7 +26,7 @@
 
 func TestActorOnItsOwnGoroutineTakesAllMessagesIn(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
-	system := NewActorSystem(provider.NewDeps(io.Discard))
+	system := newActorSystem(provider.NewDeps(io.Discard))
 	pid := system.Root.Spawn(actor.PropsFromProducer(
 		func() actor.Actor { return &counter{} },
 		actor.WithMailbox(actor.Bounded(1<<14)),
--- a/server/listen.go
+++ b/server/listen.go
@@ -17,7 +17,7 @@
 // Unusable means that a process cannot use the value of a setting.
 const Unusable Kind = "Unusable"
 
-// Error is the error type of this package. Op is the name of the setting.
+// Error is the error type of this package. Op is the name of the setting, or what failed.
 type Error struct {
 	Op   string
 	Kind Kind
--- a/supervisor/actor.go
+++ b/supervisor/actor.go
@@ -47,6 +47,15 @@
 	}
 )
 
+// onlyReads reports whether processing a message changes no state.
+func onlyReads(msg any) bool {
+	switch msg.(type) {
+	case idleQuery, dumpQuery:
+		return true
+	}
+	return false
+}
+
 const (
 	// maxOvertaken is by how many later ones a heartbeat may be overtaken, and
 	// maxHeartbeatDelay how long after the last of them it may arrive.
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"time"
 
-	"github.com/asynkron/protoactor-go/actor"
 	"github.com/oklog/run"
 
 	"github.com/pomeloferry/pomeloferry/executor"
@@ -87,9 +86,9 @@
 	worker    WorkerClient
 	directory Directory
 	listeners struct{ link, control, metrics net.Listener }
-	system    *actor.ActorSystem
-	pid       *actor.PID
-	identity  executor.Identity
+	// owner is set by Run.
+	owner    *server.Owner
+	identity executor.Identity
 	// ctx is set by Run and bounds the calls to the worker.
 	ctx context.Context
 	// upstreamUpdates holds the newest worker until it is registered.
@@ -122,7 +121,6 @@
 		return nil, err
 	}
 	s.listeners.link, s.listeners.control, s.listeners.metrics = list[0], list[1], list[2]
-	s.system = server.NewActorSystem(s.deps)
 	return s, nil
 }
 
@@ -132,17 +130,20 @@
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	s.ctx = runCtx
-	s.pid = s.system.Root.Spawn(actor.PropsFromProducer(
-		func() actor.Actor { return newAgentActor(s) },
-		actor.WithMailbox(actor.Bounded(mailboxSize)),
-		actor.WithDispatcher(server.NewDispatcher(runCtx)),
-	))
-	defer s.system.Shutdown()
+	s.owner = server.StartOwner(s.deps, server.OwnerConfig{
+		Process:     "agent",
+		MailboxSize: mailboxSize,
+		AskTimeout:  askTimeout,
+		OnlyReads:   onlyReads,
+		Dispatcher:  server.NewDispatcher(runCtx),
+	}, newAgentActor(s))
+	defer s.owner.Stop()
 	control := &http.Server{Handler: platform.NewHeartbeatHandler(s), ReadHeaderTimeout: time.Second}
 	metrics := &http.Server{Handler: server.NewMetricsHandler(s.deps, s), ReadHeaderTimeout: time.Second}
 
 	var g run.Group
 	g.Add(func() error { return s.drainOnShutdown(ctx, runCtx) }, func(error) { cancel() })
+	g.Add(func() error { return s.owner.Wait(runCtx) }, func(error) { cancel() })
 	g.Add(func() error { return server.Serve(control, s.listeners.control) }, func(error) { _ = control.Close() })
 	g.Add(func() error { return server.Serve(metrics, s.listeners.metrics) }, func(error) { _ = metrics.Close() })
 	g.Add(func() error { return s.acceptLinks(runCtx) }, func(error) { _ = s.listeners.link.Close() })
@@ -232,11 +233,9 @@
 }
 
 // post sends msg to the actor. It blocks while the mailbox is full.
-func (s *Supervisor) post(msg any) { s.system.Root.Send(s.pid, msg) }
+func (s *Supervisor) post(msg any) { s.owner.Post(msg) }
 
-func (s *Supervisor) ask(query any) (any, error) {
-	return s.system.Root.RequestFuture(s.pid, query, askTimeout).Result()
-}
+func (s *Supervisor) ask(query any) (any, error) { return s.owner.Ask(query) }
 
 // Dump implements server.Dumper.
 func (s *Supervisor) Dump() (any, error) { return s.ask(dumpQuery{}) }
