scheduler: Place nothing while no witnesses are known

Cause: an entry that had forgotten its witnesses, or did not know any yet, took each lock as granted: quorum was true for an empty panel. So did an entry that had just started, until its link set told it the first agents.

Change: a quorum of nothing grants nothing; jobs wait for the witnesses, and are refused when they may not wait longer.

Test, red before: TestNothingIsPlacedWhileNoWitnessIsKnown (a task was placed).

--- a/scheduler/lock.go
+++ b/scheduler/lock.go
@@ -122,7 +122,7 @@
 }
 
 // quorum reports whether the lock is granted by a majority of the witnesses, of which no
-// other entry can have one then.
+// other entry can have one then. While no witnesses are known, nothing is granted.
 func (s *Scheduler) quorum(l *jobLock, now time.Time) bool {
 	panel := s.panelOf(l)
 	granted := 0
@@ -131,7 +131,7 @@
 			granted++
 		}
 	}
-	return len(panel) == 0 || granted >= majority(len(panel))
+	return granted >= majority(len(panel))
 }
 
 // advanceLocks brings all locks forward; see requestLocks.
@@ -162,10 +162,7 @@
 		}
 	}
 	slices.SortFunc(contacts, func(a, b time.Time) int { return b.Compare(a) })
-	l.safeUntil = now
-	if needed := majority(len(l.panel)); len(contacts) >= needed {
-		l.safeUntil = contacts[needed-1].Add(maxContactAge)
-	}
+	l.safeUntil = contacts[majority(len(l.panel))-1].Add(maxContactAge)
 	return true
 }
 
--- a/scheduler/lock_test.go
+++ b/scheduler/lock_test.go
@@ -469,3 +469,20 @@
 	f.takeEffects()
 	require.Len(t, f.placed().Tasks, 1)
 }
+
+// Guards against an entry that places tasks without a lock, since it has not been told of
+// the witnesses yet or any more.
+func TestNothingIsPlacedWhileNoWitnessIsKnown(t *testing.T) {
+	f := newFixture(t)
+	f.s.SetWitnesses(nil)
+	f.connect("a")
+	f.s.Submit(1, f.job(jobID, 1))
+	f.s.Tick()
+	f.takeEffects()
+	require.Empty(t, f.sentTo["a"])
+	f.clock.Advance(400 * time.Millisecond)
+	f.s.Tick()
+	f.takeEffects()
+	require.Equal(t, scheduler.Overloaded, f.replies[1].Outcome)
+	require.Contains(t, f.replies[1].Why, "0 of 0 witnesses grant the lock")
+}
