--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -16,6 +16,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/oklog/run"
 
+	"github.com/pomeloferry/pomeloferry/messenger"
 	"github.com/pomeloferry/pomeloferry/platform"
 	"github.com/pomeloferry/pomeloferry/provider"
 	"github.com/pomeloferry/pomeloferry/scheduler"
@@ -44,6 +45,7 @@
 type Store interface {
 	List(ctx context.Context, prefix string) ([]platform.Item, int64, error)
 	Watch(ctx context.Context, prefix string, revision int64, wait time.Duration) ([]platform.Item, int64, error)
+	ReplaceWitnessList(ctx context.Context, l messenger.WitnessList, revision int64) error
 }
 
 // Config configures one entry.
@@ -74,6 +76,8 @@
 	owner *server.Owner
 	// configuration is the one in force; nil before the first one.
 	configuration atomic.Pointer[scheduler.Configuration]
+	// witnessList is the list of witnesses in force; nil before the first one.
+	witnessList atomic.Pointer[messenger.WitnessList]
 	// firstReadDone is closed when the first read of the operators' directives has
 	// succeeded or failed.
 	firstReadDone chan struct{}
@@ -156,9 +160,10 @@
 }
 
 // isReady reports whether the balancer should send callers to this entry: it is not
-// shutting down, has a configuration and a link to an agent, and its actor goes on.
+// shutting down, has a configuration, witnesses and a link to an agent, and its actor goes
+// on.
 func (a *Acceptor) isReady() bool {
-	return !a.Stopping() && a.configuration.Load() != nil && a.hasLinks.Load() &&
+	return !a.Stopping() && a.configuration.Load() != nil && a.witnessList.Load() != nil && a.hasLinks.Load() &&
 		!a.owner.Failed() && a.lag.current() < maxReadyLag
 }
 
--- a/acceptor/actor.go
+++ b/acceptor/actor.go
@@ -33,8 +33,10 @@
 	waitingQuery struct{ queue string }
 	// needQuery asks for the scheduler.CapacityNeed.
 	needQuery struct{}
-	// witnessesChanged carries the agents that keep locks of jobs.
-	witnessesChanged struct{ witnesses []scheduler.Witness }
+	// witnessesRead carries the list of witnesses in the store.
+	witnessesRead struct{ list messenger.WitnessList }
+	// witnessChangeQuery asks for the scheduler.WitnessChange.
+	witnessChangeQuery struct{}
 	// releaseLinks closes the links to those agents at which the entry has no runs.
 	// The answer holds the names of the agents that are not linked afterwards.
 	releaseLinks struct{ agents []string }
@@ -43,8 +45,6 @@
 		agent string
 		link  *messenger.Link
 	}
-	// linkRefused reports that no process listens at the address of an agent.
-	linkRefused struct{ agent string }
 	// linkMessage carries a message from an agent.
 	linkMessage struct {
 		link *messenger.Link
@@ -57,7 +57,7 @@
 // onlyReads reports whether processing a message changes no state.
 func onlyReads(msg any) bool {
 	switch msg.(type) {
-	case dumpQuery, stateQuery, waitingQuery:
+	case dumpQuery, stateQuery, waitingQuery, witnessChangeQuery:
 		return true
 	}
 	return false
@@ -106,12 +106,10 @@
 		c.scheduler.CallerLeft(m.ticket)
 	case configurationChanged:
 		c.scheduler.Configure(m.configuration)
-	case witnessesChanged:
-		c.scheduler.SetWitnesses(m.witnesses)
+	case witnessesRead:
+		c.scheduler.SetWitnesses(m.list)
 	case linkOpened:
 		c.handleLinkOpened(m)
-	case linkRefused:
-		c.scheduler.LinkRefused(m.agent)
 	case linkMessage:
 		c.handleLinkMessage(m)
 	case linkClosed:
@@ -122,6 +120,8 @@
 		ctx.Respond(c.scheduler.CapacityNeed())
 	case releaseLinks:
 		ctx.Respond(c.releaseIdleLinks(m.agents))
+	case witnessChangeQuery:
+		ctx.Respond(c.scheduler.WitnessChange())
 	case stateQuery:
 		ctx.Respond(c.scheduler.State(m.job))
 	case cancelJob:
@@ -158,6 +158,9 @@
 				ch <- e.Answer
 				delete(c.replies, e.Ticket)
 			}
+		case scheduler.WitnessesChanged:
+			c.acceptor.witnessList.Store(&e.List)
+			c.acceptor.deps.Log.WithFields(logrus.Fields{"version": e.List.Version, "witnesses": e.List.Current, "previous": e.List.Previous}).Info("witnesses in force")
 		case scheduler.Note:
 			c.logNote(e)
 		}
@@ -191,6 +194,8 @@
 			c.links[name].recordTimestamp(msg.Timestamp)
 			c.scheduler.HandleReport(*msg)
 		}
+	case *messenger.WitnessList:
+		c.scheduler.HandleWitnessList(name, *msg)
 	case *messenger.LockReply:
 		c.scheduler.HandleLockReply(name, *msg)
 	}
--- a/acceptor/linkset.go
+++ b/acceptor/linkset.go
@@ -4,11 +4,10 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/pomeloferry/pomeloferry/messenger"
@@ -34,8 +33,7 @@
 	minStoreBackoff = 150 * time.Millisecond
 	maxStoreBackoff = 600 * time.Millisecond
 	// evictAfter is how long an agent has to be missing from the directory before it
-	// is evicted. It is evicted only if it cannot be reached either. One that is in the
-	// directory and cannot be reached for so long is no witness any more.
+	// is evicted. It is evicted only if it cannot be reached either.
 	evictAfter = 20 * time.Second
 	// reselectInterval is the time between two selections of the agents to link.
 	reselectInterval = 250 * time.Millisecond
@@ -56,8 +54,6 @@
 	rank uint64
 	// dialFailures is the number of failed dials since the last successful one.
 	dialFailures int
-	// unreachableSince is when dialFailures reached maxDialFailures.
-	unreachableSince time.Time
 	// stopLink stops the goroutine that maintains the link; nil if there is none.
 	stopLink context.CancelFunc
 }
@@ -79,8 +75,15 @@
 	selectedRevision int64
 	// selectionStale means that something has changed since the last selection.
 	selectionStale bool
-	// witnesses are those last selected.
-	witnesses []scheduler.Witness
+	// selectedWitnesses is the version of the list of witnesses at the last selection.
+	selectedWitnesses uint64
+	witnessKeeper     *witnessKeeper
+	// storedWitnesses is the version of the list of witnesses in the store, which was
+	// written at witnessRevision; zero if there is none. directoryRead is whether that is
+	// known.
+	storedWitnesses uint64
+	witnessRevision int64
+	directoryRead   bool
 	// invalid has the revisions of the invalid registrations that were logged, by key.
 	invalid map[string]int64
 	// surplus lists the agents that are linked but were not selected the last time.
@@ -88,7 +91,14 @@
 }
 
 func newLinkSet(a *Acceptor) *linkSet {
-	return &linkSet{acceptor: a, post: a.post, agents: make(map[string]*knownAgent), budget: newLinkBudget(), invalid: make(map[string]int64)}
+	return &linkSet{
+		acceptor:      a,
+		post:          a.post,
+		agents:        make(map[string]*knownAgent),
+		budget:        newLinkBudget(),
+		invalid:       make(map[string]int64),
+		witnessKeeper: newWitnessKeeper(a.deps.Clock, func(limit time.Duration) time.Duration { return time.Duration(rand.Int64N(int64(limit))) }),
+	}
 }
 
 // follow keeps the known agents up to date with the directory until ctx ends.
@@ -96,6 +106,7 @@
 	a := s.acceptor
 	lastError := ""
 	go s.reselect(ctx)
+	go s.keepWitnesses(ctx)
 	revision := int64(0)
 	retry := storeBackoffTimer{clock: a.deps.Clock}
 	for ctx.Err() == nil {
@@ -144,16 +155,24 @@
 
 // loadDirectory reads the whole directory.
 func (s *linkSet) loadDirectory(ctx context.Context) (int64, error) {
-	items, revision, err := s.acceptor.store.List(ctx, platform.AgentPrefix)
+	items, revision, err := s.acceptor.store.List(ctx, platform.DirectoryPrefix)
 	if err != nil {
 		return 0, err
 	}
 	registered := make(map[string]bool, len(items))
+	witnesses := platform.Item{Key: platform.WitnessesKey, Deleted: true}
 	for _, item := range items {
-		registered[s.register(item)] = true
+		switch {
+		case item.Key == platform.WitnessesKey:
+			witnesses = item
+		case strings.HasPrefix(item.Key, platform.AgentPrefix):
+			registered[s.register(item)] = true
+		}
 	}
+	s.readWitnesses(witnesses)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.directoryRead = true
 	for name, agent := range s.agents {
 		if !registered[name] {
 			s.markUnregistered(agent)
@@ -167,7 +186,7 @@
 // revision from which to watch next, or zero with any error, so that the directory is
 // then loaded anew.
 func (s *linkSet) watchDirectory(ctx context.Context, revision int64) (int64, error) {
-	items, next, err := s.acceptor.store.Watch(ctx, platform.AgentPrefix, revision, directoryWatchTimeout)
+	items, next, err := s.acceptor.store.Watch(ctx, platform.DirectoryPrefix, revision, directoryWatchTimeout)
 	if err != nil || len(items) == 0 {
 		return next, err
 	}
@@ -179,11 +198,15 @@
 // applyChanges applies changes of the directory and updates the links.
 func (s *linkSet) applyChanges(ctx context.Context, items []platform.Item) {
 	for _, item := range items {
-		if item.Deleted {
-			s.handleDeletion(item.Key[len(platform.AgentPrefix):])
-			continue
+		name, isAgent := strings.CutPrefix(item.Key, platform.AgentPrefix)
+		switch {
+		case item.Key == platform.WitnessesKey:
+			s.readWitnesses(item)
+		case isAgent && item.Deleted:
+			s.handleDeletion(name)
+		case isAgent:
+			s.register(item)
 		}
-		s.register(item)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -198,7 +221,7 @@
 	defer s.mu.Unlock()
 	registration, err := platform.ParseRegistration(item)
 	if err != nil {
-		s.logInvalid(item, err)
+		s.logInvalid(item, "registration", err)
 		return ""
 	}
 	agent := s.agents[registration.Agent]
@@ -215,13 +238,13 @@
 	return registration.Agent
 }
 
-// logInvalid logs an invalid registration once. The caller holds mu.
-func (s *linkSet) logInvalid(item platform.Item, err error) {
+// logInvalid logs an invalid item once. The caller holds mu.
+func (s *linkSet) logInvalid(item platform.Item, what string, err error) {
 	if s.invalid[item.Key] == item.Revision {
 		return
 	}
 	s.invalid[item.Key] = item.Revision
-	s.acceptor.deps.Log.WithError(err).WithField("key", item.Key).Warn("invalid registration ignored")
+	s.acceptor.deps.Log.WithError(err).WithField("key", item.Key).Warn("invalid " + what + " ignored")
 }
 
 // reselect adjusts the links at intervals until ctx ends: it links more agents if others
@@ -243,7 +266,7 @@
 func (s *linkSet) reselectOnce(ctx context.Context, need scheduler.CapacityNeed) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.selectionStale = s.selectionStale || s.lostWitness()
+	s.selectionStale = s.selectionStale || s.acceptor.witnesses().Version != s.selectedWitnesses
 	if s.budget.adjust(need, len(s.agents), s.acceptor.deps.Clock.Now()) {
 		s.selectionStale = true
 		s.acceptor.deps.Log.WithField("links", s.budget.limit).WithField("short", need.Shortage).WithField("workers", need.Workers).Info("link budget changed")
@@ -252,15 +275,6 @@
 	return slices.Clone(s.surplus)
 }
 
-// lostWitness reports whether a witness has been unreachable for evictAfter. The caller
-// holds mu.
-func (s *linkSet) lostWitness() bool {
-	return slices.ContainsFunc(s.witnesses, func(w scheduler.Witness) bool {
-		agent := s.agents[w.Agent]
-		return agent == nil || agent.dialFailures >= maxDialFailures && s.acceptor.deps.Clock.Since(agent.unreachableSince) >= evictAfter
-	})
-}
-
 // releaseSurplus closes the links to those of the named agents at which the entry has no
 // runs.
 func (s *linkSet) releaseSurplus(names []string) {
@@ -290,28 +304,12 @@
 	}
 	s.selectionStale = false
 	s.selectedRevision = configuration.Revision
-	candidates := make([]candidate, 0, len(s.agents))
-	for name, agent := range s.agents {
-		dc := agent.registration.DataCentre
-		reachable := agent.dialFailures < maxDialFailures
-		candidates = append(candidates, candidate{
-			agent:      name,
-			dataCentre: dc,
-			rank:       agent.rank,
-			reachable:  reachable,
-			witness:    reachable || agent.registered && s.acceptor.deps.Clock.Since(agent.unreachableSince) < evictAfter,
-			usable:     reachable && !configuration.Evacuated[dc],
-		})
-	}
-	witnesses := selectWitnesses(candidates)
-	if !slices.Equal(witnesses, s.witnesses) {
-		s.witnesses = witnesses
-		s.post(witnessesChanged{witnesses: witnesses})
-	}
-	selected := s.selectAll(candidates, witnesses)
+	witnesses := s.acceptor.witnesses()
+	s.selectedWitnesses = witnesses.Version
+	selected := s.selectAll(s.candidates(configuration.Evacuated), witnesses)
 	for name := range selected {
 		agent := s.agents[name]
-		if agent.stopLink != nil {
+		if agent == nil || agent.stopLink != nil {
 			continue
 		}
 		var linkCtx context.Context
@@ -326,12 +324,30 @@
 	}
 }
 
+// candidates returns the known agents as the selection sees them. The caller holds mu.
+func (s *linkSet) candidates(evacuated map[string]bool) []candidate {
+	candidates := make([]candidate, 0, len(s.agents))
+	for name, agent := range s.agents {
+		dc := agent.registration.DataCentre
+		reachable := agent.dialFailures < maxDialFailures
+		candidates = append(candidates, candidate{
+			agent:      name,
+			dataCentre: dc,
+			rank:       agent.rank,
+			reachable:  reachable,
+			registered: agent.registered,
+			usable:     reachable && !evacuated[dc],
+		})
+	}
+	return candidates
+}
+
 // selectAll returns the agents to link: those for the entry's tasks, within the link
 // budget, and the witnesses, which it has in common with the other entries.
-func (s *linkSet) selectAll(candidates []candidate, witnesses []scheduler.Witness) map[string]bool {
+func (s *linkSet) selectAll(candidates []candidate, witnesses messenger.WitnessList) map[string]bool {
 	dc := s.acceptor.cfg.DataCentre
 	out := make(map[string]bool)
-	for _, name := range slices.Concat(selectAgents(dc, candidates, s.budget.limit), witnessAgents(witnesses)) {
+	for _, name := range slices.Concat(selectAgents(dc, candidates, s.budget.limit), witnesses.Agents()) {
 		out[name] = true
 	}
 	return out
@@ -350,10 +366,7 @@
 		agent.dialFailures = 0
 	default:
 		agent.dialFailures++
-		if agent.dialFailures == maxDialFailures {
-			agent.unreachableSince = s.acceptor.deps.Clock.Now()
-			s.selectionStale = true
-		}
+		s.selectionStale = s.selectionStale || agent.dialFailures == maxDialFailures
 	}
 }
 
@@ -400,9 +413,6 @@
 	for ctx.Err() == nil {
 		l, err := messenger.Dial(ctx, s.linkAddr(name), a)
 		s.recordDial(name, err == nil)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			s.post(linkRefused{agent: name})
-		}
 		if err == nil {
 			failures = 0
 			s.post(linkOpened{agent: name, link: l})
--- a/acceptor/selection.go
+++ b/acceptor/selection.go
@@ -19,9 +19,8 @@
 	rank uint64
 	// reachable is whether the last maxDialFailures dials have not all failed.
 	reachable bool
-	// witness is whether the agent may keep locks of jobs: it can be reached, or it is in
-	// the directory and has not been unreachable for evictAfter.
-	witness bool
+	// registered is whether the agent is in the directory.
+	registered bool
 	// usable is whether tasks may be placed there: the agent is reachable and
 	// its data centre is not evacuated.
 	usable bool
--- a/executor/effect.go
+++ b/executor/effect.go
@@ -8,7 +8,7 @@
 )
 
 // Effect is an action for the agent process: a Start, Stop, Poll, SendReport,
-// SendLockReply, TickAfter or Note.
+// SendLockReply, SendWitnesses, TickAfter or Note.
 type Effect interface{ effect() }
 
 // Start sends a start to the worker.
@@ -61,6 +61,12 @@
 	Reply messenger.LockReply
 }
 
+// SendWitnesses sends the list of witnesses to an entry.
+type SendWitnesses struct {
+	Entry string
+	List  messenger.WitnessList
+}
+
 // TickAfter asks for a call of Tick after a delay.
 type TickAfter struct {
 	Delay time.Duration
@@ -81,6 +87,7 @@
 func (Stop) effect()          {}
 func (Poll) effect()          {}
 func (SendLockReply) effect() {}
+func (SendWitnesses) effect() {}
 func (SendReport) effect()    {}
 func (TickAfter) effect()     {}
 func (Note) effect()          {}
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -40,6 +40,8 @@
 	reportedBackfill messenger.Resources
 	// reportedSpeed is the last speed of the worker that was reported on this link.
 	reportedSpeed speedEstimate
+	// reportedHolders is the last Holders that was reported on this link.
+	reportedHolders uint64
 	// backlog is what waits for capacity at the entry. weightedUse is the number of
 	// tasks that it has placed, in proportion to its backlog.
 	backlog     messenger.Backlog
@@ -77,9 +79,9 @@
 		x.orphanRunsOf(h.Entry)
 		e.incarnation = h.Incarnation
 		e.outcomes = outcomeQueue{}
-		e.holder = &lockHolder{entry: h.Entry}
+		e.holder = newLockHolder(h.Entry, h.Incarnation)
 	}
-	e.holder.seenAt = now
+	x.contactHolder(e)
 	if !x.hasRunsOf(h.Entry) {
 		// A Hello that was read late must not keep runs alive.
 		e.lastSeenAt = now
@@ -93,8 +95,10 @@
 	e.runsSent = false
 	e.upstreamSent = false
 	e.reportedSpeed = speedEstimate{value: 1}
+	e.reportedHolders = 0
 	e.stateChanged = true
 	e.backlog = messenger.Backlog{}
+	x.tellWitnesses(e)
 	x.noteCrashesOf(h)
 	if x.upstream.Born == 0 && x.upstream.ID == "" && h.Upstream.Born != 0 {
 		x.RestoreUpstream(h.Upstream)
@@ -123,7 +127,7 @@
 	e.outcomes.acknowledge(h.AckedOutcome)
 	x.applyDirectives(name, h)
 	x.updateBacklog(e, h.Backlog)
-	e.holder.seenAt = x.clock.Now()
+	x.contactHolder(e)
 	x.unlockJobs(e, h.Unlocked)
 	x.recordContact(e, h.Echo)
 	// The agent's own heartbeat goes out with this one, while both processes are
@@ -308,6 +312,10 @@
 	}
 	s := x.speedToReport(e, now, heartbeat)
 	r.Speed, r.SpeedJobs = s.value, s.jobs
+	if holders := x.locks.holdersHash(); holders != e.reportedHolders {
+		r.Holders = holders
+		e.reportedHolders = holders
+	}
 	if !e.upstreamSent {
 		up := x.usableUpstream()
 		r.Upstream = &up
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -139,6 +139,8 @@
 	leaving messenger.Incarnation
 
 	locks lockTable
+	// witnesses is the newest list of witnesses that an entry has told.
+	witnesses messenger.WitnessList
 	// unclaimed holds the ends of runs that no entry had claimed.
 	unclaimed map[messenger.Run]unclaimedEnd
 
--- a/executor/lock.go
+++ b/executor/lock.go
@@ -1,9 +1,12 @@
 package executor
 
 import (
+	"fmt"
 	"maps"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pomeloferry/pomeloferry/messenger"
 )
 
@@ -18,8 +21,17 @@
 // lockHolder is one incarnation of an entry, as the holder of locks.
 type lockHolder struct {
 	entry string
+	// hash is that of the entry's name and incarnation.
+	hash uint64
 	// seenAt is when its last message was received.
 	seenAt time.Time
+	// listed means that it has listed all locks that it has here since it was last without
+	// any.
+	listed bool
+}
+
+func newLockHolder(entry string, incarnation int64) *lockHolder {
+	return &lockHolder{entry: entry, hash: xxhash.Sum64String(fmt.Sprintf("%s/%d", entry, incarnation))}
 }
 
 // expired reports whether the locks of the holder are void.
@@ -44,10 +56,12 @@
 	ended map[string]endedJob
 	// endedOrder lists the IDs of the jobs in ended, the oldest first.
 	endedOrder []string
+	// holders are the entries that may have locks here.
+	holders map[*lockHolder]bool
 }
 
 func newLockTable() lockTable {
-	return lockTable{locks: make(map[string]*jobLock), ended: make(map[string]endedJob)}
+	return lockTable{locks: make(map[string]*jobLock), ended: make(map[string]endedJob), holders: make(map[*lockHolder]bool)}
 }
 
 // HandleLockJobs processes an entry's request for locks.
@@ -56,10 +70,11 @@
 	if e == nil {
 		return
 	}
-	e.holder.seenAt = x.clock.Now()
+	x.contactHolder(e)
 	x.unlockJobs(e, m.Unlocked)
 	if m.Complete {
 		x.unlockExcept(e, m.Jobs)
+		e.holder.listed = true
 	}
 	if len(m.Jobs) == 0 {
 		return
@@ -71,6 +86,12 @@
 	x.emit(SendLockReply{Entry: owner, Reply: reply})
 }
 
+// contactHolder records a message of an entry, which keeps its locks.
+func (x *Executor) contactHolder(e *entry) {
+	e.holder.seenAt = x.clock.Now()
+	x.locks.holders[e.holder] = true
+}
+
 // lockJob locks a job for an entry if it is free, and adds the result to the reply.
 func (x *Executor) lockJob(e *entry, id string, reply *messenger.LockReply) {
 	l := x.locks.locks[id]
@@ -126,8 +147,26 @@
 	t.ended[u.Job] = endedJob{outcome: u.Outcome, endedAt: now}
 }
 
+// holdersHash identifies the entries that may have locks here and have listed them.
+func (t *lockTable) holdersHash() uint64 {
+	var hash uint64
+	for h := range t.holders {
+		if h.listed {
+			hash ^= h.hash
+		}
+	}
+	return hash
+}
+
 // expire drops the locks of entries from which nothing arrives, and old outcomes.
 func (t *lockTable) expire(now time.Time) {
+	maps.DeleteFunc(t.holders, func(h *lockHolder, _ bool) bool {
+		if !h.expired(now) {
+			return false
+		}
+		h.listed = false
+		return true
+	})
 	maps.DeleteFunc(t.locks, func(_ string, l *jobLock) bool { return l.holder.expired(now) })
 	for len(t.endedOrder) > 0 {
 		id := t.endedOrder[0]
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -33,6 +33,7 @@
 	reflect.TypeFor[Reserve](),
 	reflect.TypeFor[LockJobs](),
 	reflect.TypeFor[LockReply](),
+	reflect.TypeFor[WitnessList](),
 }
 
 // Handler receives the messages of a link. Its methods are called from one goroutine of
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -396,6 +396,10 @@
 	// Crashes lists the crashes of the agent's workers in the last CrashTTL. Each is
 	// reported once on a link, and again when more is known of it.
 	Crashes []Crash `cbor:"25,keyasint,omitempty"`
+	// Holders identifies the entries that may have locks at the agent: witnesses at which
+	// the same entries may have some have the same value. Zero means that it is unchanged
+	// since the last report on the link.
+	Holders uint64 `cbor:"26,keyasint,omitempty"`
 	// Backfill is capacity, in addition to Free, that only tasks which end soon may
 	// use.
 	Backfill Backfill `cbor:"30,keyasint,omitempty"`
--- a/scheduler/agent.go
+++ b/scheduler/agent.go
@@ -33,10 +33,12 @@
 	lastOutcome uint64
 	// linked means that a link is open.
 	linked bool
-	// linkLostAt is when the last link closed, and refusedLink means that the agent's
-	// machine has refused a new one since.
-	linkLostAt  time.Time
-	refusedLink bool
+	// holders identifies the entries that may have locks at the agent, as last reported on
+	// the link; zero before the first report.
+	holders uint64
+	// witnessVersion is the version of the newest list of witnesses that the agent is
+	// known to know.
+	witnessVersion uint64
 	// contactAt is when the newest message was sent on the link that is known to have
 	// arrived.
 	contactAt time.Time
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -69,7 +69,7 @@
 	Window float64
 }
 
-// Effect is an action for the entry process: a Send, a Reply or a Note.
+// Effect is an action for the entry process: a Send, a Reply, a WitnessesChanged or a Note.
 type Effect interface{ effect() }
 
 // Send sends a message to an agent.
@@ -84,6 +84,10 @@
 	Answer Answer
 }
 
+// WitnessesChanged tells that the entry has adopted a list of witnesses, which are to be
+// linked.
+type WitnessesChanged struct{ List messenger.WitnessList }
+
 // Note is a log entry about a job or an agent.
 type Note struct {
 	Job   string
@@ -101,6 +105,7 @@
 	Wait time.Duration
 }
 
-func (Send) effect()  {}
-func (Reply) effect() {}
-func (Note) effect()  {}
+func (Send) effect()             {}
+func (Reply) effect()            {}
+func (WitnessesChanged) effect() {}
+func (Note) effect()             {}
--- a/scheduler/latecopy_test.go
+++ b/scheduler/latecopy_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pomeloferry/pomeloferry/messenger"
 )
 
 // sendLate delivers a copy of a job's request to an entry that was sent earlier and held
@@ -55,6 +58,45 @@
 	}
 }
 
+// replaceWitnesses changes the list of witnesses in the store to other agents. An entry
+// whose witnesses are settled, if any is by then, completes the change a while later.
+func (sim *simulation) replaceWitnesses() {
+	if len(sim.witnesses.Previous) == 0 {
+		next := slices.Clone(sim.witnesses.Current)
+		for i := range next {
+			a := sim.anyAgent()
+			if sim.rng.IntN(2) == 0 && !sim.witnesses.Has(a.name) && !slices.ContainsFunc(next, func(w messenger.Witness) bool { return w.Agent == a.name }) {
+				next[i] = messenger.Witness{Agent: a.name, Group: a.dataCentre}
+			}
+		}
+		sim.witnesses = sim.witnesses.WithCurrent(next)
+	} else if slices.ContainsFunc(sim.entries, func(e *simEntry) bool {
+		return !e.down && e.knownWitnesses == sim.witnesses.Version && e.core.WitnessChange().Settled
+	}) {
+		sim.witnesses = sim.witnesses.WithoutPrevious()
+	}
+	list := sim.witnesses
+	for _, e := range sim.entries {
+		if sim.rng.IntN(3) == 0 {
+			continue // Its watch of the store is cut.
+		}
+		sim.schedule(time.Duration(sim.rng.Int64N(int64(2*time.Second))), func() {
+			if !e.down {
+				e.do(func() { e.core.SetWitnesses(list) })
+			}
+		})
+	}
+}
+
+// cutFrom cuts an entry from a number of agents in both directions for a while. Its links
+// to them go silent.
+func (sim *simulation) cutFrom(e *simEntry, agents int, duration time.Duration) {
+	for _, i := range sim.rng.Perm(len(sim.agents))[:agents] {
+		sim.cutOneWay(e, sim.agents[i], true, duration)
+		sim.cutOneWay(e, sim.agents[i], false, duration)
+	}
+}
+
 // TestALateCopyOfARequestRunsNoTaskTwiceAtOnce guards against an entry that takes the
 // arrival of a request for the time when it was sent, and starts a job that another
 // entry runs.
@@ -94,6 +136,18 @@
 		{"entries frozen", 2, 0, 3 * time.Second, func(sim *simulation) {
 			sim.entries[sim.rng.IntN(len(sim.entries))].pause(time.Duration(sim.rng.Int64N(int64(3 * time.Second))))
 		}},
+		{"an entry cut from some agents", 2, 0, 5 * time.Second, func(sim *simulation) {
+			e := sim.entries[sim.rng.IntN(len(sim.entries))]
+			sim.cutFrom(e, 1+sim.rng.IntN(len(sim.agents)), 500*time.Millisecond+time.Duration(sim.rng.Int64N(int64(5*time.Second))))
+		}},
+		{"witnesses replaced", 2, 0, 3 * time.Second, func(sim *simulation) { sim.replaceWitnesses() }},
+		{"witnesses replaced beside any fault", 2, 0, 3 * time.Second, func(sim *simulation) {
+			if sim.rng.IntN(2) == 0 {
+				sim.replaceWitnesses()
+				return
+			}
+			randomFault(sim, time.Duration(sim.rng.Int64N(int64(2*time.Second))))()
+		}},
 		{"messages of entries panic", 2, 0, time.Second, func(sim *simulation) {
 			sim.entries[sim.rng.IntN(len(sim.entries))].events = 1 + sim.rng.IntN(100)
 		}},
--- a/scheduler/lock.go
+++ b/scheduler/lock.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pomeloferry/pomeloferry/messenger"
@@ -53,11 +54,9 @@
 	hash uint64
 	// votes has the state at each witness that was asked, by agent name.
 	votes map[string]*vote
-	// panel are the job's witnesses as of panelVersion of the witness set, and as of
-	// the value panelLocked of acquired.
-	panel        []string
+	// panels are the job's witnesses as of panelVersion of their list.
+	panels       [][]string
 	panelVersion uint64
-	panelLocked  bool
 	// acquired means that a quorum has granted the lock. The entry may have lost that
 	// quorum since; see quorum.
 	acquired bool
@@ -105,14 +104,14 @@
 	return l != nil && l.acquired
 }
 
-// panelOf returns the names of the agents that are the witnesses of a lock's job.
-func (s *Scheduler) panelOf(l *jobLock) []string {
-	if l.panelVersion != s.witnesses.version || l.panelLocked != l.acquired {
-		l.panel = s.witnesses.panel(l.hash, s.dataCentre, l.acquired)
-		l.panelVersion = s.witnesses.version
-		l.panelLocked = l.acquired
+// panelsOf returns the names of the agents that are the witnesses of a lock's job: one
+// panel, or two while the list of witnesses is being changed.
+func (s *Scheduler) panelsOf(l *jobLock) [][]string {
+	if l.panelVersion != s.witnesses.list.Version {
+		l.panels = s.witnesses.panels(l.hash, s.dataCentre)
+		l.panelVersion = s.witnesses.list.Version
 	}
-	return l.panel
+	return l.panels
 }
 
 // grants reports whether a witness keeps the lock for this entry.
@@ -121,17 +120,29 @@
 	return v != nil && v.state == locked && v.epoch == a.lockEpoch && a.linked && now.Sub(a.contactAt) < maxContactAge
 }
 
+// counts reports whether a witness counts for a quorum: it keeps the lock for this entry. If
+// the entry does not have the lock yet, the witness must also remember that it has not
+// granted it to another.
+func (s *Scheduler) counts(l *jobLock, name string, now time.Time) bool {
+	return s.grants(l, name, now) && (l.acquired || s.remembers(s.agents[name]))
+}
+
 // quorum reports whether the lock is granted by a majority of the witnesses, of which no
 // other entry can have one then. While no witnesses are known, nothing is granted.
 func (s *Scheduler) quorum(l *jobLock, now time.Time) bool {
-	panel := s.panelOf(l)
-	granted := 0
-	for _, name := range panel {
-		if s.grants(l, name, now) && s.remembers(s.agents[name]) {
-			granted++
+	panels := s.panelsOf(l)
+	for _, panel := range panels {
+		granted := 0
+		for _, name := range panel {
+			if s.counts(l, name, now) {
+				granted++
+			}
+		}
+		if granted < majority(len(panel)) {
+			return false
 		}
 	}
-	return granted >= majority(len(panel))
+	return len(panels) > 0
 }
 
 // advanceLocks brings all locks forward; see requestLocks.
@@ -155,14 +166,19 @@
 	if !s.quorum(l, now) {
 		return false
 	}
-	var contacts []time.Time
-	for _, name := range s.panelOf(l) {
-		if s.grants(l, name, now) {
-			contacts = append(contacts, s.agents[name].contactAt)
+	l.safeUntil = now.Add(maxContactAge)
+	for _, panel := range l.panels {
+		var contacts []time.Time
+		for _, name := range panel {
+			if s.counts(l, name, now) {
+				contacts = append(contacts, s.agents[name].contactAt)
+			}
+		}
+		slices.SortFunc(contacts, func(a, b time.Time) int { return b.Compare(a) })
+		if safeUntil := contacts[majority(len(panel))-1].Add(maxContactAge); safeUntil.Before(l.safeUntil) {
+			l.safeUntil = safeUntil
 		}
 	}
-	slices.SortFunc(contacts, func(a, b time.Time) int { return b.Compare(a) })
-	l.safeUntil = contacts[majority(len(l.panel))-1].Add(maxContactAge)
 	return true
 }
 
@@ -207,13 +223,19 @@
 	if l == nil {
 		return "no lock"
 	}
-	granted := 0
 	now := s.clock.Now()
-	panel := s.panelOf(l)
-	for _, name := range panel {
-		if s.grants(l, name, now) {
-			granted++
+	var parts []string
+	for _, panel := range s.panelsOf(l) {
+		granted := 0
+		for _, name := range panel {
+			if s.counts(l, name, now) {
+				granted++
+			}
 		}
+		parts = append(parts, fmt.Sprintf("%d of %d witnesses grant the lock", granted, len(panel)))
+	}
+	if len(parts) == 0 {
+		return "no witnesses are known"
 	}
-	return fmt.Sprintf("%d of %d witnesses grant the lock", granted, len(panel))
+	return strings.Join(parts, ", and of the previous ones ")
 }
--- a/scheduler/lockrequest.go
+++ b/scheduler/lockrequest.go
@@ -47,40 +47,60 @@
 	return acquired
 }
 
-// witnessesToAsk returns the agents to ask for a lock now: as many as a quorum needs in
-// addition to those that have granted it or may still do so.
-func (s *Scheduler) witnessesToAsk(l *jobLock, now time.Time) []*agent {
-	panel := s.panelOf(l)
-	needed := majority(len(panel))
-	expected, heldElsewhere := 0, 0
-	var candidates []*agent
+// voteCount is how a lock stands at the witnesses of one panel.
+type voteCount struct {
+	// expected counts those that have granted it or may still do so, and heldElsewhere
+	// those that have granted it to another entry.
+	expected, heldElsewhere int
+	// candidates are those that can be asked.
+	candidates []*agent
+}
+
+// countVotes counts the votes for a lock in a panel. The agents in asked are about to be
+// asked.
+func (s *Scheduler) countVotes(l *jobLock, panel []string, asked []*agent, now time.Time) voteCount {
+	var c voteCount
 	for _, name := range panel {
 		a, v := s.agents[name], l.votes[name]
 		switch {
 		case a == nil || !a.linked || !l.acquired && !s.remembers(a):
-		case s.grants(l, name, now):
-			expected++
+		case s.grants(l, name, now) || slices.Contains(asked, a):
+			c.expected++
 		case v == nil || v.epoch != a.lockEpoch:
-			candidates = append(candidates, a)
+			c.candidates = append(c.candidates, a)
 		case v.state == held:
-			heldElsewhere++
+			c.heldElsewhere++
 		case v.state == requested && now.Sub(v.sentAt) < witnessTimeout:
-			expected++
+			c.expected++
 		}
 	}
-	tooFew := expected+len(candidates) < needed
+	return c
+}
+
+// witnessesToAsk returns the agents to ask for a lock now: as many as the quorums need in
+// addition to those that have granted it or may still do so.
+func (s *Scheduler) witnessesToAsk(l *jobLock, now time.Time) []*agent {
+	var asked []*agent
+	heldElsewhere, tooFew := false, false
+	for _, panel := range s.panelsOf(l) {
+		c := s.countVotes(l, panel, asked, now)
+		missing := max(majority(len(panel))-c.expected, 0)
+		heldElsewhere = heldElsewhere || c.heldElsewhere > 0
+		tooFew = tooFew || missing > len(c.candidates)
+		asked = append(asked, c.candidates[:min(missing, len(c.candidates))]...)
+	}
 	switch {
-	case heldElsewhere > 0 && (tooFew || l.attempts > 0):
+	case heldElsewhere && (tooFew || l.attempts > 0):
 		// After a failed attempt the other entry most likely runs the job.
 		s.loseLock(l, now)
 		return nil
 	case tooFew && !l.acquired && !l.requestedAt.IsZero() && now.Sub(l.requestedAt) >= maxRequestTime:
 		s.abandonRequest(l, now)
 		return nil
-	case l.requestedAt.IsZero() && len(candidates) > 0:
+	case l.requestedAt.IsZero() && len(asked) > 0:
 		l.requestedAt = now
 	}
-	return candidates[:min(max(needed-expected, 0), len(candidates))]
+	return asked
 }
 
 // loseLock records that another entry has the lock of a job.
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -24,7 +24,7 @@
 	a.linkOpenedAt = s.clock.Now()
 	a.echoedHeartbeatAt = time.Time{}
 	a.linked = true
-	a.refusedLink = false
+	a.holders = 0
 	a.report.Timestamp = 0 // The agent may have restarted.
 	a.contactAt = a.linkOpenedAt
 	a.dropVotes()
@@ -35,23 +35,18 @@
 	a.reserveNumber = 0
 	s.reservationLinkEnded(a)
 	a.speed = defaultSpeed
+	a.witnessVersion = 0
+	s.tellWitnesses(a)
 	s.relock(a, a.linkOpenedAt)
 	s.advanceLocks(a.linkOpenedAt)
 }
 
-// LinkRefused records that no process listens at the address of an agent.
-func (s *Scheduler) LinkRefused(name string) {
-	a := s.findOrAddAgent(name)
-	a.refusedLink = !a.linked
-}
-
 // LinkClosed records that the link to an agent has ended.
 func (s *Scheduler) LinkClosed(name string) {
 	a := s.findOrAddAgent(name)
 	a.synced = false
 	a.pending = nil
 	a.linked = false
-	a.linkLostAt = s.clock.Now()
 	a.dropVotes()
 	s.reservationLinkEnded(a)
 	s.advanceLocks(s.clock.Now())
@@ -85,6 +80,9 @@
 		s.updateMaxCapacity(a.upstream.Service)
 	}
 	a.report = r
+	if r.Holders != 0 {
+		a.holders = r.Holders
+	}
 	if r.Timestamp > allStartedWithin {
 		s.witnesses.allStarted = false
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -271,7 +271,6 @@
 	}
 	s.updateWitnesses(now)
 	s.advanceLocks(now)
-	s.reinforceLocks(now)
 	for _, j := range s.jobsByArrival() {
 		switch {
 		case !now.Before(j.Deadline):
--- a/scheduler/witness.go
+++ b/scheduler/witness.go
@@ -10,105 +10,93 @@
 	"github.com/pomeloferry/pomeloferry/messenger"
 )
 
-// panelSize is the number of witnesses of a job, if there are as many groups of them.
-// Two of three are a quorum, so that a job can be locked while one of them is lost.
-const panelSize = 3
-
-const (
-	// witnessSilenceTimeout is how long after its last report a witness is replaced for
-	// the jobs that an entry has locked. Links without traffic are closed by then.
-	witnessSilenceTimeout = messenger.IdleTimeout + 40*time.Millisecond
-	// witnessLossTimeout is the same for jobs that an entry wants to lock. By then the
-	// locks that the witness had granted have expired, so that the jobs of an entry
-	// that has lost it as well have been locked elsewhere or given up.
-	witnessLossTimeout = messenger.LockTTL
-	// witnessAbsenceTimeout is the same for a witness whose process has ended, as a
-	// refused link or its restart shows. The other entries learn that by their links,
-	// and lock their jobs elsewhere at once.
-	witnessAbsenceTimeout = 100 * time.Millisecond
-)
-
-// Witness is an agent that keeps locks of jobs.
-type Witness struct {
-	Agent string
-	// Group names the agents that are likely to be lost together. A job has its
-	// witnesses in different groups.
-	Group string
-	// Spare means that the agent is a witness only while all others of its group that
-	// come before it in the list are lost.
-	Spare bool
-}
+// maxPanelSize is the number of witnesses of a job, if there are as many. Three of five are
+// a quorum, so that a job can be locked while two of them are lost. None of them is
+// replaced because an entry cannot reach it: others may, and two entries that choose
+// different witnesses can each find a quorum.
+const maxPanelSize = 5
 
-// witness is a Witness as an entry sees it.
+// witness is a messenger.Witness with its hashes.
 type witness struct {
-	Witness
+	messenger.Witness
 	hash, groupHash uint64
-	// knownSince is when the entry learned of the witness.
-	knownSince time.Time
-	// suspect means that another witness takes its place for jobs that this entry has
-	// locked, and lost that one does for all jobs.
-	suspect, lost bool
 }
 
-// witnessSet holds the witnesses that all entries have in common. Entries that know the
-// same agents choose the same witnesses for a job, without asking each other.
+// witnessSet holds the witnesses that all entries have in common.
 type witnessSet struct {
-	list []witness
-	// version rises with each change that may change the panel of a job.
-	version uint64
+	list messenger.WitnessList
+	// current and previous are those of the list.
+	current, previous []witness
 	// allStarted means that most of the witnesses have reported, and that none has run
 	// for allStartedWithin: the whole deployment has just started.
 	allStarted bool
-	// degradedAt is when a witness was last replaced. Other entries notice that, and its
-	// end, somewhat earlier or later.
-	degradedAt time.Time
+	// confirmedSince is since when so many of the previous witnesses know the list that no
+	// entry that does not can get a quorum of them; zero if they don't, or if there are no
+	// previous ones.
+	confirmedSince time.Time
 }
 
 // allStartedWithin is the maximum uptime of a witness for all to count as just started. It
-// exceeds the time for which a restarted one counts as such, by that within which the
+// exceeds the time for which a restarted one has forgotten locks, by that within which the
 // machines of a deployment start together.
-const allStartedWithin = 2 * messenger.IdleTimeout
+const allStartedWithin = messenger.LockTTL + messenger.IdleTimeout
 
-// SetWitnesses replaces the witnesses.
-func (s *Scheduler) SetWitnesses(list []Witness) {
+// SetWitnesses adopts a list of witnesses, if it is newer than the present one, and tells
+// it to the witnesses.
+func (s *Scheduler) SetWitnesses(list messenger.WitnessList) {
+	if list.Version <= s.witnesses.list.Version {
+		return
+	}
 	now := s.clock.Now()
-	next := make([]witness, 0, len(list))
-	for _, w := range list {
-		known := witness{Witness: w, hash: hashName(w.Agent), groupHash: hashName(w.Group), knownSince: now}
-		if i := slices.IndexFunc(s.witnesses.list, func(o witness) bool { return o.Witness == w }); i >= 0 {
-			known = s.witnesses.list[i]
+	s.witnesses = witnessSet{list: list, current: newWitnesses(list.Current), previous: newWitnesses(list.Previous)}
+	s.emit(WitnessesChanged{List: list})
+	for _, a := range s.agentsByName {
+		s.tellWitnesses(a)
+		if a.linked {
+			s.relock(a, now)
 		}
-		next = append(next, known)
 	}
-	s.witnesses.list = next
-	s.witnesses.version++
+	s.updateWitnesses(now)
 	s.advanceLocks(now)
 }
 
-// updateWitnesses marks the witnesses that have to be replaced, and updates allStarted and
-// degradedAt.
+// HandleWitnessList processes the newest list that an agent knows.
+func (s *Scheduler) HandleWitnessList(name string, list messenger.WitnessList) {
+	s.findOrAddAgent(name).witnessVersion = list.Version
+	s.SetWitnesses(list)
+}
+
+// tellWitnesses tells an agent that is a witness the list.
+func (s *Scheduler) tellWitnesses(a *agent) {
+	if a.linked && s.witnesses.list.Has(a.name) {
+		s.emit(Send{Agent: a.name, Message: s.witnesses.list})
+	}
+}
+
+func newWitnesses(list []messenger.Witness) []witness {
+	out := make([]witness, 0, len(list))
+	for _, w := range list {
+		out = append(out, witness{Witness: w, hash: hashName(w.Agent), groupHash: hashName(w.Group)})
+	}
+	return out
+}
+
+// updateWitnesses updates allStarted and confirmedSince.
 func (s *Scheduler) updateWitnesses(now time.Time) {
 	s.witnesses.allStarted = s.allWitnessesStarted()
-	for i := range s.witnesses.list {
-		w := &s.witnesses.list[i]
-		if suspect, lost := s.witnessState(w, now); suspect != w.suspect || lost != w.lost {
-			w.suspect, w.lost = suspect, lost
-			s.witnesses.version++
-		}
-		if w.suspect {
-			s.witnesses.degradedAt = now
-		}
+	switch {
+	case len(s.witnesses.previous) == 0 || !s.previousConfirmed():
+		s.witnesses.confirmedSince = time.Time{}
+	case s.witnesses.confirmedSince.IsZero():
+		s.witnesses.confirmedSince = now
 	}
 }
 
-// allWitnessesStarted reports whether all witnesses have just started, as far as known.
+// allWitnessesStarted reports whether all witnesses have just started, as far as can be
+// known.
 func (s *Scheduler) allWitnessesStarted() bool {
-	witnesses, started := 0, 0
-	for _, w := range s.witnesses.list {
-		if w.Spare {
-			continue
-		}
-		witnesses++
+	started := 0
+	for _, w := range s.witnesses.current {
 		a := s.agents[w.Agent]
 		switch {
 		case a == nil || !a.linked || a.report.Timestamp == 0:
@@ -118,127 +106,134 @@
 			started++
 		}
 	}
-	return started >= majority(witnesses)
+	return started >= majority(len(s.witnesses.current))
 }
 
-// remembers reports whether a witness knows of all locks that it may have granted. One that
-// has restarted has forgotten them, until the entries have noticed that and have locked
-// their jobs there again: links without traffic close. If all witnesses have just
-// started, there is nothing that any of them could have forgotten.
-func (s *Scheduler) remembers(a *agent) bool {
-	return s.witnesses.allStarted || a.report.Timestamp > messenger.IdleTimeout
+// previousConfirmed reports whether each panel of the previous witnesses has a quorum of
+// witnesses that know the present list, and tell it to an entry before they answer it.
+func (s *Scheduler) previousConfirmed() bool {
+	size := min(maxPanelSize, len(s.witnesses.previous))
+	return len(s.unconfirmedWitnesses()) <= size-majority(size)
 }
 
-// witnessState reports whether a witness is suspect or lost. An agent that has become
-// known only recently is neither, nor is one whose reports were not read during a pause
-// of the entry.
-func (s *Scheduler) witnessState(w *witness, now time.Time) (suspect, lost bool) {
-	seenAt := w.knownSince
-	if s.resumedAt.After(seenAt) {
-		seenAt = s.resumedAt
-	}
-	a := s.agents[w.Agent]
-	if a != nil && a.reportedAt.After(seenAt) {
-		seenAt = a.reportedAt
-	}
-	silence := now.Sub(seenAt)
-	if a != nil && a.ended(s.remembers(a)) {
-		return true, silence > witnessLossTimeout || now.Sub(a.linkLostAt) > witnessAbsenceTimeout
+// unconfirmedWitnesses returns the previous witnesses that are not known to know the present
+// list.
+func (s *Scheduler) unconfirmedWitnesses() []string {
+	var out []string
+	for _, w := range s.witnesses.previous {
+		if a := s.agents[w.Agent]; a == nil || a.witnessVersion < s.witnesses.list.Version {
+			out = append(out, w.Agent)
+		}
 	}
-	return silence > witnessSilenceTimeout, silence > witnessLossTimeout
-}
-
-// ended reports whether a process of the agent has ended recently: none listens at its
-// address, or another one reports that does not remember the locks of the first.
-func (a *agent) ended(remembers bool) bool {
-	return a.refusedLink || a.linked && a.report.Timestamp > 0 && !remembers
-}
-
-// replaced reports whether another witness takes the place of w: for a job that the entry
-// has locked, or for one that it wants to lock.
-func (w witness) replaced(locked bool) bool { return w.lost || locked && w.suspect }
-
-// witnessGroup is a group of witnesses as seen from one job.
-type witnessGroup struct {
-	name string
-	rank uint64
-	// first is the first witness of the group, by its rank for the job, that is not
-	// replaced. If all are, it is the first one, and lost is set.
-	first witness
-	lost  bool
-	// substitute means that another witness of the group would come before.
-	substitute bool
-}
-
-// panel returns the names of the agents that are the witnesses of a job, at most
-// panelSize, in the order in which this entry asks them. They are chosen by hashes of
-// the job and the names. Groups that are lost are replaced as long as no more than half
-// of the groups are: of two parts of a deployment that cannot reach each other, at most
-// one goes on, unless they are equal. locked is whether the entry has locked the job; it
-// then looks for substitutes earlier than entries that want the job.
-func (x *witnessSet) panel(jobHash uint64, dataCentre string, locked bool) []string {
-	groups := x.groupsByRank(jobHash, locked)
-	usable := slices.DeleteFunc(slices.Clone(groups), func(g witnessGroup) bool { return g.lost })
-	first := groups[:min(panelSize, len(groups))]
-	chosen := first
-	if 2*len(usable) >= len(groups) {
-		chosen = usable[:min(panelSize, len(usable))]
+	return out
+}
+
+// WitnessChange is the progress of a change of the witnesses.
+type WitnessChange struct {
+	// Settled means that no job can be locked at the previous witnesses only: an entry that
+	// does not know the present list has no quorum of them any more, and what it had locked
+	// has expired.
+	Settled bool
+	// Unconfirmed are the previous witnesses that are not known to know the present list.
+	Unconfirmed []string
+}
+
+// WitnessChange returns the progress of the present change.
+func (s *Scheduler) WitnessChange() WitnessChange {
+	confirmedSince := s.witnesses.confirmedSince
+	return WitnessChange{
+		Settled:     !confirmedSince.IsZero() && s.clock.Since(confirmedSince) >= messenger.LockTTL,
+		Unconfirmed: s.unconfirmedWitnesses(),
 	}
-	// Substitutes come last: other entries may be able to reach the first choice.
-	order := func(g witnessGroup) int {
-		switch {
-		case g.substitute || !slices.ContainsFunc(first, func(o witnessGroup) bool { return o.name == g.name }):
-			return 2
-		case g.name != dataCentre:
-			return 1
+}
+
+// remembers reports whether a witness knows of all locks that it may have granted. One that
+// has restarted has forgotten them until they have expired, or until all entries that may
+// have any have told it. If all witnesses have just started, there is nothing that any of
+// them could have forgotten.
+func (s *Scheduler) remembers(a *agent) bool {
+	return s.witnesses.allStarted || a.report.Timestamp > messenger.LockTTL || s.hasAllHolders(a)
+}
+
+// hasAllHolders reports whether all entries that may have locks at the other witnesses have
+// told this one, which has restarted, theirs.
+func (s *Scheduler) hasAllHolders(a *agent) bool {
+	others := 0
+	for _, w := range s.witnesses.current {
+		o := s.agents[w.Agent]
+		if o == nil || !o.linked || o.report.Timestamp <= messenger.LockTTL {
+			continue
 		}
-		return 0
+		if o.holders == 0 || o.holders != a.holders {
+			return false
+		}
+		others++
 	}
-	chosen = slices.Clone(chosen)
-	slices.SortStableFunc(chosen, func(a, b witnessGroup) int { return cmp.Compare(order(a), order(b)) })
-	var out []string
-	for _, g := range chosen {
-		out = append(out, g.first.Agent)
+	return others > 0
+}
+
+// panels returns the names of the agents that are the witnesses of a job, in the order in
+// which this entry asks them: those in its own data centre first. While there are previous
+// witnesses, the job has a second panel of them.
+func (x *witnessSet) panels(jobHash uint64, dataCentre string) [][]string {
+	var out [][]string
+	for _, list := range [][]witness{x.current, x.previous} {
+		if panel := choosePanel(list, jobHash); len(panel) > 0 {
+			out = append(out, askingOrder(panel, dataCentre))
+		}
 	}
 	return out
 }
 
-// groupsByRank returns the groups of witnesses in the order of a job.
-func (x *witnessSet) groupsByRank(jobHash uint64, locked bool) []witnessGroup {
-	var groups []witnessGroup
-	for _, w := range x.byRank(jobHash) {
-		i := slices.IndexFunc(groups, func(g witnessGroup) bool { return g.name == w.Group })
-		switch {
-		case i < 0:
-			groups = append(groups, witnessGroup{name: w.Group, rank: mixHashes(jobHash, w.groupHash), first: w, lost: w.replaced(locked)})
-		case groups[i].lost && !w.replaced(locked):
-			groups[i].first = w
-			groups[i].lost = false
-			groups[i].substitute = true
-		}
+// choosePanel chooses a job's witnesses by hashes of the job and the names, from as many
+// groups as possible.
+func choosePanel(list []witness, jobHash uint64) []witness {
+	var panel []witness
+	rounds := rankInGroups(list, jobHash)
+	for _, round := range rounds {
+		panel = append(panel, round[:min(len(round), maxPanelSize-len(panel))]...)
 	}
-	slices.SortFunc(groups, func(a, b witnessGroup) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name))
+	return panel
+}
+
+// rankInGroups returns the first witnesses of all groups, then the second ones, and so on,
+// each time in the order that the groups have for a job.
+func rankInGroups(list []witness, jobHash uint64) [][]witness {
+	sorted := slices.Clone(list)
+	slices.SortFunc(sorted, func(a, b witness) int {
+		return cmp.Or(
+			cmp.Compare(mixHashes(jobHash, a.groupHash), mixHashes(jobHash, b.groupHash)),
+			cmp.Compare(a.Group, b.Group),
+			cmp.Compare(mixHashes(jobHash, a.hash), mixHashes(jobHash, b.hash)),
+			cmp.Compare(a.Agent, b.Agent),
+		)
 	})
-	return groups
+	var rounds [][]witness
+	round := 0
+	for i, w := range sorted {
+		if i == 0 || w.Group != sorted[i-1].Group {
+			round = 0
+		}
+		if round == len(rounds) {
+			rounds = append(rounds, nil)
+		}
+		rounds[round] = append(rounds[round], w)
+		round++
+	}
+	return rounds
 }
 
-// byRank returns the witnesses in the order of a job, followed by the spare ones in the
-// order of the list.
-func (x *witnessSet) byRank(jobHash uint64) []witness {
-	out := slices.Clone(x.list)
-	slices.SortStableFunc(out, func(a, b witness) int {
-		switch {
-		case a.Spare && b.Spare:
-			return 0
-		case a.Spare:
-			return 1
-		case b.Spare:
-			return -1
+// askingOrder returns the names of a panel, those in a data centre first.
+func askingOrder(panel []witness, dataCentre string) []string {
+	var local, remote []string
+	for _, w := range panel {
+		if w.Group == dataCentre {
+			local = append(local, w.Agent)
+			continue
 		}
-		return cmp.Or(cmp.Compare(mixHashes(jobHash, a.hash), mixHashes(jobHash, b.hash)), cmp.Compare(a.Agent, b.Agent))
-	})
-	return out
+		remote = append(remote, w.Agent)
+	}
+	return append(local, remote...)
 }
 
 func majority(n int) int { return n/2 + 1 }
--- a/supervisor/actor.go
+++ b/supervisor/actor.go
@@ -194,6 +194,8 @@
 		c.executor.HandleWithdraw(name, *msg)
 	case *messenger.Reserve:
 		c.executor.HandleReserve(name, *msg)
+	case *messenger.WitnessList:
+		c.executor.HandleWitnessList(name, *msg)
 	case *messenger.LockJobs:
 		c.executor.HandleLockJobs(name, *msg)
 	}
@@ -244,6 +246,10 @@
 			if l := c.links[e.Entry]; l != nil {
 				l.Send(e.Reply)
 			}
+		case executor.SendWitnesses:
+			if l := c.links[e.Entry]; l != nil {
+				l.Send(e.List)
+			}
 		case executor.TickAfter:
 			s.deps.Clock.AfterFunc(e.Delay, func() { s.post(tick{}) })
 		case executor.Note:
