--- a/supervisor/heartbeat_fuzz_test.go
+++ b/supervisor/heartbeat_fuzz_test.go
@@ -18,7 +18,7 @@
 )
 
 // trueHeartbeat is what the worker of these tests says of itself.
-const trueHeartbeat = `{"service":"quotes","zone":"dc","state":"ready","capacity":{"cpu":8000,"mem_mb":1000},"labels":["a"],"clock_ms":5000,"sequence":8,"born":1700000000000}`
+const trueHeartbeat = `{"service":"quotes","address":"10.0.0.1:80","zone":"dc","version":"v1","task_slots":8,"cold_left_ms":0,"state":"ready","capacity":{"cpu":8000,"mem_mb":1000},"labels":["a"],"clock_ms":5000,"sequence":8,"born":1700000000000}`
 
 // heartbeatSink hands heartbeats to an agent's actor.
 type heartbeatSink struct{ c *agentActor }
