supervisor: Hold an acknowledged draining, and acknowledge only what is followed

Cause: the heartbeat was taken for a late one, since one of another writer had a higher sequence number, and was passed over, but answered 200 like any other; so was one that the agent's actor did not process in time.

Change: draining holds for its incarnation, in whatever order heartbeats arrive and whatever they are numbered, since a worker never takes it back; it ends with a new start under the ID. Weighed: to follow a ready one after it by its number, or after some of them; any number can be another writer's.

Why it works: after the answer 200 nothing but a new incarnation makes the worker ready again. A late heartbeat of an earlier incarnation is still ignored.

--- a/supervisor/actor.go
+++ b/supervisor/actor.go
@@ -106,8 +106,7 @@
 	case linkClosed:
 		c.handleLinkClosed(m.link)
 	case heartbeat:
-		c.handleHeartbeat(m.Heartbeat)
-		ctx.Respond(true)
+		ctx.Respond(c.handleHeartbeat(m.Heartbeat))
 	case upstreamRestored:
 		c.restoreUpstream(m.upstream)
 	case workerDeparted:
@@ -129,29 +128,49 @@
 	c.executor.HandlePollFailure(m.result.Number, m.callResult)
 }
 
-// handleHeartbeat applies a heartbeat. It ignores one that was sent before the last one
-// of the same incarnation, and one of a worker that was started before the present one.
-func (c *agentActor) handleHeartbeat(h platform.Heartbeat) {
+// handleHeartbeat applies a heartbeat and reports whether what it says is followed. It
+// ignores one that was sent before the last one of the same incarnation, and one of a worker
+// that was started before the present one. But an incarnation that drains never takes that
+// back, so it is followed whenever it arrives, and whatever is said afterwards: the later one
+// is late, or of another writer.
+func (c *agentActor) handleHeartbeat(h platform.Heartbeat) bool {
 	up := c.executor.Upstream()
 	sameIncarnation := h.ID == up.ID && h.Born == up.Born
 	now := c.supervisor.deps.Clock.Now()
-	if h.Born < up.Born || c.overtaken(h, now) {
+	outdated := h.Born < up.Born || c.overtaken(h, now)
+	switch {
+	case outdated && sameIncarnation && h.Draining && !up.Draining:
+		up.Draining = true
+		up.Remaining = h.Remaining
+		c.useUpstream(up)
+		return true
+	case outdated:
 		c.supervisor.deps.Log.WithField("worker", h.ID).WithField("sequence", h.Sequence).Info("outdated heartbeat ignored")
-		return
-	}
-	if !sameIncarnation || h.Draining != up.Draining || h.Capacity != up.Capacity {
-		c.supervisor.deps.Log.WithFields(logrus.Fields{
-			"worker":   h.ID,
-			"born":     h.Born,
-			"draining": h.Draining,
-			"cpu":      h.Capacity.CPU,
-		}).Info("worker changed")
-		c.supervisor.publishUpstream(h.Upstream)
+		return false
+	case sameIncarnation && up.Draining && !h.Draining && h.Born != platform.UnknownBorn:
+		h.Draining = true
+		h.Remaining = up.Remaining
 	}
 	c.lastHeartbeat = h
 	c.lastHeartbeatAt = now
 	c.supervisor.worker.ObserveClock(h.ID, h.Born, h.ClockMillis)
-	c.executor.SetUpstream(h.Upstream)
+	c.useUpstream(h.Upstream)
+	return true
+}
+
+// useUpstream applies what the worker says of itself, and registers it if it has changed.
+func (c *agentActor) useUpstream(u messenger.Upstream) {
+	up := c.executor.Upstream()
+	if u.Incarnation() != up.Incarnation() || u.Draining != up.Draining || u.Capacity != up.Capacity {
+		c.supervisor.deps.Log.WithFields(logrus.Fields{
+			"worker":   u.ID,
+			"born":     u.Born,
+			"draining": u.Draining,
+			"cpu":      u.Capacity.CPU,
+		}).Info("worker changed")
+		c.supervisor.publishUpstream(u)
+	}
+	c.executor.SetUpstream(u)
 }
 
 // overtaken reports whether a heartbeat was sent before the last one of the same
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -247,11 +247,12 @@
 func (s *Supervisor) Closed(l *messenger.Link) { s.post(linkClosed{link: l}) }
 
 // HandleHeartbeat implements platform.HeartbeatReceiver.
-func (s *Supervisor) HandleHeartbeat(h platform.Heartbeat) {
-	// The heartbeat must not be acknowledged before the actor has processed it.
-	if _, err := s.ask(heartbeat{h}); err != nil {
+func (s *Supervisor) HandleHeartbeat(h platform.Heartbeat) bool {
+	followed, err := s.ask(heartbeat{h})
+	if err != nil {
 		s.deps.Log.WithError(err).Warn("heartbeat not processed in time")
 	}
+	return err == nil && followed == true
 }
 
 // HandleDeparture implements platform.HeartbeatReceiver.
