acceptor: Replace a witness as soon as its worker drains

Cause: the list was changed 3 s after the first witness had gone, and four of six had gone by then, so that the change needed 2.5 s more. Evidence: "agent draining" at 9.7, 10.6, 11.5 and 12.5 s, "list of witnesses changed" at 13.2, 15.7 and 16.3 s.

Change: an agent whose worker drains is replaced at once, while it can confirm the change; that is in its registration. One that has departed is replaced after 1.5 s (3), and proposals are spread over 0.3 s (1). The link set keeps what a registration says of the worker, not only its endpoint. The model check plays silent and refused witnesses apart.

Test, red without the order by leaving: TestAWitnessThatIsAboutToLeaveIsReplaced.

--- a/acceptor/linkset.go
+++ b/acceptor/linkset.go
@@ -230,10 +230,10 @@
 		s.agents[registration.Agent] = agent
 	}
 	if !agent.registration.SameEndpoint(registration) {
-		agent.registration = registration
 		agent.dialFailures = 0
 		s.selectionStale = true
 	}
+	agent.registration = registration
 	agent.registered = true
 	return registration.Agent
 }
@@ -336,6 +336,7 @@
 			rank:       agent.rank,
 			reachable:  reachable,
 			registered: agent.registered,
+			leaving:    agent.registration.Upstream.Draining,
 			usable:     reachable && !evacuated[dc],
 		})
 	}
--- a/acceptor/selection.go
+++ b/acceptor/selection.go
@@ -21,6 +21,8 @@
 	reachable bool
 	// registered is whether the agent is in the directory.
 	registered bool
+	// leaving is whether its worker drains, with which the agent's machine may go.
+	leaving bool
 	// usable is whether tasks may be placed there: the agent is reachable and
 	// its data centre is not evacuated.
 	usable bool
--- a/acceptor/witnesses.go
+++ b/acceptor/witnesses.go
@@ -29,12 +29,14 @@
 	firstListDelay = 400 * time.Millisecond
 	// departedWitnessTimeout is after which time without a registration a witness that
 	// cannot be reached is replaced, and silentWitnessTimeout after which time one that
-	// is registered. Most cuts are shorter.
-	departedWitnessTimeout = 3 * time.Second
+	// is registered. Most restarts and cuts are shorter.
+	departedWitnessTimeout = 1500 * time.Millisecond
 	silentWitnessTimeout   = 8 * time.Second
+	// goneForGoodTimeout is after which time a departed witness need not confirm a change.
+	goneForGoodTimeout = 3 * time.Second
 	// proposalSpread is the time over which entries spread their proposals, so that most
 	// of them see that of another one first.
-	proposalSpread = time.Second
+	proposalSpread = 300 * time.Millisecond
 )
 
 // witnessKeeper decides when the list of witnesses has to be changed, and how.
@@ -81,7 +83,7 @@
 // spread returns the time over which proposals are spread. Jobs wait for the first list.
 func (k *witnessKeeper) spread(list messenger.WitnessList) time.Duration {
 	if list.Version == 0 {
-		return proposalSpread / 10
+		return proposalSpread / 3
 	}
 	return proposalSpread
 }
@@ -124,13 +126,14 @@
 // gone reports whether a witness is to be replaced.
 func (k *witnessKeeper) gone(agent string, now time.Time) bool {
 	silentSince, silent := k.silentSince[agent]
-	return k.departed(agent, now) || silent && now.Sub(silentSince) >= silentWitnessTimeout
+	return k.departed(agent, departedWitnessTimeout, now) || silent && now.Sub(silentSince) >= silentWitnessTimeout
 }
 
-// departed reports whether a witness is gone for good, by the store and by this entry.
-func (k *witnessKeeper) departed(agent string, now time.Time) bool {
+// departed reports whether a witness has been gone, by the store and by this entry, for a
+// time.
+func (k *witnessKeeper) departed(agent string, d time.Duration, now time.Time) bool {
 	since, departed := k.departedSince[agent]
-	return departed && now.Sub(since) >= departedWitnessTimeout
+	return departed && now.Sub(since) >= d
 }
 
 // settled reports whether the previous witnesses are needed no more: by the progress of the
@@ -139,7 +142,7 @@
 	if change.Settled {
 		return true
 	}
-	left := slices.ContainsFunc(change.Unconfirmed, func(agent string) bool { return !k.departed(agent, now) })
+	left := slices.ContainsFunc(change.Unconfirmed, func(agent string) bool { return !k.departed(agent, goneForGoodTimeout, now) })
 	return len(change.Unconfirmed) > 0 && !left && now.Sub(k.versionSince) >= messenger.LockTTL
 }
 
@@ -174,12 +177,14 @@
 
 // chooseWitnesses returns the witnesses of the next list: those that are witnesses already,
 // unless they are gone, and in each group that lacks some the first of the agents that are
-// registered and can be reached, in an order that all entries share.
+// registered and can be reached, in an order that all entries share. Those that are about to
+// leave come last, so that they are replaced while they can still confirm it.
 func chooseWitnesses(current []messenger.Witness, candidates []candidate, gone func(agent string) bool) []messenger.Witness {
-	eligible := make(map[string]string)
+	eligible, leaving := make(map[string]string), make(map[string]bool)
 	for _, c := range candidates {
 		if c.reachable && c.registered {
 			eligible[c.agent] = c.dataCentre
+			leaving[c.agent] = c.leaving
 		}
 	}
 	isWitness := make(map[string]bool)
@@ -199,13 +204,12 @@
 	for _, group := range slices.Sorted(maps.Keys(groups)) {
 		agents := groups[group]
 		slices.SortFunc(agents, func(a, b string) int {
-			switch {
-			case isWitness[a] && !isWitness[b]:
-				return -1
-			case isWitness[b] && !isWitness[a]:
-				return 1
-			}
-			return cmp.Or(cmp.Compare(witnessRank(a), witnessRank(b)), cmp.Compare(a, b))
+			return cmp.Or(
+				compareBools(leaving[a], leaving[b]),
+				compareBools(isWitness[b], isWitness[a]),
+				cmp.Compare(witnessRank(a), witnessRank(b)),
+				cmp.Compare(a, b),
+			)
 		})
 		for _, agent := range agents[:min(len(agents), witnessesPerGroup)] {
 			out = append(out, messenger.Witness{Agent: agent, Group: group})
@@ -214,6 +218,17 @@
 	return out[:min(len(out), messenger.MaxWitnesses)]
 }
 
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // dataCentreOf returns the data centre of a witness, as far as known.
 func dataCentreOf(w messenger.Witness, candidates []candidate) string {
 	if i := slices.IndexFunc(candidates, func(c candidate) bool { return c.agent == w.Agent }); i >= 0 {
--- a/acceptor/witnesses_test.go
+++ b/acceptor/witnesses_test.go
@@ -116,6 +116,23 @@
 	require.Equal(t, messenger.WitnessList{Version: next.Version + 1, Current: next.Current}, last)
 }
 
+// TestAWitnessThatIsAboutToLeaveIsReplaced guards against jobs that find no witnesses when
+// workers are replaced one after the other.
+func TestAWitnessThatIsAboutToLeaveIsReplaced(t *testing.T) {
+	f := newKeeperFixture()
+	leaving := f.list.Current[0]
+	f.candidates[slices.IndexFunc(f.candidates, func(c candidate) bool { return c.agent == leaving.Agent })].leaving = true
+	next, proposed := f.proposedWithin(proposalSpread, scheduler.WitnessChange{})
+	require.True(t, proposed)
+	require.NotContains(t, next.Current, leaving)
+	require.Contains(t, next.Previous, leaving)
+	require.Len(t, next.Current, len(f.list.Current))
+	for i := range f.candidates {
+		f.candidates[i].leaving = true
+	}
+	require.Len(t, chooseWitnesses(f.list.Current, f.candidates, noneGone), len(f.list.Current), "better than none")
+}
+
 // TestWitnessesThatAreAllGoneForGoodAreReplaced guards against a service that does not come
 // back after most of the witnesses have been lost together.
 func TestWitnessesThatAreAllGoneForGoodAreReplaced(t *testing.T) {
@@ -131,7 +148,7 @@
 	}
 	f.list = next
 	f.propose(f.list, f.list.Version, f.candidates, change)
-	last, proposed := f.proposedWithin(messenger.LockTTL+proposalSpread+time.Second, change)
+	last, proposed := f.proposedWithin(goneForGoodTimeout+proposalSpread+witnessInterval, change)
 	require.True(t, proposed)
 	require.Empty(t, last.Previous)
 	require.GreaterOrEqual(t, len(last.Current), 5)
--- a/scheduler/quorum_test.go
+++ b/scheduler/quorum_test.go
@@ -49,12 +49,16 @@
 // see sets how the entry sees a witness.
 func (m *quorumModel) see(name string, v view) {
 	delete(m.s.agents, name)
-	if v == unknown {
-		return
-	}
-	a := &agent{name: name, linked: v == reached || v == restarted, contactAt: m.now}
+	a := &agent{name: name, linked: true, contactAt: m.now}
 	a.report.Timestamp = time.Hour
-	if v == restarted {
+	switch v {
+	case unknown:
+		return
+	case silent:
+		a.contactAt = m.now.Add(-maxContactAge)
+	case refused:
+		a.linked = false
+	case restarted:
 		a.report.Timestamp = time.Millisecond
 	}
 	m.s.agents[name] = a
