--- a/scheduler/lock_test.go
+++ b/scheduler/lock_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -491,3 +492,34 @@
 	require.Equal(t, scheduler.Overloaded, f.replies[1].Outcome)
 	require.Contains(t, f.replies[1].Why, "no witnesses are known")
 }
+
+// Guards against jobs that wait 1.4 s for a witness that has restarted although all entries
+// have told it their locks, and against one that is asked before.
+func TestRestartedWitnessIsAskedOnceAllEntriesHaveToldItTheirLocks(t *testing.T) {
+	f := newLockFixture(t)
+	restart := func(holders uint64) {
+		f.s.LinkClosed("a")
+		f.connectSince("a", 10*time.Millisecond)
+		for name, known := range map[string]uint64{"a": holders, "b": 7, "c": 7} {
+			r := newReport(name, 0)
+			r.Timestamp = time.Minute
+			if name == "a" {
+				r.Timestamp = 20 * time.Millisecond
+			}
+			r.Holders = known
+			f.s.HandleReport(r)
+		}
+		f.takeEffects()
+	}
+	for i, holders := range []uint64{0, 6, 7} {
+		restart(holders)
+		j := f.longJob()
+		j.ID = fmt.Sprintf("%016x", i)
+		f.s.Submit(uint64(i), j)
+		f.s.LinkClosed("b") // Another one is asked in its place, if there is one.
+		f.takeEffects()
+		require.Equal(t, holders == 7, slices.Contains(f.asked(), "a"), "holders %d", holders)
+		f.connectSince("b", time.Minute)
+		f.s.CallerLeft(uint64(i))
+	}
+}
