--- a/acceptor/witnesses.go
+++ b/acceptor/witnesses.go
@@ -37,6 +37,8 @@
 	// proposalSpread is the time over which entries spread their proposals, so that most
 	// of them see that of another one first.
 	proposalSpread = 300 * time.Millisecond
+	// firstProposalSpread is the same for the first list, for which jobs wait.
+	firstProposalSpread = 100 * time.Millisecond
 )
 
 // witnessKeeper decides when the list of witnesses has to be changed, and how.
@@ -80,10 +82,10 @@
 	return next, true
 }
 
-// spread returns the time over which proposals are spread. Jobs wait for the first list.
+// spread returns the time over which proposals are spread.
 func (k *witnessKeeper) spread(list messenger.WitnessList) time.Duration {
 	if list.Version == 0 {
-		return proposalSpread / 3
+		return firstProposalSpread
 	}
 	return proposalSpread
 }
@@ -167,7 +169,7 @@
 	return list.WithCurrent(current), len(current) > 0 && !sameWitnesses(current, list.Current)
 }
 
-// sameWitnesses reports whether two lists sorted by group have the same witnesses.
+// sameWitnesses reports whether two lists have the same witnesses, in any order.
 func sameWitnesses(a, b []messenger.Witness) bool {
 	byName := func(x, y messenger.Witness) int {
 		return cmp.Or(cmp.Compare(x.Group, y.Group), cmp.Compare(x.Agent, y.Agent))
