scheduler: Count the votes of a panel in one place

Cause: quorum and missingQuorum each had the loop over a panel that counts what grants a lock. Change: both call countGranted. Behaviour is the same.

--- a/scheduler/lock.go
+++ b/scheduler/lock.go
@@ -127,18 +127,23 @@
 	return s.grants(l, name, now) && (l.acquired || s.remembers(s.agents[name]))
 }
 
+// countGranted counts the witnesses of a panel that count for a quorum.
+func (s *Scheduler) countGranted(l *jobLock, panel []string, now time.Time) int {
+	n := 0
+	for _, name := range panel {
+		if s.counts(l, name, now) {
+			n++
+		}
+	}
+	return n
+}
+
 // quorum reports whether the lock is granted by a majority of the witnesses, of which no
 // other entry can have one then. While no witnesses are known, nothing is granted.
 func (s *Scheduler) quorum(l *jobLock, now time.Time) bool {
 	panels := s.panelsOf(l)
 	for _, panel := range panels {
-		granted := 0
-		for _, name := range panel {
-			if s.counts(l, name, now) {
-				granted++
-			}
-		}
-		if granted < majority(len(panel)) {
+		if s.countGranted(l, panel, now) < majority(len(panel)) {
 			return false
 		}
 	}
@@ -226,13 +231,7 @@
 	now := s.clock.Now()
 	var parts []string
 	for _, panel := range s.panelsOf(l) {
-		granted := 0
-		for _, name := range panel {
-			if s.counts(l, name, now) {
-				granted++
-			}
-		}
-		parts = append(parts, fmt.Sprintf("%d of %d witnesses grant the lock", granted, len(panel)))
+		parts = append(parts, fmt.Sprintf("%d of %d witnesses grant the lock", s.countGranted(l, panel, now), len(panel)))
 	}
 	if len(parts) == 0 {
 		return "no witnesses are known"
