executor: Keep the hash of the holders in place of computing it with each report

Change: setListed keeps the combined hash up to date. What is reported is the same. Result: the package's tests, TestAWitnessNamesAnEntryOnceItHasListedItsLocks among them, and those of locks and late copies in the scheduler pass. The gain was not measured.

--- a/executor/entry.go
+++ b/executor/entry.go
@@ -312,7 +312,7 @@
 	}
 	s := x.speedToReport(e, now, heartbeat)
 	r.Speed, r.SpeedJobs = s.value, s.jobs
-	if holders := x.locks.holdersHash(); holders != e.reportedHolders {
+	if holders := x.locks.listedHash; holders != e.reportedHolders {
 		r.Holders = holders
 		e.reportedHolders = holders
 	}
--- a/executor/lock.go
+++ b/executor/lock.go
@@ -56,8 +56,10 @@
 	ended map[string]endedJob
 	// endedOrder lists the IDs of the jobs in ended, the oldest first.
 	endedOrder []string
-	// holders are the entries that may have locks here.
-	holders map[*lockHolder]bool
+	// holders are the entries that may have locks here, and listedHash identifies those of
+	// them that have listed their locks: all their hashes, combined by exclusive or.
+	holders    map[*lockHolder]bool
+	listedHash uint64
 }
 
 func newLockTable() lockTable {
@@ -74,7 +76,7 @@
 	x.unlockJobs(e, m.Unlocked)
 	if m.Complete {
 		x.unlockExcept(e, m.Jobs)
-		e.holder.listed = true
+		x.locks.setListed(e.holder, true)
 	}
 	if len(m.Jobs) == 0 {
 		return
@@ -147,15 +149,12 @@
 	t.ended[u.Job] = endedJob{outcome: u.Outcome, endedAt: now}
 }
 
-// holdersHash identifies the entries that may have locks here and have listed them.
-func (t *lockTable) holdersHash() uint64 {
-	var hash uint64
-	for h := range t.holders {
-		if h.listed {
-			hash ^= h.hash
-		}
+// setListed records whether a holder has listed its locks.
+func (t *lockTable) setListed(h *lockHolder, listed bool) {
+	if h.listed != listed {
+		h.listed = listed
+		t.listedHash ^= h.hash
 	}
-	return hash
 }
 
 // expire drops the locks of entries from which nothing arrives, and old outcomes.
@@ -164,7 +163,7 @@
 		if !h.expired(now) {
 			return false
 		}
-		h.listed = false
+		t.setListed(h, false)
 		return true
 	})
 	maps.DeleteFunc(t.locks, func(_ string, l *jobLock) bool { return l.holder.expired(now) })
