--- a/scheduler/latecopy_test.go
+++ b/scheduler/latecopy_test.go
@@ -58,29 +58,47 @@
 	}
 }
 
-// replaceWitnesses changes the list of witnesses in the store to other agents. An entry
-// whose witnesses are settled, if any is by then, completes the change a while later.
+// replaceWitnesses begins a change of the list of witnesses in the store to other agents, or
+// completes the change that was begun before.
 func (sim *simulation) replaceWitnesses() {
-	if len(sim.witnesses.Previous) == 0 {
-		next := slices.Clone(sim.witnesses.Current)
-		for i := range next {
-			a := sim.anyAgent()
-			if sim.rng.IntN(2) == 0 && !sim.witnesses.Has(a.name) && !slices.ContainsFunc(next, func(w messenger.Witness) bool { return w.Agent == a.name }) {
-				next[i] = messenger.Witness{Agent: a.name, Group: a.dataCentre}
-			}
+	if len(sim.witnesses.Previous) > 0 {
+		sim.completeChange()
+		sim.tellStored(maxWatchDelay)
+		return
+	}
+	next := slices.Clone(sim.witnesses.Current)
+	for i := range next {
+		a := sim.anyAgent()
+		if sim.rng.IntN(2) == 0 && !sim.witnesses.Has(a.name) && !slices.ContainsFunc(next, func(w messenger.Witness) bool { return w.Agent == a.name }) {
+			next[i] = messenger.Witness{Agent: a.name, Group: a.dataCentre}
 		}
-		sim.witnesses = sim.witnesses.WithCurrent(next)
-	} else if slices.ContainsFunc(sim.entries, func(e *simEntry) bool {
+	}
+	sim.witnesses = sim.witnesses.WithCurrent(next)
+	sim.tellStored(maxWatchDelay)
+}
+
+// completeChange drops the previous witnesses from the list in the store if an entry finds
+// that the change is settled.
+func (sim *simulation) completeChange() {
+	if slices.ContainsFunc(sim.entries, func(e *simEntry) bool {
 		return !e.down && e.knownWitnesses == sim.witnesses.Version && e.core.WitnessChange().Settled
 	}) {
 		sim.witnesses = sim.witnesses.WithoutPrevious()
 	}
+}
+
+// maxWatchDelay is the longest time after which an entry learns what is in the store.
+const maxWatchDelay = 2 * time.Second
+
+// tellStored tells the entries the list of witnesses in the store after up to maxDelay, but
+// for some.
+func (sim *simulation) tellStored(maxDelay time.Duration) {
 	list := sim.witnesses
 	for _, e := range sim.entries {
-		if sim.rng.IntN(3) == 0 {
+		if e.watchCut || sim.rng.IntN(3) == 0 {
 			continue // Its watch of the store is cut.
 		}
-		sim.schedule(time.Duration(sim.rng.Int64N(int64(2*time.Second))), func() {
+		sim.schedule(time.Duration(sim.rng.Int64N(int64(maxDelay))), func() {
 			if !e.down {
 				e.do(func() { e.core.SetWitnesses(list) })
 			}
--- a/scheduler/simcluster_test.go
+++ b/scheduler/simcluster_test.go
@@ -168,6 +168,10 @@
 	pausedUntil time.Time
 	// activeAt is when the entry last handled an event.
 	activeAt time.Time
+	// cutUntil is until when the entry can open no link to an agent, by the agent's name.
+	cutUntil map[string]time.Time
+	// watchCut means that the entry is not told what changes in the store.
+	watchCut bool
 }
 
 // simAgent is an agent process with its worker.
@@ -225,7 +229,13 @@
 	})
 }
 
+// newSimulation returns a running deployment whose agents are in three data centres.
 func newSimulation(t testing.TB, seed uint64, entries, agents int, capacity int) *simulation {
+	return newSimulationIn(t, seed, 3, entries, agents, capacity)
+}
+
+// newSimulationIn is newSimulation with a number of data centres.
+func newSimulationIn(t testing.TB, seed uint64, dataCentres, entries, agents, capacity int) *simulation {
 	sim := &simulation{
 		t:            t,
 		rng:          rand.New(rand.NewPCG(seed, 1)),
@@ -240,7 +250,7 @@
 		linkDelay:    linkDelay,
 	}
 	for i := range agents {
-		a := &simAgent{sim: sim, name: fmt.Sprintf("agent-%02d", i), links: make(map[string]*simLink), dataCentre: fmt.Sprintf("dc-%d", i%3)}
+		a := &simAgent{sim: sim, name: fmt.Sprintf("agent-%02d", i), links: make(map[string]*simLink), dataCentre: fmt.Sprintf("dc-%d", i%dataCentres)}
 		a.worker = &simWorker{
 			sim:  sim,
 			name: a.name,
--- a/scheduler/simprocess_test.go
+++ b/scheduler/simprocess_test.go
@@ -170,7 +170,7 @@
 		return
 	}
 	old := a.links[e.name]
-	if !a.down && (old == nil || !old.cut) {
+	if !a.down && (old == nil || !old.cut) && !e.sim.clock.Now().Before(e.cutUntil[a.name]) {
 		l := &simLink{entry: e, agent: a, open: true, openedAt: e.sim.clock.Now(), lastReportAt: e.sim.clock.Now()}
 		a.links[e.name] = l
 		e.do(func() {
@@ -356,6 +356,10 @@
 func (a *simAgent) kill(downtime time.Duration) {
 	a.down = true
 	for _, l := range a.links {
+		if a.sim.clock.Now().Before(l.entry.cutUntil[a.name]) {
+			l.cut = true // The entry notices by the silence.
+			continue
+		}
 		l.close()
 	}
 	a.links = make(map[string]*simLink)
