scheduler: Split the simulation's processes by kind, and draw from it in one way

Change: simentry_test.go, simlink_test.go, simagent_test.go, simsummary_test.go; simdraw_test.go has upTo, chance, anyEntry and anyAgent, which the others call. Tests only; the draws are the same, in the same order.

--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -34,7 +34,7 @@
 	for at := time.Second; at < span; at += gap {
 		k := jobKinds[sim.rng.IntN(len(jobKinds))]
 		crashAfter := time.Duration(1 + sim.rng.Int64N(int64(k.work/2)))
-		sim.schedule(at, func() { sim.submitPatiently(sim.entries[sim.rng.IntN(len(sim.entries))], k, crashAfter) })
+		sim.schedule(at, func() { sim.submitPatiently(sim.anyEntry(), k, crashAfter) })
 	}
 }
 
@@ -47,7 +47,7 @@
 	}{
 		{"nothing else fails", time.Second, func(*simulation) {}},
 		{"entries die", 700 * time.Millisecond, func(sim *simulation) {
-			if e := sim.entries[sim.rng.IntN(len(sim.entries))]; !e.down {
+			if e := sim.anyEntry(); !e.down {
 				e.kill(500 * time.Millisecond)
 			}
 		}},
--- a/scheduler/cut_test.go
+++ b/scheduler/cut_test.go
@@ -72,11 +72,6 @@
 	}
 }
 
-// upTo draws a duration below a limit.
-func (sim *simulation) upTo(limit time.Duration) time.Duration {
-	return time.Duration(sim.rng.Int64N(int64(limit)))
-}
-
 // drawnCut is a cut of one entry from some agents, with what happens beside it. All of it
 // is drawn; times count from the start of the load.
 type drawnCut struct {
@@ -121,11 +116,6 @@
 	return d
 }
 
-func (sim *simulation) anyEntry() *simEntry { return sim.entries[sim.rng.IntN(len(sim.entries))] }
-
-// chance is true once in n times.
-func (sim *simulation) chance(n int) bool { return sim.rng.IntN(n) == 0 }
-
 // drawCut cuts an entry from all agents, from those of some data centres, or from some.
 func (d *drawnCut) drawCut(e *simEntry) {
 	way := bothWays
--- a/scheduler/duplicate_test.go
+++ b/scheduler/duplicate_test.go
@@ -16,7 +16,7 @@
 // announceWorker has the worker announce itself to its agent after a random time of up to
 // maxAnnounceDelay.
 func (a *simAgent) announceWorker() {
-	a.sim.schedule(time.Duration(a.sim.rng.Int64N(int64(maxAnnounceDelay))), func() {
+	a.sim.schedule(a.sim.upTo(maxAnnounceDelay), func() {
 		a.do(func() { a.core.SetUpstream(a.worker.upstream) })
 	})
 }
@@ -56,7 +56,7 @@
 		}
 	}},
 	{"callers disconnect and send their jobs again at once", func(sim *simulation) {
-		e := sim.entries[sim.rng.IntN(len(sim.entries))]
+		e := sim.anyEntry()
 		var tickets []uint64
 		for ticket := range e.tickets {
 			tickets = append(tickets, ticket)
@@ -80,7 +80,7 @@
 		}
 	}},
 	{"callers' connections break without their entry noticing", func(sim *simulation) {
-		e := sim.entries[sim.rng.IntN(len(sim.entries))]
+		e := sim.anyEntry()
 		for _, ticket := range slices.Sorted(maps.Keys(e.tickets)) {
 			e.disconnectUnnoticed(ticket)
 		}
@@ -94,15 +94,13 @@
 	}},
 }
 
-func (sim *simulation) anyAgent() *simAgent { return sim.agents[sim.rng.IntN(len(sim.agents))] }
-
 func TestNoTaskThatIsDoneRunsAgainWhenLinksBreak(t *testing.T) {
 	for seed := range uint64(4) {
 		sim := newSimulation(t, 340+seed, 3, 7, workerCPU)
 		sim.load(6*time.Second, 0.6)
 		sim.every(50*time.Millisecond, func() {
 			a := sim.anyAgent()
-			if l := a.links[sim.entries[sim.rng.IntN(len(sim.entries))].name]; l != nil {
+			if l := a.links[sim.anyEntry().name]; l != nil {
 				l.close()
 			}
 		})
@@ -121,7 +119,7 @@
 				sim := newSimulation(t, 300+seed, 3, 7, workerCPU)
 				sim.load(6*time.Second, 0.6)
 				for range 30 {
-					sim.schedule(time.Duration(sim.rng.Int64N(int64(6*time.Second))), func() { signal.trigger(sim) })
+					sim.schedule(sim.upTo(6*time.Second), func() { signal.trigger(sim) })
 				}
 				sim.run(12 * time.Second)
 				sim.check()
@@ -137,12 +135,12 @@
 			sim := newSimulation(t, 320+seed, 3, 7, workerCPU)
 			sim.load(8*time.Second, 0.6)
 			for range 30 {
-				at := time.Duration(sim.rng.Int64N(int64(8 * time.Second)))
+				at := sim.upTo(8 * time.Second)
 				sim.schedule(at, func() { misleadingSignals[sim.rng.IntN(len(misleadingSignals))].trigger(sim) })
 			}
 			for range 8 {
-				at := time.Duration(sim.rng.Int64N(int64(8 * time.Second)))
-				sim.schedule(at, randomFault(sim, 200*time.Millisecond+time.Duration(sim.rng.Int64N(int64(2*time.Second)))))
+				at := sim.upTo(8 * time.Second)
+				sim.schedule(at, randomFault(sim, 200*time.Millisecond+sim.upTo(2*time.Second)))
 			}
 			sim.run(16 * time.Second)
 			sim.check()
--- a/scheduler/latecopy_test.go
+++ b/scheduler/latecopy_test.go
@@ -98,7 +98,7 @@
 		if e.watchCut || sim.rng.IntN(3) == 0 {
 			continue // Its watch of the store is cut.
 		}
-		sim.schedule(time.Duration(sim.rng.Int64N(int64(maxDelay))), func() {
+		sim.schedule(sim.upTo(maxDelay), func() {
 			if !e.down {
 				e.do(func() { e.core.SetWitnesses(list) })
 			}
@@ -120,7 +120,7 @@
 // entry runs.
 func TestALateCopyOfARequestRunsNoTaskTwiceAtOnce(t *testing.T) {
 	between := func(sim *simulation, from, to time.Duration) func() time.Duration {
-		return func() time.Duration { return from + time.Duration(sim.rng.Int64N(int64(to-from))) }
+		return func() time.Duration { return from + sim.upTo(to-from) }
 	}
 	tests := []struct {
 		name     string
@@ -135,28 +135,28 @@
 		{"three copies, up to 6 s late", 2, 0, 6 * time.Second, nil},
 		{"witnesses killed and restarted", 2, 0, time.Second, func(sim *simulation) {
 			if a := sim.agents[sim.rng.IntN(6)]; !a.down {
-				a.kill(time.Duration(sim.rng.Int64N(int64(600 * time.Millisecond))))
+				a.kill(sim.upTo(600 * time.Millisecond))
 			}
 		}},
 		{"links cut one way", 2, 0, time.Second, func(sim *simulation) {
-			e := sim.entries[sim.rng.IntN(len(sim.entries))]
-			sim.cutOneWay(e, sim.anyAgent(), sim.rng.IntN(2) == 0, time.Duration(sim.rng.Int64N(int64(3*time.Second))))
+			e := sim.anyEntry()
+			sim.cutOneWay(e, sim.anyAgent(), sim.rng.IntN(2) == 0, sim.upTo(3*time.Second))
 		}},
 		{"an entry hears nothing", 2, 0, time.Second, func(sim *simulation) {
-			e := sim.entries[sim.rng.IntN(len(sim.entries))]
+			e := sim.anyEntry()
 			for _, a := range sim.agents {
 				sim.cutOneWay(e, a, false, 300*time.Millisecond)
 			}
 		}},
 		{"agents frozen", 2, 0, time.Second, func(sim *simulation) {
-			sim.anyAgent().pause(time.Duration(sim.rng.Int64N(int64(4 * time.Second))))
+			sim.anyAgent().pause(sim.upTo(4 * time.Second))
 		}},
 		{"entries frozen", 2, 0, 3 * time.Second, func(sim *simulation) {
-			sim.entries[sim.rng.IntN(len(sim.entries))].pause(time.Duration(sim.rng.Int64N(int64(3 * time.Second))))
+			sim.anyEntry().pause(sim.upTo(3 * time.Second))
 		}},
 		{"an entry cut from some agents", 2, 0, 5 * time.Second, func(sim *simulation) {
-			e := sim.entries[sim.rng.IntN(len(sim.entries))]
-			sim.cutFrom(e, 1+sim.rng.IntN(len(sim.agents)), 500*time.Millisecond+time.Duration(sim.rng.Int64N(int64(5*time.Second))))
+			e := sim.anyEntry()
+			sim.cutFrom(e, 1+sim.rng.IntN(len(sim.agents)), 500*time.Millisecond+sim.upTo(5*time.Second))
 		}},
 		{"witnesses replaced", 2, 0, 3 * time.Second, func(sim *simulation) { sim.replaceWitnesses() }},
 		{"witnesses replaced beside any fault", 2, 0, 3 * time.Second, func(sim *simulation) {
@@ -164,16 +164,16 @@
 				sim.replaceWitnesses()
 				return
 			}
-			randomFault(sim, time.Duration(sim.rng.Int64N(int64(2*time.Second))))()
+			randomFault(sim, sim.upTo(2*time.Second))()
 		}},
 		{"messages of entries panic", 2, 0, time.Second, func(sim *simulation) {
-			sim.entries[sim.rng.IntN(len(sim.entries))].events = 1 + sim.rng.IntN(100)
+			sim.anyEntry().events = 1 + sim.rng.IntN(100)
 		}},
 		{"messages of agents panic", 2, 0, time.Second, func(sim *simulation) {
 			sim.anyAgent().events = 1 + sim.rng.IntN(100)
 		}},
 		{"any fault", 2, 0, 3 * time.Second, func(sim *simulation) {
-			randomFault(sim, time.Duration(sim.rng.Int64N(int64(2*time.Second))))()
+			randomFault(sim, sim.upTo(2*time.Second))()
 		}},
 	}
 	seeds := uint64(4)
@@ -188,7 +188,7 @@
 				sim.copies(6*time.Second, tt.copies, between(sim, tt.from, tt.to))
 				if tt.fault != nil {
 					for range 20 {
-						sim.schedule(time.Duration(sim.rng.Int64N(int64(6*time.Second))), func() { tt.fault(sim) })
+						sim.schedule(sim.upTo(6*time.Second), func() { tt.fault(sim) })
 					}
 				}
 				sim.run(16 * time.Second)
--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -154,7 +154,7 @@
 		}
 		gap := time.Duration(float64(time.Second) / (perSecond[i] * factor * extra[i]))
 		for at := time.Duration(0); at < span; at += time.Duration(float64(gap) * (0.5 + sim.rng.Float64())) {
-			sim.schedule(at, func() { sim.submit(sim.entries[sim.rng.IntN(len(sim.entries))], k) })
+			sim.schedule(at, func() { sim.submit(sim.anyEntry(), k) })
 		}
 	}
 }
--- a/scheduler/rackload_test.go
+++ b/scheduler/rackload_test.go
@@ -50,12 +50,12 @@
 	factor := load * totalWorkers * workerCPU / work
 	for i, k := range jobKinds {
 		gap := time.Duration(float64(time.Second) / (perSecond[i] * factor))
-		for at := time.Duration(sim.rng.Int64N(int64(gap))); at < duration; at += time.Duration(float64(gap) * (0.5 + sim.rng.Float64())) {
+		for at := sim.upTo(gap); at < duration; at += time.Duration(float64(gap) * (0.5 + sim.rng.Float64())) {
 			drawn := k
 			if i == 0 && sim.rng.Float64() < rackShare {
 				drawn.rack = rackLabel
 			}
-			sim.schedule(at, func() { sim.submit(sim.entries[sim.rng.IntN(len(sim.entries))], drawn) })
+			sim.schedule(at, func() { sim.submit(sim.anyEntry(), drawn) })
 		}
 	}
 }
--- a/scheduler/simcapacity_test.go
+++ b/scheduler/simcapacity_test.go
@@ -45,7 +45,7 @@
 // sendHeartbeats makes all workers send heartbeats.
 func (sim *simulation) sendHeartbeats() {
 	for _, a := range sim.agents {
-		sim.schedule(time.Duration(sim.rng.Int64N(int64(heartbeatInterval))), func() {
+		sim.schedule(sim.upTo(heartbeatInterval), func() {
 			sim.every(heartbeatInterval, func() {
 				if !a.worker.down {
 					a.do(func() { a.core.SetUpstream(a.worker.upstream) })
--- a/scheduler/simcluster_test.go
+++ b/scheduler/simcluster_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
-	"github.com/stretchr/testify/require"
 
 	"github.com/pomeloferry/pomeloferry/executor"
 	"github.com/pomeloferry/pomeloferry/messenger"
@@ -433,7 +432,7 @@
 func (sim *simulation) resend(j scheduler.Job) {
 	sim.schedule(minResendDelay, func() {
 		if sim.clock.Now().Before(j.Deadline) {
-			sim.send(sim.entries[sim.rng.IntN(len(sim.entries))], j)
+			sim.send(sim.anyEntry(), j)
 		}
 	})
 }
@@ -449,7 +448,7 @@
 	perSecond := []float64{34.4, 6.25, 100}
 	for i, k := range jobKinds {
 		gap := time.Duration(float64(time.Second) / (perSecond[i] * factor))
-		for at := time.Duration(sim.rng.Int64N(int64(gap))); at < span; at += time.Duration(float64(gap) * (0.5 + sim.rng.Float64())) {
+		for at := sim.upTo(gap); at < span; at += time.Duration(float64(gap) * (0.5 + sim.rng.Float64())) {
 			sim.schedule(at, func() { sim.submit(entries[sim.rng.IntN(len(entries))], k) })
 		}
 	}
@@ -463,82 +462,3 @@
 		}
 	}
 }
-
-// summary counts jobs by the answers that their callers got.
-type summary struct {
-	all, inTime, late, refused, failed, unanswered int
-	slowestRefusal                                 time.Duration
-}
-
-// plus adds up two summaries. The slowest refusal is the slower of the two.
-func (s summary) plus(o summary) summary {
-	s.all += o.all
-	s.inTime += o.inTime
-	s.late += o.late
-	s.refused += o.refused
-	s.failed += o.failed
-	s.unanswered += o.unanswered
-	s.slowestRefusal = max(s.slowestRefusal, o.slowestRefusal)
-	return s
-}
-
-// missed returns the number of jobs that were not in time.
-func (s summary) missed() int { return s.all - s.inTime }
-
-func (sim *simulation) summary() summary {
-	var s summary
-	for _, r := range sim.results {
-		s.all++
-		objective := sim.objective(r.job)
-		switch {
-		case !r.answered:
-			s.unanswered++
-		case r.answer.Outcome == scheduler.Complete && r.took <= objective:
-			s.inTime++
-		case r.answer.Outcome == scheduler.Complete:
-			s.late++
-		case r.answer.Outcome == scheduler.Overloaded || r.answer.Outcome == scheduler.Unavailable:
-			s.refused++
-			s.slowestRefusal = max(s.slowestRefusal, r.took)
-		default:
-			s.failed++
-		}
-	}
-	return s
-}
-
-// inTimeShares returns, for each kind, the share of its jobs that were complete in time.
-func (sim *simulation) inTimeShares() []float64 {
-	all := make([]float64, len(jobKinds))
-	inTime := make([]float64, len(jobKinds))
-	for _, r := range sim.results {
-		k := slices.IndexFunc(jobKinds, func(k jobKind) bool { return k.tasks == r.job.Steps[0].Count })
-		all[k]++
-		if r.answered && r.answer.Outcome == scheduler.Complete && r.took <= sim.objective(r.job) {
-			inTime[k]++
-		}
-	}
-	for k := range inTime {
-		inTime[k] /= all[k]
-	}
-	return inTime
-}
-
-// objective returns the time within which a job is to be complete, by its real work.
-func (sim *simulation) objective(j scheduler.Job) time.Duration {
-	return time.Duration(j.Queue.Stretch*float64(sim.longestTask(j))) + j.Queue.Slack
-}
-
-func (sim *simulation) longestTask(j scheduler.Job) time.Duration {
-	var longest time.Duration
-	for i := range j.Steps[0].Count {
-		longest = max(longest, sim.tasks[fmt.Sprintf("%s.0.0.%d", j.ID, i)].work)
-	}
-	return longest
-}
-
-// check requires the invariant of every simulation: no task ran on two workers at once.
-func (sim *simulation) check() {
-	sim.t.Helper()
-	require.Empty(sim.t, sim.duplicates, "tasks that ran twice at once")
-}
--- a/scheduler/simcrash_test.go
+++ b/scheduler/simcrash_test.go
@@ -49,7 +49,7 @@
 	}
 	w.restart()
 	w.upstream.ID = fmt.Sprintf("worker-%s-%d", w.name, w.upstream.Born)
-	downtime := minDowntime + time.Duration(w.sim.rng.Int64N(int64(maxDowntime-minDowntime)))
+	downtime := minDowntime + w.sim.upTo(maxDowntime-minDowntime)
 	w.sim.schedule(downtime, func() {
 		w.down = false
 		a := w.agent()
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -151,8 +151,8 @@
 			sim := newSimulation(t, 100+seed, 3, 7, workerCPU)
 			sim.load(8*time.Second, 0.6)
 			for range 14 {
-				at := time.Duration(sim.rng.Int64N(int64(8 * time.Second)))
-				duration := 200*time.Millisecond + time.Duration(sim.rng.Int64N(int64(3*time.Second)))
+				at := sim.upTo(8 * time.Second)
+				duration := 200*time.Millisecond + sim.upTo(3*time.Second)
 				sim.schedule(at, randomFault(sim, duration))
 			}
 			sim.run(16 * time.Second)
@@ -164,8 +164,8 @@
 
 // randomFault returns a random fault that lasts for the given duration.
 func randomFault(sim *simulation, duration time.Duration) func() {
-	e := sim.entries[sim.rng.IntN(len(sim.entries))]
-	a := sim.agents[sim.rng.IntN(len(sim.agents))]
+	e := sim.anyEntry()
+	a := sim.anyAgent()
 	switch sim.rng.IntN(7) {
 	case 6:
 		return func() {
--- a/scheduler/sizes_test.go
+++ b/scheduler/sizes_test.go
@@ -52,7 +52,7 @@
 		if n%jobsPerLarge == 0 {
 			cpu, work = largeCPU, largeWork
 		}
-		sim.schedule(at, func() { sim.submitOne(sim.entries[sim.rng.IntN(len(sim.entries))], cpu, work, m.estimateError) })
+		sim.schedule(at, func() { sim.submitOne(sim.anyEntry(), cpu, work, m.estimateError) })
 	}
 	sim.run(mixedLoadDuration + 3*time.Second)
 	sim.check()
--- a/scheduler/speed_test.go
+++ b/scheduler/speed_test.go
@@ -193,8 +193,8 @@
 			}
 			sim.load(6*time.Second, 0.6)
 			for range 6 {
-				at := time.Duration(sim.rng.Int64N(int64(6 * time.Second)))
-				sim.schedule(at, randomFault(sim, 200*time.Millisecond+time.Duration(sim.rng.Int64N(int64(2*time.Second)))))
+				at := sim.upTo(6 * time.Second)
+				sim.schedule(at, randomFault(sim, 200*time.Millisecond+sim.upTo(2*time.Second)))
 			}
 			sim.run(12 * time.Second)
 			sim.check()
