scheduler: Need a quorum of the known witnesses too when a list does not follow theirs

What callers would have seen: a task that runs twice at once. Another writer puts other agents in place of the list of witnesses, without the step in between. An entry that has learned it locks a job at the new ones, one that has not (its watch of the store is cut, say) at those before, and each has a quorum.

Change: a list that does not follow the known one (it neither begins nor completes a change of it) is taken over together with the known witnesses. The entry tells them the list and stays linked to them. The previous witnesses of a list are kept in the same way.

Why this works: it is the step in between, made by the entry that takes the list over. The quorums of an entry on the old list and of one on both have a witness in common, and so have those of one on both and of one on the new list.

Evidence: TestNoTaskRunsTwiceAtOnceAfterAListOfAnotherWriter, drawn cuts in which the list changes so.

Weighed: to take only the next version (an entry that was cut off for several changes would follow none any more); a later one only from witnesses of the known list (these may be gone); to replace any other list (such an entry would undo what the others have changed).

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -78,6 +78,8 @@
 	configuration atomic.Pointer[scheduler.Configuration]
 	// witnessList is the list of witnesses in force; nil before the first one.
 	witnessList atomic.Pointer[messenger.WitnessList]
+	// keptWitnesses are the scheduler.WitnessesChanged.Kept of that list.
+	keptWitnesses atomic.Pointer[[]string]
 	// firstReadDone is closed when the first read of the operators' directives has
 	// succeeded or failed.
 	firstReadDone chan struct{}
--- a/acceptor/actor.go
+++ b/acceptor/actor.go
@@ -160,7 +160,8 @@
 			}
 		case scheduler.WitnessesChanged:
 			c.acceptor.witnessList.Store(&e.List)
-			c.acceptor.deps.Log.WithFields(logrus.Fields{"version": e.List.Version, "witnesses": e.List.Current, "previous": e.List.Previous}).Info("witnesses in force")
+			c.acceptor.keptWitnesses.Store(&e.Kept)
+			c.acceptor.deps.Log.WithFields(logrus.Fields{"version": e.List.Version, "witnesses": e.List.Current, "previous": e.List.Previous, "kept": e.Kept}).Info("witnesses in force")
 		case scheduler.Note:
 			c.logNote(e)
 		}
--- a/acceptor/linkset.go
+++ b/acceptor/linkset.go
@@ -187,7 +187,7 @@
 func (s *linkSet) selectAll(candidates []candidate, witnesses messenger.WitnessList) map[string]bool {
 	dc := s.acceptor.cfg.DataCentre
 	out := make(map[string]bool)
-	for _, name := range slices.Concat(selectAgents(dc, candidates, s.budget.limit), witnesses.Agents()) {
+	for _, name := range slices.Concat(selectAgents(dc, candidates, s.budget.limit), witnesses.Agents(), s.acceptor.formerWitnesses()) {
 		out[name] = true
 	}
 	return out
--- a/acceptor/witnesslist.go
+++ b/acceptor/witnesslist.go
@@ -23,6 +23,15 @@
 	return messenger.WitnessList{}
 }
 
+// formerWitnesses returns the agents that are no witnesses any more by the list in force, but
+// at which jobs may still be locked.
+func (a *Acceptor) formerWitnesses() []string {
+	if kept := a.keptWitnesses.Load(); kept != nil {
+		return *kept
+	}
+	return nil
+}
+
 // readWitnesses processes the list of witnesses in the store. An odd one is logged, and
 // replaced in time.
 func (s *linkSet) readWitnesses(item platform.Item) {
--- a/messenger/witness.go
+++ b/messenger/witness.go
@@ -26,6 +26,18 @@
 // MaxWitnesses bounds each part of a WitnessList: two witnesses in each of 32 groups.
 const MaxWitnesses = 64
 
+// Follows reports whether the list is the version after another one: it begins or completes a
+// change of that one.
+func (l WitnessList) Follows(o WitnessList) bool {
+	if l.Version != o.Version+1 {
+		return false
+	}
+	if len(o.Previous) > 0 {
+		return len(l.Previous) == 0 && slices.Equal(l.Current, o.Current)
+	}
+	return slices.Equal(l.Previous, o.Current)
+}
+
 // Has reports whether an agent is among the witnesses.
 func (l WitnessList) Has(agent string) bool {
 	matches := func(w Witness) bool { return w.Agent == agent }
--- a/scheduler/cut_test.go
+++ b/scheduler/cut_test.go
@@ -81,6 +81,9 @@
 	cutAt, healedAt time.Duration
 	// reopenSpread is the time after healedAt in which the links become possible.
 	reopenSpread time.Duration
+	// anotherWriter means that the new list of witnesses is not an entry's: it names no
+	// previous ones.
+	anotherWriter bool
 }
 
 const (
@@ -209,7 +212,7 @@
 	maxGap := []time.Duration{300 * time.Millisecond, messenger.LockTTL}[d.rng.IntN(2)]
 	at := max(0, d.aroundTheCut()-d.upTo(messenger.LockTTL))
 	d.schedule(at, func() {
-		d.witnesses = d.witnesses.WithCurrent(d.anyWitnesses())
+		d.witnesses = d.newList()
 		d.tellStored(maxDelay)
 	})
 	for range 6 {
@@ -221,6 +224,14 @@
 	}
 }
 
+// newList returns the next list in the store.
+func (d *drawnCut) newList() messenger.WitnessList {
+	if d.anotherWriter {
+		return messenger.WitnessList{Version: d.witnesses.Version + 1 + uint64(d.rng.IntN(3)), Current: d.anyWitnesses()}
+	}
+	return d.witnesses.WithCurrent(d.anyWitnesses())
+}
+
 // anyWitnesses draws two agents of each data centre.
 func (d *drawnCut) anyWitnesses() []messenger.Witness {
 	perDataCentre := make(map[string]int)
@@ -249,6 +260,12 @@
 // playDrawnCut simulates a drawn cut until all its jobs have ended.
 func playDrawnCut(t testing.TB, seed uint64) *drawnCut {
 	d := newDrawnCut(t, seed)
+	d.play()
+	return d
+}
+
+// play simulates the cut until all its jobs have ended.
+func (d *drawnCut) play() {
 	d.drawCut(d.cutOff)
 	if d.chance(4) {
 		d.drawCut(d.anyEntry())
@@ -256,23 +273,41 @@
 	d.drawJobs()
 	d.drawFaults()
 	d.run(d.healedAt + maxReopenSpread + 5*time.Second)
-	return d
 }
 
 // TestNoTaskRunsTwiceAtOnceAroundADrawnCut searches for an order of events around the cut of
 // an entry in which a late copy of a request runs a job that another entry is running.
 func TestNoTaskRunsTwiceAtOnceAroundADrawnCut(t *testing.T) {
-	const parts = 4 // at a time
+	forDrawnCuts(t, func(t *testing.T, seed uint64) {
+		require.Empty(t, playDrawnCut(t, seed).duplicates, "seed %d", seed)
+	})
+}
+
+// forDrawnCuts calls play with each seed, some at a time.
+func forDrawnCuts(t *testing.T, play func(t *testing.T, seed uint64)) {
+	const parts = 4
 	for part := range uint64(parts) {
 		t.Run(fmt.Sprintf("part %d", part), func(t *testing.T) {
 			t.Parallel()
 			for seed := *firstCutSeed + part; seed < *firstCutSeed+*cutSeeds; seed += parts {
-				require.Empty(t, playDrawnCut(t, seed).duplicates, "seed %d", seed)
+				play(t, seed)
 			}
 		})
 	}
 }
 
+// TestNoTaskRunsTwiceAtOnceAfterAListOfAnotherWriter guards against two entries that each have
+// a quorum, since another writer has put other agents in place of the list of witnesses.
+func TestNoTaskRunsTwiceAtOnceAfterAListOfAnotherWriter(t *testing.T) {
+	forDrawnCuts(t, func(t *testing.T, seed uint64) {
+		d := newDrawnCut(t, seed)
+		d.anotherWriter = true
+		d.drawChange()
+		d.play()
+		require.Empty(t, d.duplicates, "seed %d", seed)
+	})
+}
+
 // TestNoTaskRunsTwiceAtOnceWhereOneRuleOfTheLocksPreventsIt guards against the loss of a rule
 // that few orders of events need: in each of these, one that drawn cuts have found, a task
 // runs twice at once without it.
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -86,7 +86,12 @@
 
 // WitnessesChanged tells that the entry has adopted a list of witnesses, which are to be
 // linked.
-type WitnessesChanged struct{ List messenger.WitnessList }
+type WitnessesChanged struct {
+	List messenger.WitnessList
+	// Kept are the agents that were witnesses before, by a list that this one does not
+	// follow, and that are to be linked as well.
+	Kept []string
+}
 
 // Note is a log entry about a job or an agent.
 type Note struct {
--- a/scheduler/lock.go
+++ b/scheduler/lock.go
@@ -54,9 +54,9 @@
 	hash uint64
 	// votes has the state at each witness that was asked, by agent name.
 	votes map[string]*vote
-	// panels are the job's witnesses as of panelVersion of their list.
+	// panels are the job's witnesses as of panelVersion.
 	panels       [][]string
-	panelVersion uint64
+	panelVersion int
 	// acquired means that a quorum has granted the lock. The entry may have lost that
 	// quorum since; see quorum.
 	acquired bool
@@ -107,9 +107,9 @@
 // panelsOf returns the names of the agents that are the witnesses of a lock's job: one
 // panel, or two while the list of witnesses is being changed.
 func (s *Scheduler) panelsOf(l *jobLock) [][]string {
-	if l.panelVersion != s.witnesses.list.Version {
+	if l.panelVersion != s.witnesses.version {
 		l.panels = s.witnesses.panels(l.hash, s.dataCentre)
-		l.panelVersion = s.witnesses.list.Version
+		l.panelVersion = s.witnesses.version
 	}
 	return l.panels
 }
@@ -147,7 +147,7 @@
 			return false
 		}
 	}
-	return len(panels) > 0
+	return len(s.witnesses.current) > 0
 }
 
 // advanceLocks brings all locks forward; see requestLocks.
@@ -228,13 +228,13 @@
 	if l == nil {
 		return "no lock"
 	}
+	if len(s.witnesses.current) == 0 {
+		return "no witnesses are known"
+	}
 	now := s.clock.Now()
 	var parts []string
 	for _, panel := range s.panelsOf(l) {
 		parts = append(parts, fmt.Sprintf("%d of %d witnesses grant the lock", s.countGranted(l, panel, now), len(panel)))
 	}
-	if len(parts) == 0 {
-		return "no witnesses are known"
-	}
-	return strings.Join(parts, ", and of the previous ones ")
+	return strings.Join(parts, ", and of earlier ones ")
 }
--- a/scheduler/quorum_test.go
+++ b/scheduler/quorum_test.go
@@ -217,7 +217,8 @@
 			for _, w := range before.Current {
 				m.s.findOrAddAgent(w.Agent).witnessVersion = uint64(confirmed>>numbers[w.Agent]&1) * between.Version
 			}
-			if !m.s.previousConfirmed() {
+			m.s.updateEarlier(m.now)
+			if m.s.witnesses.earlier[0].confirmedSince.IsZero() {
 				continue
 			}
 			for jobHash := range uint64(8) {
--- a/scheduler/relock.go
+++ b/scheduler/relock.go
@@ -11,7 +11,7 @@
 // this entry has and the agent is a witness of, since it may have forgotten them. It gives
 // up all others there. A witness is told also that there are none.
 func (s *Scheduler) relock(a *agent, now time.Time) {
-	if !s.witnesses.list.Has(a.name) && !a.asked {
+	if !s.witnesses.has(a.name) && !a.asked {
 		return
 	}
 	var jobs []string
--- a/scheduler/witness.go
+++ b/scheduler/witness.go
@@ -24,16 +24,16 @@
 
 // witnessSet holds the witnesses that all entries have in common.
 type witnessSet struct {
-	list messenger.WitnessList
-	// current and previous are those of the list.
-	current, previous []witness
+	list    messenger.WitnessList
+	current []witness
+	// earlier are those at which jobs may still be locked by entries that do not know the
+	// list. A lock needs a quorum of each.
+	earlier []earlierWitnesses
+	// version rises with each change of the panels.
+	version int
 	// allStarted means that most of the witnesses have reported, and that none has run
 	// for allStartedWithin: the whole deployment has just started.
 	allStarted bool
-	// confirmedSince is since when so many of the previous witnesses know the list that no
-	// entry that does not can get a quorum of them; zero if they don't, or if there are no
-	// previous ones.
-	confirmedSince time.Time
 }
 
 // allStartedWithin is the maximum uptime of a witness for all to count as just started. It
@@ -44,12 +44,20 @@
 // SetWitnesses adopts a list of witnesses, if it is newer than the present one, and tells
 // it to the witnesses.
 func (s *Scheduler) SetWitnesses(list messenger.WitnessList) {
-	if list.Version <= s.witnesses.list.Version {
-		return
+	if list.Version > s.witnesses.list.Version {
+		s.adoptWitnesses(list, s.witnesses.keptFor(list, s.clock.Now()))
 	}
+}
+
+// adoptWitnesses adopts a list of witnesses, together with earlier ones that are kept.
+func (s *Scheduler) adoptWitnesses(list messenger.WitnessList, kept []earlierWitnesses) {
 	now := s.clock.Now()
-	s.witnesses = witnessSet{list: list, current: newWitnesses(list.Current), previous: newWitnesses(list.Previous)}
-	s.emit(WitnessesChanged{List: list})
+	earlier := kept
+	if len(list.Previous) > 0 {
+		earlier = append(earlier, earlierWitnesses{list: newWitnesses(list.Previous), inList: true})
+	}
+	s.witnesses = witnessSet{list: list, current: newWitnesses(list.Current), earlier: earlier, version: s.witnesses.version + 1}
+	s.emit(WitnessesChanged{List: list, Kept: s.witnesses.keptAgents()})
 	for _, a := range s.agentsByName {
 		s.tellWitnesses(a)
 		if a.linked {
@@ -68,7 +76,7 @@
 
 // tellWitnesses tells an agent that is a witness the list.
 func (s *Scheduler) tellWitnesses(a *agent) {
-	if a.linked && s.witnesses.list.Has(a.name) {
+	if a.linked && s.witnesses.has(a.name) {
 		s.emit(Send{Agent: a.name, Message: s.witnesses.list})
 	}
 }
@@ -81,15 +89,10 @@
 	return out
 }
 
-// updateWitnesses updates allStarted and confirmedSince.
+// updateWitnesses updates allStarted, and what is known of earlier witnesses.
 func (s *Scheduler) updateWitnesses(now time.Time) {
 	s.witnesses.allStarted = s.allWitnessesStarted()
-	switch {
-	case len(s.witnesses.previous) == 0 || !s.previousConfirmed():
-		s.witnesses.confirmedSince = time.Time{}
-	case s.witnesses.confirmedSince.IsZero():
-		s.witnesses.confirmedSince = now
-	}
+	s.updateEarlier(now)
 }
 
 // allWitnessesStarted reports whether all witnesses have just started, as far as can be
@@ -109,44 +112,6 @@
 	return started >= majority(len(s.witnesses.current))
 }
 
-// previousConfirmed reports whether each panel of the previous witnesses has a quorum of
-// witnesses that know the present list, and tell it to an entry before they answer it.
-func (s *Scheduler) previousConfirmed() bool {
-	size := min(maxPanelSize, len(s.witnesses.previous))
-	return len(s.unconfirmedWitnesses()) <= size-majority(size)
-}
-
-// unconfirmedWitnesses returns the previous witnesses that are not known to know the present
-// list.
-func (s *Scheduler) unconfirmedWitnesses() []string {
-	var out []string
-	for _, w := range s.witnesses.previous {
-		if a := s.agents[w.Agent]; a == nil || a.witnessVersion < s.witnesses.list.Version {
-			out = append(out, w.Agent)
-		}
-	}
-	return out
-}
-
-// WitnessChange is the progress of a change of the witnesses.
-type WitnessChange struct {
-	// Settled means that no job can be locked at the previous witnesses only: an entry that
-	// does not know the present list has no quorum of them any more, and what it had locked
-	// has expired.
-	Settled bool
-	// Unconfirmed are the previous witnesses that are not known to know the present list.
-	Unconfirmed []string
-}
-
-// WitnessChange returns the progress of the present change.
-func (s *Scheduler) WitnessChange() WitnessChange {
-	confirmedSince := s.witnesses.confirmedSince
-	return WitnessChange{
-		Settled:     !confirmedSince.IsZero() && s.clock.Since(confirmedSince) >= messenger.LockTTL,
-		Unconfirmed: s.unconfirmedWitnesses(),
-	}
-}
-
 // remembers reports whether a witness knows of all locks that it may have granted. One that
 // has restarted has forgotten them until they have expired, or until all entries that may
 // have any have told it. If all witnesses have just started, there is nothing that any of
@@ -177,7 +142,7 @@
 // witnesses, the job has a second panel of them.
 func (x *witnessSet) panels(jobHash uint64, dataCentre string) [][]string {
 	var out [][]string
-	for _, list := range [][]witness{x.current, x.previous} {
+	for _, list := range x.lists() {
 		if panel := choosePanel(list, jobHash); len(panel) > 0 {
 			out = append(out, askingOrder(panel, dataCentre))
 		}
