acceptor: Replace a list of witnesses whose version no entry can have reached

What callers saw: nothing was served any more, by any entry, for good. Another writer had left a well-formed list in place of the witnesses, with version 9,007,199,254,740,991 and three agents that do not exist: all entries took it over, and none can write the next version.

Cause: a version is a bound that only rises. Any number that could be read was taken for one, also one that leaves no room.

Change: a list whose version is 2^40 above the known one, or above 2^52 where none is known, is logged as invalid and replaced by the known list; so is another list of the known version. A list that no quorum of its own witnesses knows gives way to an older one in the store, so that an entry that started in the moments in which the other writer's list stood there follows the others.

Evidence, with real processes (2 entries, 6 agents, 60 jobs): TestAListOfWitnessesOfAnotherWriterCostsNobodyTheirAnswers. TestAListOfWitnessesThatNoEntryCanHaveWrittenIsReplaced and TestAListThatNoQuorumOfItsWitnessesKnowsGivesWayToTheOneInTheStore play it without processes.

--- a/acceptor/actor.go
+++ b/acceptor/actor.go
@@ -107,7 +107,7 @@
 	case configurationChanged:
 		c.scheduler.Configure(m.configuration)
 	case witnessesRead:
-		c.scheduler.SetWitnesses(m.list)
+		c.scheduler.ReadWitnesses(m.list)
 	case linkOpened:
 		c.handleLinkOpened(m)
 	case linkMessage:
--- a/acceptor/linkset_test.go
+++ b/acceptor/linkset_test.go
@@ -163,3 +163,35 @@
 		})
 	}
 }
+
+// TestAListOfWitnessesThatNoEntryCanHaveWrittenIsReplaced guards against a list of another
+// writer after which no entry can write the next version.
+func TestAListOfWitnessesThatNoEntryCanHaveWrittenIsReplaced(t *testing.T) {
+	known := messenger.WitnessList{Version: 3, Current: []messenger.Witness{{Agent: "agent"}}}
+	for _, tt := range []struct {
+		name  string
+		known messenger.WitnessList
+		value string
+	}{
+		{"a version far ahead", known, `{"Version":9007199254740991,"Current":[{"Agent":"a"},{"Agent":"b"},{"Agent":"c"}]}`},
+		{"another list of the same version", known, `{"Version":3,"Current":[{"Agent":"a"}]}`},
+		{"a version without room, before the first list", messenger.WitnessList{}, `{"Version":9007199254740991,"Current":[{"Agent":"a"}]}`},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newTestLinkSet()
+			s.register(registrationItem("agent", "127.0.0.1:1"))
+			s.directoryRead = true
+			s.acceptor.witnessList.Store(&tt.known)
+			s.readWitnesses(platform.Item{Key: platform.WitnessesKey, Value: []byte(tt.value), Revision: 7})
+			var next messenger.WitnessList
+			var revision int64
+			require.Eventually(t, func() (ok bool) {
+				next, revision, ok = s.proposeWitnesses(tt.known, scheduler.WitnessChange{})
+				return ok
+			}, firstListDelay+2*proposalSpread, time.Millisecond)
+			require.Equal(t, max(tt.known.Version, 1), next.Version)
+			require.Equal(t, []messenger.Witness{{Agent: "agent", Group: next.Current[0].Group}}, next.Current)
+			require.Equal(t, int64(7), revision)
+		})
+	}
+}
--- a/acceptor/witnesslist.go
+++ b/acceptor/witnesslist.go
@@ -32,6 +32,28 @@
 	return nil
 }
 
+const (
+	// maxVersionStep is the greatest difference between the version of the list in the store
+	// and of the known one. It leaves room for changes after a version that another writer
+	// has written.
+	maxVersionStep = 1 << 40
+	// maxFirstVersion is the greatest version from which an entry can start.
+	maxFirstVersion = 1 << 52
+)
+
+// checkVersion returns an error if no entry can have written the version of a list: changes
+// count up by one.
+func checkVersion(list, known messenger.WitnessList) error {
+	limit := uint64(maxFirstVersion)
+	if known.Version > 0 {
+		limit = known.Version + maxVersionStep
+	}
+	if list.Version > limit {
+		return errors.Errorf("version %d, the known one is %d", list.Version, known.Version)
+	}
+	return nil
+}
+
 // readWitnesses processes the list of witnesses in the store. An odd one is logged, and
 // replaced in time.
 func (s *linkSet) readWitnesses(item platform.Item) {
@@ -43,11 +65,16 @@
 	}
 	s.witnessRevision = item.Revision
 	list, err := platform.ParseWitnessList(item)
+	if err == nil {
+		err = checkVersion(list, s.acceptor.witnesses())
+	}
 	if err != nil {
 		s.logInvalid(item, "list of witnesses", err)
 		return
 	}
-	s.storedWitnesses = list.Version
+	if known := s.acceptor.witnesses(); list.Version != known.Version || list.Equal(known) {
+		s.storedWitnesses = list.Version
+	}
 	s.post(witnessesRead{list: list})
 }
 
--- a/messenger/witness.go
+++ b/messenger/witness.go
@@ -38,6 +38,11 @@
 	return slices.Equal(l.Previous, o.Current)
 }
 
+// Equal reports whether two lists are the same.
+func (l WitnessList) Equal(o WitnessList) bool {
+	return l.Version == o.Version && slices.Equal(l.Current, o.Current) && slices.Equal(l.Previous, o.Previous)
+}
+
 // Has reports whether an agent is among the witnesses.
 func (l WitnessList) Has(agent string) bool {
 	matches := func(w Witness) bool { return w.Agent == agent }
--- a/scheduler/earlierwitness.go
+++ b/scheduler/earlierwitness.go
@@ -126,6 +126,12 @@
 	return n
 }
 
+// listConfirmed reports whether a quorum of the current witnesses knows the present list.
+func (s *Scheduler) listConfirmed() bool {
+	size := min(maxPanelSize, len(s.witnesses.current))
+	return len(s.witnesses.current)-len(s.unconfirmed(s.witnesses.current)) >= majority(size)
+}
+
 // WitnessChange is the progress of a change of the witnesses.
 type WitnessChange struct {
 	// Settled means that no job can be locked at the previous witnesses only.
--- a/scheduler/earlierwitness_test.go
+++ b/scheduler/earlierwitness_test.go
@@ -63,9 +63,9 @@
 // that another writer has left in the store.
 func TestAListThatDoesNotFollowTheKnownOneNeedsAQuorumOfBoth(t *testing.T) {
 	f := newWitnessFixture()
-	f.SetWitnesses(knownList)
+	f.ReadWitnesses(knownList)
 	require.Equal(t, 1, f.lists())
-	f.SetWitnesses(strangeList)
+	f.ReadWitnesses(strangeList)
 	require.Equal(t, strangeList, f.witnesses.list)
 	require.Equal(t, 2, f.lists())
 	f.pass(time.Minute)
@@ -81,8 +81,8 @@
 // Guards against an entry that waits for ever for witnesses that are gone.
 func TestWitnessesOfAListThatWasNotFollowedAreDroppedOnceTheyAreGone(t *testing.T) {
 	f := newWitnessFixture()
-	f.SetWitnesses(knownList)
-	f.SetWitnesses(strangeList)
+	f.ReadWitnesses(knownList)
+	f.ReadWitnesses(strangeList)
 	for _, w := range knownList.Current[:4] {
 		f.LinkClosed(w.Agent)
 	}
@@ -96,15 +96,39 @@
 // or after an entry has missed some.
 func TestWitnessesAreKeptUntilEachListHasBeenConfirmed(t *testing.T) {
 	f := newWitnessFixture()
-	f.SetWitnesses(knownList)
+	f.ReadWitnesses(knownList)
 	between := knownList.WithCurrent(otherWitnesses(3, 2))
-	f.SetWitnesses(between)
+	f.ReadWitnesses(between)
 	require.Equal(t, 2, f.lists())
-	f.SetWitnesses(between.WithoutPrevious())
+	f.ReadWitnesses(between.WithoutPrevious())
 	require.Equal(t, 1, f.lists(), "the writer has found that the change is settled")
 
 	f = newWitnessFixture()
-	f.SetWitnesses(between)
-	f.SetWitnesses(messenger.WitnessList{Version: 12, Current: newTestWitnesses(4, 2)})
+	f.ReadWitnesses(between)
+	f.ReadWitnesses(messenger.WitnessList{Version: 12, Current: newTestWitnesses(4, 2)})
 	require.Equal(t, 3, f.lists())
 }
+
+// Guards against an entry that starts with what another writer has left in the store, and
+// keeps to it although the others have replaced it.
+func TestAListThatNoQuorumOfItsWitnessesKnowsGivesWayToTheOneInTheStore(t *testing.T) {
+	far := messenger.WitnessList{Version: 1 << 52, Current: strangeList.Current}
+	f := newWitnessFixture()
+	f.ReadWitnesses(far)
+	f.ReadWitnesses(knownList)
+	require.Equal(t, knownList, f.witnesses.list)
+	require.Equal(t, 1, f.lists())
+
+	f = newWitnessFixture()
+	f.ReadWitnesses(far)
+	f.tell(far, far.Current[:3])
+	f.ReadWitnesses(knownList)
+	require.Equal(t, far, f.witnesses.list, "a quorum of its witnesses knows it")
+
+	f = newWitnessFixture()
+	sameVersion := messenger.WitnessList{Version: knownList.Version, Current: strangeList.Current}
+	f.ReadWitnesses(sameVersion)
+	f.tell(knownList, strangeList.Current)
+	f.ReadWitnesses(knownList)
+	require.Equal(t, knownList, f.witnesses.list, "its witnesses know another one of the same version")
+}
--- a/scheduler/latecopy_test.go
+++ b/scheduler/latecopy_test.go
@@ -100,7 +100,7 @@
 		}
 		sim.schedule(sim.upTo(maxDelay), func() {
 			if !e.down {
-				e.do(func() { e.core.SetWitnesses(list) })
+				e.do(func() { e.core.ReadWitnesses(list) })
 			}
 		})
 	}
--- a/scheduler/simentry_test.go
+++ b/scheduler/simentry_test.go
@@ -20,7 +20,7 @@
 	e.activeAt = e.sim.clock.Now()
 	core := e.core
 	core.Configure(e.sim.configuration())
-	core.SetWitnesses(e.sim.witnesses)
+	core.ReadWitnesses(e.sim.witnesses)
 	for _, a := range e.sim.agents {
 		e.connect(a, core)
 	}
--- a/scheduler/witness.go
+++ b/scheduler/witness.go
@@ -49,6 +49,17 @@
 	}
 }
 
+// ReadWitnesses processes the list in the store. It takes the place of a newer one that no
+// quorum of that one's own witnesses knows: another writer may have left it in the store,
+// from where this entry took it as it started.
+func (s *Scheduler) ReadWitnesses(list messenger.WitnessList) {
+	if list.Version <= s.witnesses.list.Version && !list.Equal(s.witnesses.list) && !s.listConfirmed() {
+		s.adoptWitnesses(list, nil)
+		return
+	}
+	s.SetWitnesses(list)
+}
+
 // adoptWitnesses adopts a list of witnesses, together with earlier ones that are kept.
 func (s *Scheduler) adoptWitnesses(list messenger.WitnessList, kept []earlierWitnesses) {
 	now := s.clock.Now()
@@ -70,8 +81,10 @@
 
 // HandleWitnessList processes the newest list that an agent knows.
 func (s *Scheduler) HandleWitnessList(name string, list messenger.WitnessList) {
-	s.findOrAddAgent(name).witnessVersion = list.Version
 	s.SetWitnesses(list)
+	if known := s.witnesses.list; list.Version != known.Version || list.Equal(known) {
+		s.findOrAddAgent(name).witnessVersion = list.Version
+	}
 }
 
 // tellWitnesses tells an agent that is a witness the list.
--- a/soaker/odd_test.go
+++ b/soaker/odd_test.go
@@ -60,6 +60,27 @@
 	}
 }
 
+// TestAListOfWitnessesOfAnotherWriterCostsNobodyTheirAnswers guards against an item in place
+// of the list of witnesses after which no entry serves a job any more.
+func TestAListOfWitnessesOfAnotherWriterCostsNobodyTheirAnswers(t *testing.T) {
+	for _, tt := range []struct{ name, value string }{
+		{"the greatest version, of agents that do not exist", `{"Version":9007199254740991,"Current":[{"Agent":"a"},{"Agent":"b"},{"Agent":"c"}]}`},
+		{"a great version, of agents that do not exist", `{"Version":1000000,"Current":[{"Agent":"a"},{"Agent":"b"},{"Agent":"c"}]}`},
+		{"the next version, of agents that do not exist", `{"Version":2,"Current":[{"Agent":"a"},{"Agent":"b"},{"Agent":"c"}]}`},
+		{"an older version", `{"Version":1,"Current":[{"Agent":"a"}]}`},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			runParallel(t)
+			d := newDeployment(t, 2, 6)
+			d.awaitReady(0)
+			d.store.Put(platform.WitnessesKey, []byte(tt.value))
+			// By then witnesses that are gone for good have been replaced, in two steps.
+			time.Sleep(7 * time.Second)
+			d.requireAllServed("list of witnesses of another writer")
+		})
+	}
+}
+
 // requireAllServed requires that each of a number of jobs is completed.
 func (d *deployment) requireAllServed(what string) {
 	const jobs = 60
