acceptor: Say that an entry is not ready while it can lock no job

What callers saw: an entry that had no quorum of the witnesses, and so could serve no job, said that it was ready, and the balancer went on to send callers there.

Cause: readiness asked for a list of witnesses and for a link to any agent.

The dump has the list's version and the number in contact.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -83,6 +83,8 @@
 	// firstReadDone is closed when the first read of the operators' directives has
 	// succeeded or failed.
 	firstReadDone chan struct{}
+	// quorumLost is whether the entry has been out of contact with most witnesses for long.
+	quorumLost atomic.Bool
 	// hasLinks is whether a link to an agent is open.
 	hasLinks atomic.Bool
 	// shutdownDeadline is when the drain of a shutdown ends, in Unix nanoseconds; zero
@@ -162,10 +164,10 @@
 }
 
 // isReady reports whether the balancer should send callers to this entry: it is not
-// shutting down, has a configuration, witnesses and a link to an agent, and its actor goes
-// on.
+// shutting down, has a configuration, a link to an agent and witnesses, most of which it has
+// heard of lately, and its actor goes on.
 func (a *Acceptor) isReady() bool {
-	return !a.Stopping() && a.configuration.Load() != nil && a.witnessList.Load() != nil && a.hasLinks.Load() &&
+	return !a.Stopping() && a.configuration.Load() != nil && a.witnessList.Load() != nil && a.hasLinks.Load() && !a.quorumLost.Load() &&
 		!a.owner.Failed() && a.lag.current() < maxReadyLag
 }
 
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -117,6 +117,9 @@
 	a.witnessList.Store(&messenger.WitnessList{})
 	a.lag.observeTick(a.deps.Clock.Now())
 	require.True(t, a.isReady())
+	a.quorumLost.Store(true)
+	require.False(t, a.isReady(), "it can lock no job")
+	a.quorumLost.Store(false)
 	a.lag.observeTick(a.deps.Clock.Now().Add(-maxReadyLag))
 	require.False(t, a.isReady())
 }
--- a/acceptor/actor.go
+++ b/acceptor/actor.go
@@ -162,6 +162,8 @@
 			c.acceptor.witnessList.Store(&e.List)
 			c.acceptor.keptWitnesses.Store(&e.Kept)
 			c.acceptor.deps.Log.WithFields(logrus.Fields{"version": e.List.Version, "witnesses": e.List.Current, "previous": e.List.Previous, "kept": e.Kept}).Info("witnesses in force")
+		case scheduler.QuorumContactChanged:
+			c.acceptor.quorumLost.Store(e.Lost)
 		case scheduler.Note:
 			c.logNote(e)
 		}
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -9,8 +9,12 @@
 	Jobs      int
 	// Contested counts the jobs that wait because another entry has locked them.
 	Contested int
-	Waiting   []JobDump
-	Agents    []AgentDump
+	// Witnesses is the version of the list of witnesses, and WitnessesInContact the number of
+	// those that were heard of lately.
+	Witnesses          uint64
+	WitnessesInContact int
+	Waiting            []JobDump
+	Agents             []AgentDump
 }
 
 // JobDump is the state of one job with ready tasks.
@@ -47,6 +51,8 @@
 // Dump returns the current state.
 func (s *Scheduler) Dump() Dump {
 	dump := Dump{Version: s.config.Version, Evacuated: s.config.Evacuated, Jobs: len(s.jobs), Contested: s.contestedLocks()}
+	dump.Witnesses = s.witnesses.list.Version
+	dump.WitnessesInContact = s.witnessesInContact(s.clock.Now())
 	for _, j := range s.queue {
 		if n := len(j.tasksIn(ready)); n > 0 {
 			dump.Waiting = append(dump.Waiting, JobDump{
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -69,7 +69,8 @@
 	Window float64
 }
 
-// Effect is an action for the entry process: a Send, a Reply, a WitnessesChanged or a Note.
+// Effect is an action for the entry process: a Send, a Reply, a WitnessesChanged, a
+// QuorumContactChanged or a Note.
 type Effect interface{ effect() }
 
 // Send sends a message to an agent.
@@ -93,6 +94,10 @@
 	Kept []string
 }
 
+// QuorumContactChanged tells whether the entry has been out of contact with most witnesses for
+// so long that it is better not to send it jobs.
+type QuorumContactChanged struct{ Lost bool }
+
 // Note is a log entry about a job or an agent.
 type Note struct {
 	Job   string
@@ -110,7 +115,8 @@
 	Wait time.Duration
 }
 
-func (Send) effect()             {}
-func (Reply) effect()            {}
-func (WitnessesChanged) effect() {}
-func (Note) effect()             {}
+func (Send) effect()                 {}
+func (Reply) effect()                {}
+func (WitnessesChanged) effect()     {}
+func (QuorumContactChanged) effect() {}
+func (Note) effect()                 {}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -48,8 +48,9 @@
 	withdrawnRuns map[string]int
 	// locks holds the locks of unfinished jobs, and of finished ones whose runs may not
 	// have ended, by job ID.
-	locks     map[string]*jobLock
-	witnesses witnessSet
+	locks         map[string]*jobLock
+	witnesses     witnessSet
+	quorumContact quorumContact
 	// nameHash is the hash of the entry's name.
 	nameHash uint64
 	crashes  crashLog
@@ -270,6 +271,7 @@
 		}
 	}
 	s.updateWitnesses(now)
+	s.updateQuorumContact(now)
 	s.advanceLocks(now)
 	for _, j := range s.jobsByArrival() {
 		switch {
