scheduler: Let only a list that no quorum has told since the start give way to an older one

Found in reading: an entry whose watch of the store lags behind what a witness has told it would have gone back to the older list for a moment, and given up the kept witnesses.

Change: only an unproved list gives way, one that no quorum of its witnesses has told since the entry started. A newer list in the store is taken over with the known witnesses, as before.

Result: TestAListThatNoQuorumOfItsWitnessesKnowsGivesWayToTheOneInTheStore plays it too: the entry stays with the version that the witness told.

--- a/scheduler/earlierwitness_test.go
+++ b/scheduler/earlierwitness_test.go
@@ -125,6 +125,13 @@
 	f.ReadWitnesses(knownList)
 	require.Equal(t, far, f.witnesses.list, "a quorum of its witnesses knows it")
 
+	f = newWitnessFixture()
+	f.ReadWitnesses(knownList)
+	f.tell(knownList, knownList.Current)
+	f.SetWitnesses(messenger.WitnessList{Version: 9, Current: knownList.Current})
+	f.ReadWitnesses(strangeList)
+	require.Equal(t, uint64(9), f.witnesses.list.Version, "a watch that lags behind what a witness has told")
+
 	f = newWitnessFixture()
 	sameVersion := messenger.WitnessList{Version: knownList.Version, Current: strangeList.Current}
 	f.ReadWitnesses(sameVersion)
--- a/scheduler/lock.go
+++ b/scheduler/lock.go
@@ -105,7 +105,7 @@
 }
 
 // panelsOf returns the names of the agents that are the witnesses of a lock's job: one
-// panel, or two while the list of witnesses is being changed.
+// panel, or more while there are earlier witnesses.
 func (s *Scheduler) panelsOf(l *jobLock) [][]string {
 	if l.panelVersion != s.witnesses.version {
 		l.panels = s.witnesses.panels(l.hash, s.dataCentre)
--- a/scheduler/witness.go
+++ b/scheduler/witness.go
@@ -31,6 +31,9 @@
 	earlier []earlierWitnesses
 	// version rises with each change of the panels.
 	version int
+	// unproved means that no quorum of the witnesses of a list has told it since the entry
+	// started. Another writer may have left the first one in the store.
+	unproved bool
 	// allStarted means that most of the witnesses have reported, and that none has run
 	// for allStartedWithin: the whole deployment has just started.
 	allStarted bool
@@ -49,11 +52,11 @@
 	}
 }
 
-// ReadWitnesses processes the list in the store. It takes the place of a newer one that no
-// quorum of that one's own witnesses knows: another writer may have left it in the store,
-// from where this entry took it as it started.
+// ReadWitnesses processes the list in the store. An older one takes the place of an unproved
+// one.
 func (s *Scheduler) ReadWitnesses(list messenger.WitnessList) {
-	if list.Version <= s.witnesses.list.Version && !list.Equal(s.witnesses.list) && !s.listConfirmed() {
+	known := s.witnesses.list
+	if s.witnesses.unproved && list.Version <= known.Version && !list.Equal(known) {
 		s.adoptWitnesses(list, nil)
 		return
 	}
@@ -63,11 +66,12 @@
 // adoptWitnesses adopts a list of witnesses, together with earlier ones that are kept.
 func (s *Scheduler) adoptWitnesses(list messenger.WitnessList, kept []earlierWitnesses) {
 	now := s.clock.Now()
+	unproved := s.witnesses.unproved || s.witnesses.list.Version == 0
 	earlier := kept
 	if len(list.Previous) > 0 {
 		earlier = append(earlier, earlierWitnesses{list: newWitnesses(list.Previous), inList: true})
 	}
-	s.witnesses = witnessSet{list: list, current: newWitnesses(list.Current), earlier: earlier, version: s.witnesses.version + 1}
+	s.witnesses = witnessSet{list: list, current: newWitnesses(list.Current), earlier: earlier, version: s.witnesses.version + 1, unproved: unproved}
 	s.emit(WitnessesChanged{List: list, Kept: s.witnesses.keptAgents()})
 	for _, a := range s.agentsByName {
 		s.tellWitnesses(a)
@@ -85,6 +89,7 @@
 	if known := s.witnesses.list; list.Version != known.Version || list.Equal(known) {
 		s.findOrAddAgent(name).witnessVersion = list.Version
 	}
+	s.witnesses.unproved = s.witnesses.unproved && !s.listConfirmed()
 }
 
 // tellWitnesses tells an agent that is a witness the list.
@@ -151,8 +156,8 @@
 }
 
 // panels returns the names of the agents that are the witnesses of a job, in the order in
-// which this entry asks them: those in its own data centre first. While there are previous
-// witnesses, the job has a second panel of them.
+// which this entry asks them: those in its own data centre first. While there are earlier
+// witnesses, the job has a panel of them too.
 func (x *witnessSet) panels(jobHash uint64, dataCentre string) [][]string {
 	var out [][]string
 	for _, list := range x.lists() {
