scheduler, acceptor: Ask in one place whether a witness is in contact

Cause, found in reading the whole change: whether an agent is in contact stood in lock.go and again in contact.go; two loops counted witnesses alike; WitnessList.Has was used by a test only; the known list was loaded twice while the store's was read, so that the two could differ.

Change: agent.inContact, countWitnesses, one load, and Has is gone (its test asks the same of Agents). Behaviour stays as it is.

--- a/acceptor/witnesslist.go
+++ b/acceptor/witnesslist.go
@@ -64,15 +64,16 @@
 		return
 	}
 	s.witnessRevision = item.Revision
+	known := s.acceptor.witnesses()
 	list, err := platform.ParseWitnessList(item)
 	if err == nil {
-		err = checkVersion(list, s.acceptor.witnesses())
+		err = checkVersion(list, known)
 	}
 	if err != nil {
 		s.logInvalid(item, "list of witnesses", err)
 		return
 	}
-	if known := s.acceptor.witnesses(); list.Version != known.Version || list.Equal(known) {
+	if list.Version != known.Version || list.Equal(known) {
 		s.storedWitnesses = list.Version
 	}
 	s.post(witnessesRead{list: list})
--- a/messenger/witness.go
+++ b/messenger/witness.go
@@ -43,12 +43,6 @@
 	return l.Version == o.Version && slices.Equal(l.Current, o.Current) && slices.Equal(l.Previous, o.Previous)
 }
 
-// Has reports whether an agent is among the witnesses.
-func (l WitnessList) Has(agent string) bool {
-	matches := func(w Witness) bool { return w.Agent == agent }
-	return slices.ContainsFunc(l.Current, matches) || slices.ContainsFunc(l.Previous, matches)
-}
-
 // Agents returns the names of all witnesses, each once.
 func (l WitnessList) Agents() []string {
 	var out []string
--- a/scheduler/contact.go
+++ b/scheduler/contact.go
@@ -44,11 +44,5 @@
 
 // witnessesInContact counts the witnesses that were heard of lately.
 func (s *Scheduler) witnessesInContact(now time.Time) int {
-	n := 0
-	for _, w := range s.witnesses.current {
-		if a := s.agents[w.Agent]; a != nil && a.linked && now.Sub(a.contactAt) < maxContactAge {
-			n++
-		}
-	}
-	return n
+	return s.countWitnesses(s.witnesses.current, func(a *agent) bool { return a.inContact(now) })
 }
--- a/scheduler/earlierwitness.go
+++ b/scheduler/earlierwitness.go
@@ -83,7 +83,7 @@
 		case e.confirmedSince.IsZero():
 			e.confirmedSince = now
 		}
-		if s.countLinked(e.list) >= majority(size) {
+		if s.countWitnesses(e.list, func(a *agent) bool { return a.linked }) >= majority(size) {
 			e.reachedAt = now
 		}
 	}
@@ -115,11 +115,11 @@
 	return out
 }
 
-// countLinked counts those of some witnesses to which a link is open.
-func (s *Scheduler) countLinked(list []witness) int {
+// countWitnesses counts those of some witnesses whose agents are known and match.
+func (s *Scheduler) countWitnesses(list []witness, matches func(a *agent) bool) int {
 	n := 0
 	for _, w := range list {
-		if a := s.agents[w.Agent]; a != nil && a.linked {
+		if a := s.agents[w.Agent]; a != nil && matches(a) {
 			n++
 		}
 	}
--- a/scheduler/latecopy_test.go
+++ b/scheduler/latecopy_test.go
@@ -69,7 +69,7 @@
 	next := slices.Clone(sim.witnesses.Current)
 	for i := range next {
 		a := sim.anyAgent()
-		if sim.rng.IntN(2) == 0 && !sim.witnesses.Has(a.name) && !slices.ContainsFunc(next, func(w messenger.Witness) bool { return w.Agent == a.name }) {
+		if sim.rng.IntN(2) == 0 && !slices.Contains(sim.witnesses.Agents(), a.name) && !slices.ContainsFunc(next, func(w messenger.Witness) bool { return w.Agent == a.name }) {
 			next[i] = messenger.Witness{Agent: a.name, Group: a.dataCentre}
 		}
 	}
--- a/scheduler/lock.go
+++ b/scheduler/lock.go
@@ -117,7 +117,7 @@
 // grants reports whether a witness keeps the lock for this entry.
 func (s *Scheduler) grants(l *jobLock, name string, now time.Time) bool {
 	v, a := l.votes[name], s.agents[name]
-	return v != nil && v.state == locked && v.epoch == a.lockEpoch && a.linked && now.Sub(a.contactAt) < maxContactAge
+	return v != nil && v.state == locked && v.epoch == a.lockEpoch && a.inContact(now)
 }
 
 // counts reports whether a witness counts for a quorum: it keeps the lock for this entry. If
--- a/scheduler/relock.go
+++ b/scheduler/relock.go
@@ -41,6 +41,12 @@
 	}
 }
 
+// inContact reports whether a message has arrived at the agent so lately that it keeps what
+// it has locked for this entry.
+func (a *agent) inContact(now time.Time) bool {
+	return a.linked && now.Sub(a.contactAt) < maxContactAge
+}
+
 // dropVotes makes the locks that the agent has granted count no longer, since its link
 // has opened or closed.
 func (a *agent) dropVotes() {
