soaker: Test crowds of clients outside the limits

These tests stand before any change of the product, with their crowds and bounds. They check that the process lives, that its peak memory, that with what its sockets hold (/proc/net/tcp), and its descriptors stay within the limits, and that one ordinary request is served while the crowd is there and one afterwards.

--- /dev/null
+++ b/soaker/crowd_test.go
@@ -0,0 +1,248 @@
+package soaker
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// crowdTime is how long a crowd stays at the least.
+	crowdTime = 3 * time.Second
+	// serveTimeout is how long an ordinary caller goes on trying.
+	serveTimeout = 30 * time.Second
+	// reconnectDelay is the time after which a member whose connection was closed opens
+	// another one.
+	reconnectDelay = 50 * time.Millisecond
+	// sampleInterval is the time between two looks at a process.
+	sampleInterval = 50 * time.Millisecond
+	// megabyte is the unit of memory in the platform's settings, in bytes.
+	megabyte = 1_000_000
+	// abortMemory is the memory of a process at which its crowd is ended early, in bytes, so
+	// that a failure does not take the whole machine with it.
+	abortMemory = 3_000 * megabyte
+)
+
+// shape is what one member of a crowd does on its connection. It returns when the member
+// has nothing more to send; the connection then stays open.
+type shape struct {
+	send func(ctx context.Context, c net.Conn)
+	// deaf means that the members read no answers.
+	deaf bool
+}
+
+// crowd is a set of connections that are open at once and do the same.
+type crowd struct {
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// startCrowd opens a number of connections to an address. A member whose connection is
+// closed opens another one, until the crowd is ended.
+func startCrowd(address string, members int, s shape) *crowd {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &crowd{cancel: cancel}
+	for range members {
+		c.wg.Go(func() {
+			for ctx.Err() == nil {
+				s.attend(ctx, address)
+				sleep(ctx, reconnectDelay)
+			}
+		})
+	}
+	return c
+}
+
+// end closes all connections.
+func (c *crowd) end() {
+	c.cancel()
+	c.wg.Wait()
+}
+
+// attend keeps one connection open until the other side closes it or ctx ends.
+func (s shape) attend(ctx context.Context, address string) {
+	d := net.Dialer{Timeout: time.Second}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	defer conn.Close()
+	if s.deaf {
+		s.send(ctx, conn)
+		<-ctx.Done()
+		return
+	}
+	go s.send(ctx, conn)
+	_, _ = io.Copy(io.Discard, conn)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// target is a process that a crowd is sent to, with what it may hold of its machine.
+type target struct {
+	pid func() int
+	// address is where the crowd connects.
+	address string
+	// memory is the limit of its memory, in bytes, and descriptors that of its
+	// descriptors.
+	memory      int64
+	descriptors int
+	// serves sends one ordinary request to the system and reports whether it was served.
+	serves func() bool
+}
+
+// withstands sends a crowd to a process. It requires that the process lives and stays
+// within its limits, and that an ordinary request is served while the crowd is there,
+// unless it takes the workers' room, and afterwards.
+func (g target) withstands(t *testing.T, members int, s shape, takesRoom bool) {
+	t.Helper()
+	pid := g.pid()
+	w := startWatcher(pid, g.address)
+	c := startCrowd(g.address, members, s)
+	for end := time.Now().Add(crowdTime); time.Now().Before(end) && w.memory("VmRSS:") < abortMemory; {
+		time.Sleep(sampleInterval)
+	}
+	during := takesRoom || (w.memory("VmRSS:") < abortMemory && g.servesOne())
+	c.end()
+	afterwards := g.servesOne()
+	peak := w.end()
+	t.Logf("at its peak %.1f MB in memory, %.1f MB with what its sockets hold, %d descriptors; served while the crowd was there: %t, afterwards: %t",
+		float64(peak.memory)/megabyte, float64(peak.total)/megabyte, peak.descriptors, during, afterwards)
+	require.Equal(t, pid, g.pid(), "the process has ended")
+	require.LessOrEqual(t, peak.memory, g.memory, "memory, in bytes")
+	require.LessOrEqual(t, peak.total, g.memory, "memory and unread bytes, in bytes")
+	require.LessOrEqual(t, peak.descriptors, g.descriptors, "descriptors")
+	require.True(t, during, "no ordinary request was served while the crowd was there")
+	require.True(t, afterwards, "no ordinary request was served after the crowd had left")
+}
+
+// servesOne reports whether an ordinary request is served within serveTimeout.
+func (g target) servesOne() bool {
+	for end := time.Now().Add(serveTimeout); time.Now().Before(end); {
+		if g.serves() {
+			return true
+		}
+		time.Sleep(sampleInterval)
+	}
+	return false
+}
+
+// footprint is what a process holds of its machine.
+type footprint struct {
+	// memory is its resident memory, and total that with the bytes that its sockets
+	// hold, both in bytes.
+	memory, total int64
+	descriptors   int
+}
+
+// watcher looks at a process again and again and keeps the peaks.
+type watcher struct {
+	pid  int
+	port string
+	stop chan struct{}
+	done chan struct{}
+	peak footprint
+}
+
+// startWatcher watches a process and the sockets at an address of its own.
+func startWatcher(pid int, address string) *watcher {
+	_, port, _ := net.SplitHostPort(address)
+	n, _ := strconv.Atoi(port)
+	w := &watcher{pid: pid, port: fmt.Sprintf("%04X", n), stop: make(chan struct{}), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+func (w *watcher) run() {
+	defer close(w.done)
+	for {
+		memory := w.memory("VmRSS:")
+		w.peak.memory = max(w.peak.memory, w.memory("VmHWM:"))
+		w.peak.total = max(w.peak.total, memory+w.queued())
+		w.peak.descriptors = max(w.peak.descriptors, w.descriptors())
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(sampleInterval):
+		}
+	}
+}
+
+// end returns the peaks.
+func (w *watcher) end() footprint {
+	close(w.stop)
+	<-w.done
+	return w.peak
+}
+
+// memory returns a line of the kernel's account of the process's memory, in bytes, or 0
+// if the process has ended.
+func (w *watcher) memory(line string) int64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", w.pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(raw), line)
+	fields := strings.Fields(rest)
+	if len(fields) == 0 {
+		return 0
+	}
+	kilobytes, _ := strconv.ParseInt(fields[0], 10, 64)
+	return kilobytes << 10
+}
+
+// descriptors returns the number of open descriptors of the process.
+func (w *watcher) descriptors() int {
+	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.pid))
+	if err != nil {
+		return 0
+	}
+	return len(list)
+}
+
+// queued returns the bytes that wait in the sockets at the address: received and not yet
+// read, and written and not yet taken by the other side.
+func (w *watcher) queued() int64 {
+	f, err := os.Open("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	defer f.Close()
+	var sum int64
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		// The fields are the number, the local and the other address, the state, and
+		// the bytes to be sent and to be read.
+		fields := strings.Fields(lines.Text())
+		if len(fields) < 5 || !strings.HasSuffix(fields[1], ":"+w.port) || fields[3] == listening {
+			continue
+		}
+		sent, received, _ := strings.Cut(fields[4], ":")
+		sum += parseHex(sent) + parseHex(received)
+	}
+	return sum
+}
+
+// listening is the state of a socket that accepts connections, in /proc/net/tcp.
+const listening = "0A"
+
+func parseHex(s string) int64 {
+	n, _ := strconv.ParseInt(s, 16, 64)
+	return n
+}
--- a/soaker/deployment_test.go
+++ b/soaker/deployment_test.go
@@ -58,6 +58,16 @@
 	os.Exit(status)
 }
 
+// options vary a deployment.
+type options struct {
+	// direct makes agents call their workers without a proxy.
+	direct bool
+	// limits are further lines of the settings of all processes.
+	limits string
+	// descriptors is the kernel's limit of the descriptors of each process, 0 for none.
+	descriptors int
+}
+
 // deployment is a complete deployment on loopback: store, entries, agents and workers.
 type deployment struct {
 	t         testing.TB
@@ -74,8 +84,7 @@
 	cancel        context.CancelFunc
 	ctx           context.Context
 	dataCentres   int
-	// direct makes agents call their workers without a proxy.
-	direct bool
+	options
 	// evacuationMu is held while a data centre is evacuated.
 	evacuationMu sync.Mutex
 
@@ -171,14 +180,14 @@
 }
 
 func newDeployment(t testing.TB, entries, agents int) *deployment {
-	return deploy(t, entries, agents, false)
+	return deploy(t, entries, agents, options{})
 }
 
-func deploy(t testing.TB, entries, agents int, direct bool) *deployment {
+func deploy(t testing.TB, entries, agents int, o options) *deployment {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &deployment{
 		t: t, dir: t.TempDir(), store: emulator.NewStore(), checker: newChecker(),
-		ctx: ctx, cancel: cancel, dataCentres: max(entries, 2), direct: direct, lastStarts: make(map[string]lastStart),
+		ctx: ctx, cancel: cancel, dataCentres: max(entries, 2), options: o, lastStarts: make(map[string]lastStart),
 	}
 	d.storeAddr = serve(t, d.store.Handler())
 	d.store.RewriteValue = d.rewriteLinkAddress
@@ -244,7 +253,7 @@
 			"timeout_ms": 1500, "target_latency_ms": 60, "max_attempts": maxAttempts, "stretch": 1.6,
 		}},
 		"services": []map[string]any{{"name": service, "enforces_capacity": true}},
-		"limits":   map[string]int{"max_body_bytes": 262144},
+		"limits":   map[string]int{"max_header_bytes": maxHeadBytes, "max_body_bytes": maxBodyBytes},
 	})
 	require.NoError(d.t, err)
 	d.store.Put("op/config", raw)
@@ -354,12 +363,12 @@
 // not start the process.
 func (d *deployment) newProcess(name, command, settings, dc string) *process {
 	path := filepath.Join(d.dir, name+".conf")
-	text := fmt.Sprintf("node_name=%s\nip=127.0.0.1\nzone=%s\nplatform.address=%s\nbounds.grace_period_s=%d\n%s",
-		name, dc, d.storeAddr, int(gracePeriod.Seconds()), settings)
+	text := fmt.Sprintf("node_name=%s\nip=127.0.0.1\nzone=%s\nplatform.address=%s\nbounds.grace_period_s=%d\n%s%s",
+		name, dc, d.storeAddr, int(gracePeriod.Seconds()), settings, d.limits)
 	require.NoError(d.t, os.WriteFile(path, []byte(text), 0o600))
 	log, err := os.Create(filepath.Join(d.dir, name+".log"))
 	require.NoError(d.t, err)
-	return &process{name: name, command: command, settings: path, log: log, onUnexpectedExit: d.checker.recordUnexpectedExit}
+	return &process{name: name, args: []string{"serve", command}, settings: path, text: text, descriptors: d.descriptors, log: log, onUnexpectedExit: d.checker.recordUnexpectedExit}
 }
 
 // close kills all processes of the deployment, and saves their logs when the test has
--- a/soaker/process_test.go
+++ b/soaker/process_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"os/exec"
@@ -23,10 +24,15 @@
 // process is one program under test. It is restarted when it exits without having been
 // stopped.
 type process struct {
-	name     string
-	command  string
-	settings string
-	log      *os.File
+	name string
+	// args are the program's arguments.
+	args []string
+	// settings is the path of the platform's settings file, and text what it holds; both
+	// are empty if the program reads none.
+	settings, text string
+	// descriptors is the kernel's limit of its descriptors, 0 for none.
+	descriptors int
+	log         *os.File
 	// onUnexpectedExit is called when the process exits without having been killed or
 	// stopped, and when it cannot be restarted.
 	onUnexpectedExit func(name, status string)
@@ -52,7 +58,11 @@
 
 // launch starts the program once. The caller must hold mu.
 func (p *process) launch() error {
-	cmd := exec.Command(programPath, "serve", p.command)
+	cmd := exec.Command(programPath, p.args...)
+	if p.descriptors > 0 {
+		limit := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, p.descriptors)
+		cmd = exec.Command("sh", append([]string{"-c", limit, programPath}, p.args...)...)
+	}
 	cmd.Env = append(os.Environ(), "POMELOFERRY_BOOT="+p.settings)
 	cmd.Stdout = p.log
 	cmd.Stderr = p.log
@@ -89,6 +99,13 @@
 	}
 }
 
+// pid returns the ID of the program's present process.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
 func (p *process) signal(sig syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/soaker/worker_test.go
+++ b/soaker/worker_test.go
@@ -115,7 +115,7 @@
 	// inFlight is the number of tasks that run at the same time, of the 40 that the
 	// workers have capacity for.
 	const inFlight = 32
-	d := deploy(t, 2, 4, true)
+	d := deploy(t, 2, 4, options{direct: true})
 	d.awaitReady(0)
 	stop := make(chan struct{})
 	callers := d.startSteadyLoad(work, work/inFlight, stop)
