limiter: Bound what all connections of a listener hold together

What callers saw: a process ran out of memory and ended, with all jobs that it had, when a crowd sent heads of very many short lines, or bodies that stopped just short of their end; one whose descriptors were used up answered nobody.

Cause: each connection by itself was bounded (1 MB of a head, 256 KB of a body, 3 s for a head, nothing for a body), their sum was not. A head takes about twelve times its bytes once it is parsed, for as long as the request is unfinished.

Change: a package that accounts for what the connections of a listener take of the instance's memory: each connection, each byte and line of a head, each byte of a body, until the answer has been written. The bounds come from the settings: limits.memory_mb and limits.max_fds, Limits in a settings file (256 MB and 4096 sockets by default). When they are reached, room is made by closing refused connections that linger, then those idle for 500 ms, then the one whose peer has kept a request unfinished or an answer unread for longest. A request that the process works on is never cut off; one for which there is no room beside those is refused with 503, which is true, since it has not been read. All listeners for HTTP of both products use it; those for operators and for the balancer's check have bounds of their own, so that a crowd at the front does not reach them. A body that does not come is waited for a minute. The soft limit of the Go runtime is 60% of the memory for all processes; agents had a fixed 48 MB.

Why it works: the sum over all connections is bounded, whatever they send, and the place of one that makes no progress goes to one that has just come.

Ruled out: net/http's MaxHeaderBytes, ReadTimeout and MaxBytesReader bound one request each; netutil.LimitListener lets newcomers wait for connections that stay open; semaphore.Weighted hands out what is free, and takes nothing back from one that holds it longest.

Left: messages of links, unread bytes in sockets, decoded parts, tasks, the limit of heads in the configuration. TestAPoolStaysWithinItsBounds plays random events against the sums; it found a charge for a closed connection, and a new one that was admitted while closed ones had not ended.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -9,13 +9,13 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/oklog/run"
 
+	"github.com/pomeloferry/pomeloferry/limiter"
 	"github.com/pomeloferry/pomeloferry/messenger"
 	"github.com/pomeloferry/pomeloferry/platform"
 	"github.com/pomeloferry/pomeloferry/provider"
@@ -35,10 +35,8 @@
 	// deregistrationDelay is how long an entry that shuts down still accepts
 	// connections, so that the balancer can stop sending requests to it.
 	deregistrationDelay = 3200 * time.Millisecond
-	// idleConnTimeout is the time without use after which a caller's connection is
-	// closed.
-	idleConnTimeout = 2 * time.Minute
-	headerTimeout   = 3 * time.Second
+	// headerTimeout bounds the time to read the head of a request.
+	headerTimeout = 3 * time.Second
 )
 
 // Store is the part of the platform's store that an entry uses.
@@ -63,6 +61,8 @@
 	// FarFactor is the factor by which a task takes longer away from its data; 0 or
 	// 1 means that this makes no difference.
 	FarFactor float64
+	// Instance is what the process may take of its instance.
+	Instance limiter.Instance
 }
 
 // Acceptor is one entry process.
@@ -96,6 +96,12 @@
 	lag              lag
 }
 
+// CallerLimits returns the bounds of the connections of callers.
+func CallerLimits(i limiter.Instance) limiter.Config {
+	const operatorListeners = 2 // The readiness check and the metrics.
+	return i.MainConfig("callers", operatorListeners, 100)
+}
+
 // NewAcceptor returns an entry whose listeners are open. It fails if an address cannot
 // be listened on.
 func NewAcceptor(deps provider.Deps, cfg Config, store Store) (*Acceptor, error) {
@@ -116,7 +122,9 @@
 	if err != nil {
 		return nil, err
 	}
-	a.listeners.front, a.listeners.ready, a.listeners.metrics = list[0], list[1], list[2]
+	a.listeners.front = limiter.NewPool(a.deps, CallerLimits(cfg.Instance)).Listener(list[0])
+	a.listeners.ready = limiter.NewPool(a.deps, cfg.Instance.OperatorConfig("ready")).Listener(list[1])
+	a.listeners.metrics = limiter.NewPool(a.deps, cfg.Instance.OperatorConfig("metrics")).Listener(list[2])
 	return a, nil
 }
 
@@ -128,14 +136,9 @@
 	links := newLinkSet(a)
 	a.owner = a.startOwner(runCtx, newEntryActor(a))
 	defer a.owner.Stop()
-	front := server.NewGracefulServer(a.deps.Clock, &http.Server{
-		Handler:           platform.NewJobHandler(a.deps.Clock, a),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleConnTimeout,
-		ConnContext:       server.ContextWithConn,
-	}, a.listeners.front)
-	ready := &http.Server{Handler: platform.NewReadyHandler(a.isReady), ReadHeaderTimeout: headerTimeout}
-	metrics := &http.Server{Handler: server.NewMetricsHandler(a.deps, a), ReadHeaderTimeout: headerTimeout}
+	front := server.NewGracefulServer(a.deps.Clock, limiter.NewServer(platform.NewJobHandler(a.deps.Clock, a), headerTimeout), a.listeners.front)
+	ready := limiter.NewServer(platform.NewReadyHandler(a.isReady), headerTimeout)
+	metrics := limiter.NewServer(server.NewMetricsHandler(a.deps, a), headerTimeout)
 
 	var g run.Group
 	g.Add(func() error { return a.drainOnShutdown(ctx, runCtx, front) }, func(error) { cancel() })
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,13 +9,13 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/oklog/run"
 
 	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/limiter"
 	"github.com/pomeloferry/pomeloferry/provider"
 	"github.com/pomeloferry/pomeloferry/server"
 	"github.com/pomeloferry/pomeloferry/starter"
@@ -37,6 +37,8 @@
 	mailboxSize = 4096
 	// askTimeout limits the wait for the actor's answer to a query.
 	askTimeout = 2 * time.Second
+	// headerTimeout limits the time to read the head of a request.
+	headerTimeout = 5 * time.Second
 )
 
 // Config holds the settings of one agent.
@@ -49,6 +51,8 @@
 	// Entries lists the link addresses of some entries. The agent learns those of the
 	// others from these.
 	Entries []string
+	// Instance is what the process may take of its instance.
+	Instance limiter.Instance
 }
 
 // Agent is one agent process.
@@ -66,7 +70,7 @@
 
 // NewAgent returns an agent that listens on cfg.Listen, but does not serve yet.
 func NewAgent(deps provider.Deps, cfg Config) (*Agent, error) {
-	listener, err := net.Listen("tcp", cfg.Listen)
+	listener, err := limiter.Listen(cfg.Listen)
 	if err != nil {
 		return nil, &Error{Op: "Listen", Kind: Unusable, Err: err}
 	}
@@ -74,7 +78,7 @@
 	a := &Agent{
 		deps:     deps,
 		cfg:      cfg,
-		listener: listener,
+		listener: limiter.NewPool(deps, cfg.Instance.MainConfig("upstream", 0, 100)).Listener(listener),
 		identity: starter.Identity{
 			Agent:       cfg.ID,
 			Incarnation: uuid.NewString(),
@@ -100,12 +104,12 @@
 	defer a.owner.Stop()
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	httpServer := &http.Server{Handler: a.handler(), ReadHeaderTimeout: 5 * time.Second}
+	httpServer := limiter.NewServer(a.handler(), headerTimeout)
 
 	var g run.Group
 	g.Add(func() error { return a.drainOnShutdown(ctx, inner) }, func(error) { cancel() })
 	g.Add(func() error { return a.owner.Wait(inner) }, func(error) { cancel() })
-	g.Add(func() error { return httpServer.Serve(a.listener) }, func(error) { _ = httpServer.Close() })
+	g.Add(func() error { return server.Serve(httpServer, a.listener) }, func(error) { _ = httpServer.Close() })
 	g.Add(func() error { return a.tick(inner) }, func(error) { cancel() })
 	g.Add(func() error { return a.links.run(inner) }, func(error) { cancel() })
 	a.deps.Log.WithField("listen", a.listener.Addr().String()).Info("agent started")
--- a/agent/http.go
+++ b/agent/http.go
@@ -1,15 +1,21 @@
 package agent
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/pomeloferry/pomeloferry/limiter"
 	"github.com/pomeloferry/pomeloferry/server"
 	"github.com/pomeloferry/pomeloferry/worker"
 )
 
+// maxAnnouncementBytes limits the size of an announcement, in bytes: a thousand services take
+// less.
+const maxAnnouncementBytes = 64 << 10
+
 // handler returns the HTTP API for the upstream and for operators.
 func (a *Agent) handler() http.Handler {
 	mux := http.NewServeMux()
@@ -23,8 +29,13 @@
 }
 
 func (a *Agent) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	raw, err := limiter.ReadBody(w, r, maxAnnouncementBytes)
+	if err != nil {
+		http.Error(w, "announcement: "+err.Error(), limiter.StatusOf(err))
+		return
+	}
 	var an worker.Announcement
-	d := json.NewDecoder(r.Body)
+	d := json.NewDecoder(bytes.NewReader(raw))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&an); err != nil {
 		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
--- a/checker/configuration.go
+++ b/checker/configuration.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/pomeloferry/pomeloferry/acceptor"
 	"github.com/pomeloferry/pomeloferry/platform"
 	"github.com/pomeloferry/pomeloferry/scheduler"
 )
@@ -28,9 +29,20 @@
 	if err != nil {
 		return nil, &Error{Op: "read settings", Kind: Unreadable, File: deployment.Name, Err: err}
 	}
+	findings = append(findings, d.checkBodyLimit(result.value, s)...)
 	return append(findings, d.checkResendDelay(result.value.Queues, s.MinResendDelay)...), nil
 }
 
+// checkBodyLimit finds a limit for bodies that an entry has no memory for.
+func (d document) checkBodyLimit(c scheduler.Configuration, s platform.Settings) []Finding {
+	largest := acceptor.CallerLimits(s.Instance()).LargestBody()
+	if c.BodyLimit <= largest {
+		return nil
+	}
+	return []Finding{d.finding(Contradiction, platform.LimitKey(platform.BodyLimitKey),
+		fmt.Sprintf("an entry of %s=%d has room for a body of %d bytes", platform.MemoryLimitKey, s.MemoryBytes/platform.BytesPerMegabyte, largest))}
+}
+
 // routeKey is the host and the path prefix of the requests that a queue accepts.
 type routeKey struct{ host, prefix string }
 
--- a/checker/configuration_test.go
+++ b/checker/configuration_test.go
@@ -91,3 +91,30 @@
 		})
 	}
 }
+
+// Guards against a limit of bodies that the entries of the deployment have no memory for.
+func TestBodyLimitIsComparedWithTheMemoryOfTheMachine(t *testing.T) {
+	const configuration = `{"version": 1, "routes": [], "limits": {"max_body_bytes": 4194304}}`
+	for _, tt := range []struct {
+		name   string
+		memory int
+		want   string
+	}{
+		{"enough", 284, ""},
+		{"too little", 64, "c.json:1: Contradiction: limits.max_body_bytes: an entry of limits.memory_mb=64 has room for a body of "},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			settings := fmt.Sprintf("node_name=n\nip=127.0.0.1\nzone=z\nplatform.address=127.0.0.1:1\ninternal_ports=1,2\nlimits.memory_mb=%d\n", tt.memory)
+			r, err := checker.Check(checker.File{Name: "c.json", Raw: []byte(configuration)}, checker.Options{
+				Deployment: &checker.File{Name: "machine.conf", Raw: []byte(settings)},
+			})
+			require.NoError(t, err)
+			if tt.want == "" {
+				require.Empty(t, r.Findings)
+				return
+			}
+			require.Len(t, r.Findings, 1)
+			require.True(t, strings.HasPrefix(r.Findings[0].String(), tt.want), r.Findings[0])
+		})
+	}
+}
--- a/commander/process.go
+++ b/commander/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -14,6 +13,8 @@
 	"github.com/pomeloferry/pomeloferry/configurer"
 	"github.com/pomeloferry/pomeloferry/dispatcher"
 	"github.com/pomeloferry/pomeloferry/keeper"
+	"github.com/pomeloferry/pomeloferry/limiter"
+	"github.com/pomeloferry/pomeloferry/provider"
 	"github.com/pomeloferry/pomeloferry/receiver"
 	"github.com/pomeloferry/pomeloferry/server"
 	"github.com/pomeloferry/pomeloferry/storer"
@@ -21,13 +22,21 @@
 )
 
 const (
-	// agentMemoryLimit is the soft memory limit of an agent's Go runtime, in bytes.
-	agentMemoryLimit = 48 << 20
+	// headerTimeout bounds the time to read the head of a request.
+	headerTimeout = 5 * time.Second
+	// bytesPerMegabyte is the unit of memory in settings and flags.
+	bytesPerMegabyte = 1_000_000
 	// shutdownTimeout is the maximum time for which an emulated upstream finishes its
 	// last tasks.
 	shutdownTimeout = 65 * time.Second
 )
 
+// limitMemory sets the soft limit of the Go runtime's memory, and returns i.
+func limitMemory(i limiter.Instance) limiter.Instance {
+	debug.SetMemoryLimit(i.GoMemoryBytes())
+	return i
+}
+
 // processFlags identify a process of a deployment.
 type processFlags struct {
 	Settings string `required:"" type:"existingfile" help:"Settings file of the deployment."`
@@ -60,6 +69,7 @@
 		Seed:       uint64(time.Now().UnixNano()),
 		Order:      parseOrder(c.Order),
 		Placement:  parsePlacement(c.Placement),
+		Instance:   limitMemory(s.Instance()),
 	}, keeper.NewClient(s.Store))
 	if err != nil {
 		return errors.Wrapf(err, "settings %s: entry %s", c.Settings, c.ID)
@@ -102,13 +112,13 @@
 	if err != nil {
 		return errors.Wrap(err, c.Settings)
 	}
-	debug.SetMemoryLimit(agentMemoryLimit)
 	p, err := agent.NewAgent(env.deps, agent.Config{
 		ID:         a.ID,
 		DataCentre: a.DataCentre,
 		Rack:       a.Rack,
 		Listen:     a.Listen,
 		Entries:    s.LinkAddresses(),
+		Instance:   limitMemory(s.Instance()),
 	})
 	if err != nil {
 		return errors.Wrapf(err, "settings %s: agent %s", c.Settings, c.ID)
@@ -118,14 +128,16 @@
 }
 
 type storeCommand struct {
-	Listen string `default:"127.0.0.1:23790" help:"Host and port to serve."`
+	Listen   string `default:"127.0.0.1:23790" help:"Host and port to serve."`
+	MemoryMB int64  `name:"memory-mb" default:"0" help:"Memory of the process in megabytes; 0 for the default of 256."`
 }
 
 // Run implements the command.
 func (c *storeCommand) Run(env *environment) error {
 	s := storer.NewStore(env.deps.Clock)
 	go server.DumpOnSignal(env.ctx, env.deps, s)
-	return serve(env.ctx, c.Listen, s.Handler(), nil)
+	instance := limitMemory(limiter.Instance{MemoryBytes: c.MemoryMB * bytesPerMegabyte})
+	return serve(env.ctx, env.deps, instance, c.Listen, s.Handler(), nil)
 }
 
 type upstreamCommand struct{ processFlags }
@@ -154,21 +166,22 @@
 		Agent: a.Listen,
 	})
 	go server.DumpOnSignal(env.ctx, env.deps, w)
-	return serve(env.ctx, u.Listen, w.Handler(), w)
+	return serve(env.ctx, env.deps, limitMemory(s.Instance()), u.Listen, w.Handler(), w)
 }
 
 // serve serves h at addr until ctx ends. Meanwhile w, unless it is nil, announces
 // itself to its agent; before the server stops, it shuts down.
-func serve(ctx context.Context, addr string, h http.Handler, w *worker.Worker) error {
-	listener, err := net.Listen("tcp", addr)
+func serve(ctx context.Context, deps provider.Deps, instance limiter.Instance, addr string, h http.Handler, w *worker.Worker) error {
+	listener, err := limiter.Listen(addr)
 	if err != nil {
 		return errors.Wrapf(err, "listen at %s", addr)
 	}
-	httpServer := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	pool := limiter.NewPool(deps, instance.MainConfig("calls", 0, 100))
+	httpServer := limiter.NewServer(h, headerTimeout)
 	serverCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var g run.Group
-	g.Add(func() error { return httpServer.Serve(listener) }, func(error) { _ = httpServer.Close() })
+	g.Add(func() error { return httpServer.Serve(pool.Listener(listener)) }, func(error) { _ = httpServer.Close() })
 	g.Add(func() error {
 		select {
 		case <-ctx.Done():
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"runtime/debug"
 	"strconv"
 
 	"github.com/go-faster/errors"
@@ -65,6 +64,7 @@
 		return err
 	}
 	reloadOnHangup(env, deps, s)
+	instance := limitMemory(s.Instance())
 	a, err := acceptor.NewAcceptor(deps, acceptor.Config{
 		ID:          s.NodeName,
 		DataCentre:  s.DataCentre,
@@ -73,6 +73,7 @@
 		MetricsAddr: hostPort(s.IP, s.LastInternalPort),
 		GracePeriod: s.GracePeriod,
 		FarFactor:   s.FarFactor,
+		Instance:    instance,
 	}, platform.NewStore(s.StoreAddr))
 	if err != nil {
 		return errors.Wrapf(err, "entry %s", s.NodeName)
@@ -91,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(agentMemoryLimit)
+	instance := limitMemory(s.Instance())
 	reloadOnHangup(env, deps, s)
 	link := hostPort(s.IP, s.FirstInternalPort)
 	directory := platform.NewRegistrar(platform.NewStore(s.StoreAddr), platform.Registration{
@@ -107,6 +108,7 @@
 		MetricsAddr:  hostPort(s.IP, s.LastInternalPort),
 		GracePeriod:  s.GracePeriod,
 		DrainTimeout: s.DrainTimeout,
+		Instance:     instance,
 	}, platform.NewWorkerClient(deps.Clock, s.UpstreamAddr), directory)
 	if err != nil {
 		return errors.Wrapf(err, "agent %s", s.NodeName)
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -19,6 +19,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/pomeloferry/pomeloferry/approver"
+	"github.com/pomeloferry/pomeloferry/limiter"
 )
 
 // Entry holds the settings of one entry.
@@ -60,12 +61,32 @@
 	Entries   []Entry
 	Agents    []Agent
 	Upstreams []Upstream
+	// Limits are those of each process.
+	Limits Limits
 }
 
-// The largest allowed values in settings.
+// Limits is what each process may take of its instance. A value of 0 means the default.
+type Limits struct {
+	// MemoryMB is its memory, in megabytes; 256 by default.
+	MemoryMB int64 `json:",omitempty"`
+	// Sockets is the number of its sockets; 4096 by default.
+	Sockets int `json:",omitempty"`
+}
+
+// Instance returns what each process may take of its instance.
+func (s Settings) Instance() limiter.Instance {
+	const bytesPerMegabyte = 1_000_000
+	return limiter.Instance{MemoryBytes: s.Limits.MemoryMB * bytesPerMegabyte, Sockets: s.Limits.Sockets}
+}
+
+// The smallest and the largest allowed values in settings.
 const (
 	maxSlots       = 1024
 	maxConnections = 65535
+	minMemoryMB    = 64
+	maxMemoryMB    = 1_000_000
+	minSockets     = 64
+	maxSockets     = 1_000_000
 )
 
 var idPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
@@ -207,6 +228,12 @@
 	}
 	agents := s.checkAgents(v)
 	s.checkUpstreams(v, agents)
+	if s.Limits.MemoryMB != 0 {
+		v.checkRange("Limits.MemoryMB", int(s.Limits.MemoryMB), minMemoryMB, maxMemoryMB)
+	}
+	if s.Limits.Sockets != 0 {
+		v.checkRange("Limits.Sockets", s.Limits.Sockets, minSockets, maxSockets)
+	}
 	return v.invalid
 }
 
--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -31,6 +31,8 @@
 		{"no such agent", `"Agent": "agent-1"`, `"Agent": "agent-2"`, `Upstreams[0].Agent: found "agent-2"`},
 		{"ID used twice", `"ID": "worker-1"`, `"ID": "agent-1"`, "an ID not used by Agents[0].ID"},
 		{"no store", "http://127.0.0.1:2379", "127.0.0.1", `Store: found "127.0.0.1"`},
+		{"too little memory", `"Entries"`, `"Limits": {"MemoryMB": 10}, "Entries"`, "Limits.MemoryMB: found 10, allowed 64 to 1000000"},
+		{"too few sockets", `"Entries"`, `"Limits": {"Sockets": -1}, "Entries"`, "Limits.Sockets: found -1, allowed 64 to 1000000"},
 		{"bad key", `"Entries"`, `"Trust": {"berta": "x"}, "Entries"`, `Trust.berta: found "x"`},
 	}
 	for _, tt := range tests {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -18,6 +18,7 @@
 	"github.com/pomeloferry/pomeloferry/agent"
 	"github.com/pomeloferry/pomeloferry/approver"
 	"github.com/pomeloferry/pomeloferry/keeper"
+	"github.com/pomeloferry/pomeloferry/limiter"
 	"github.com/pomeloferry/pomeloferry/provider"
 	"github.com/pomeloferry/pomeloferry/publisher"
 	"github.com/pomeloferry/pomeloferry/receiver"
@@ -28,6 +29,8 @@
 const (
 	loopback  = "127.0.0.1:0"
 	storeName = "store"
+	// headerTimeout bounds the time to read the head of a request.
+	headerTimeout = 5 * time.Second
 )
 
 // ApproverName is the name of the approver of a launched deployment's bundles.
@@ -177,7 +180,7 @@
 		return err
 	}
 	d.startProcess(AgentID(i), a.Run)
-	listener, err := net.Listen("tcp", loopback)
+	listener, err := limiter.Listen(loopback)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
@@ -198,7 +201,7 @@
 }
 
 func (d *Deployment) serve(name string, h http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", loopback)
+	listener, err := limiter.Listen(loopback)
 	if err != nil {
 		return "", errors.Wrap(err, "listen")
 	}
@@ -207,11 +210,12 @@
 }
 
 func (d *Deployment) serveOn(name string, listener net.Listener, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	server := limiter.NewServer(h, headerTimeout)
+	pool := limiter.NewPool(d.deps, limiter.Instance{}.MainConfig(name, 0, 100))
 	d.startProcess(name, func(ctx context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
-		return server.Serve(listener)
+		return server.Serve(pool.Listener(listener))
 	})
 }
 
--- /dev/null
+++ b/limiter/server.go
@@ -0,0 +1,34 @@
+package limiter
+
+import (
+	"net/http"
+	"time"
+)
+
+const (
+	// DefaultMaxHeadBytes bounds the head of a request where no configuration does, in
+	// bytes.
+	DefaultMaxHeadBytes = 64 << 10
+	// MaxServerHeadBytes is the bound of the HTTP library, in bytes, above which no other
+	// has an effect.
+	MaxServerHeadBytes = 1 << 20
+	// idleConnTimeout is the time without use after which a connection is closed.
+	idleConnTimeout = 2 * time.Minute
+	// answerTimeout bounds the time from a request's head until its answer has been
+	// written. Jobs take a minute at most.
+	answerTimeout = 2 * time.Minute
+)
+
+// NewServer returns an HTTP server for the connections of pools. A head has to be whole
+// within headerTimeout.
+func NewServer(h http.Handler, headerTimeout time.Duration) *http.Server {
+	return &http.Server{
+		Handler:           NewHandler(h),
+		MaxHeaderBytes:    MaxServerHeadBytes,
+		ReadHeaderTimeout: headerTimeout,
+		WriteTimeout:      answerTimeout,
+		IdleTimeout:       idleConnTimeout,
+		ConnContext:       ContextWithConn,
+		ConnState:         TrackState,
+	}
+}
--- a/receiver/http.go
+++ b/receiver/http.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,11 +12,11 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/pomeloferry/pomeloferry/approver"
 	"github.com/pomeloferry/pomeloferry/courier"
+	"github.com/pomeloferry/pomeloferry/limiter"
 	"github.com/pomeloferry/pomeloferry/server"
 )
 
@@ -54,7 +55,12 @@
 func (r *Receiver) serveSubmit(w http.ResponseWriter, req *http.Request) {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	s, p := r.parse(http.MaxBytesReader(w, req.Body, MaxBodyBytes))
+	raw, err := limiter.ReadBody(w, req, MaxBodyBytes)
+	if err != nil {
+		writeUnread(w, err)
+		return
+	}
+	s, p := r.parse(raw)
 	if p != nil {
 		writeProblem(w, *p)
 		return
@@ -83,9 +89,9 @@
 }
 
 // parse decodes and validates a submission. It returns the first problem found, or nil.
-func (r *Receiver) parse(body interface{ Read([]byte) (int, error) }) (courier.Submission, *Problem) {
+func (r *Receiver) parse(raw []byte) (courier.Submission, *Problem) {
 	var s courier.Submission
-	d := json.NewDecoder(body)
+	d := json.NewDecoder(bytes.NewReader(raw))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
 		return s, bodyProblem(err)
@@ -94,13 +100,20 @@
 }
 
 func bodyProblem(err error) *Problem {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &Problem{Field: "body", Detail: fmt.Sprintf("found more than %d bytes, allowed %d", tooLarge.Limit, tooLarge.Limit)}
-	}
 	return &Problem{Field: "body", Detail: "no submission in JSON: " + err.Error()}
 }
 
+// writeUnread answers a submission whose body was not read. Where there is no memory for it, the
+// answer promises nothing about earlier attempts, as NotRun would.
+func writeUnread(w http.ResponseWriter, err error) {
+	if limiter.StatusOf(err) == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeProblem(w, Problem{Field: "body", Detail: err.Error()})
+}
+
 // checkSubmission validates s at the time now. It returns the first problem found, or nil.
 func checkSubmission(s courier.Submission, now time.Time) *Problem {
 	problem := func(field, format string, args ...any) *Problem {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +18,7 @@
 	"github.com/pomeloferry/pomeloferry/courier"
 	"github.com/pomeloferry/pomeloferry/dispatcher"
 	"github.com/pomeloferry/pomeloferry/keeper"
+	"github.com/pomeloferry/pomeloferry/limiter"
 	"github.com/pomeloferry/pomeloferry/provider"
 	"github.com/pomeloferry/pomeloferry/server"
 )
@@ -35,6 +35,8 @@
 	mailboxSize = 16384
 	// askTimeout limits the wait for the actor's answer to a query.
 	askTimeout = 2 * time.Second
+	// headerTimeout limits the time to read the head of a request.
+	headerTimeout = 5 * time.Second
 )
 
 // Store is the part of the platform's key-value service that an entry uses.
@@ -63,6 +65,8 @@
 	// Placement and Order are the policies; nil selects the defaults.
 	Placement dispatcher.Placement
 	Order     dispatcher.Order
+	// Instance is what the process may take of its instance.
+	Instance limiter.Instance
 }
 
 // Receiver is one entry process.
@@ -83,20 +87,21 @@
 // NewReceiver returns an entry that listens on cfg.Listen and cfg.Link, but does not serve
 // yet.
 func NewReceiver(deps provider.Deps, cfg Config, store Store) (*Receiver, error) {
-	listener, err := net.Listen("tcp", cfg.Listen)
+	listener, err := limiter.Listen(cfg.Listen)
 	if err != nil {
 		return nil, &Error{Op: "Listen", Kind: Unusable, Err: err}
 	}
-	linkListener, err := net.Listen("tcp", cfg.Link)
+	linkListener, err := limiter.Listen(cfg.Link)
 	if err != nil {
 		_ = listener.Close()
 		return nil, &Error{Op: "Link", Kind: Unusable, Err: err}
 	}
+	const share = 50 // The rest is for the links.
 	r := &Receiver{
 		deps:         deps.WithField("entry", cfg.ID).WithField("data_centre", cfg.DataCentre),
 		cfg:          cfg,
 		store:        store,
-		listener:     listener,
+		listener:     limiter.NewPool(deps, cfg.Instance.MainConfig("callers", 0, share)).Listener(listener),
 		linkListener: linkListener,
 		self:         courier.EntryInfo{ID: cfg.ID, Link: linkListener.Addr().String()},
 	}
@@ -116,7 +121,7 @@
 	defer r.owner.Stop()
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	httpServer := server.NewGracefulServer(r.deps.Clock, &http.Server{Handler: r.handler(), ReadHeaderTimeout: 5 * time.Second}, r.listener)
+	httpServer := server.NewGracefulServer(r.deps.Clock, limiter.NewServer(r.handler(), headerTimeout), r.listener)
 
 	poller := &storePoller{receiver: r}
 
--- a/server/conn.go
+++ b/server/conn.go
@@ -2,25 +2,17 @@
 
 import (
 	"context"
-	"net"
 	"syscall"
-)
-
-// connKey is the key of a request's connection in its context.
-type connKey struct{}
 
-// ContextWithConn stores a connection in the context for PeerClosed. It is the
-// ConnContext hook of a server.
-func ContextWithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
+	"github.com/pomeloferry/pomeloferry/limiter"
+)
 
 // PeerClosed reports whether the peer of a request's connection has closed or reset
 // it. The context of a request is cancelled when its connection ends, but only after
 // package net/http has read from it: a process that was paused would begin a request
 // that its caller has long since sent elsewhere.
 func PeerClosed(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(syscall.Conn)
+	c, ok := limiter.ConnFromContext(ctx).(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/server/conn_test.go
+++ b/server/conn_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pomeloferry/pomeloferry/limiter"
 	"github.com/pomeloferry/pomeloferry/server"
 )
 
@@ -31,7 +32,7 @@
 			require.NoError(t, err)
 			s := &http.Server{
 				ReadHeaderTimeout: time.Second,
-				ConnContext:       server.ContextWithConn,
+				ConnContext:       limiter.ContextWithConn,
 				Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 					arrived <- true
 					<-proceed
--- a/server/graceful.go
+++ b/server/graceful.go
@@ -41,7 +41,7 @@
 	lastBusyAt time.Time
 }
 
-// NewGracefulServer returns a server that serves s at l. It sets the ConnState hook of
+// NewGracefulServer returns a server that serves s at l. It adds to the ConnState hook of
 // s.
 func NewGracefulServer(clock clockwork.Clock, s *http.Server, l net.Listener) *GracefulServer {
 	g := &GracefulServer{
@@ -51,7 +51,13 @@
 		newConns:    make(map[net.Conn]time.Time),
 		activeConns: make(map[net.Conn]bool),
 	}
-	s.ConnState = g.trackConnState
+	next := s.ConnState
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		g.trackConnState(c, state)
+		if next != nil {
+			next(c, state)
+		}
+	}
 	return g
 }
 
@@ -106,7 +112,7 @@
 	return len(g.activeConns), now.Sub(g.lastBusyAt) >= quietPeriod
 }
 
-// trackConnState records the state of each connection. It is the ConnState hook.
+// trackConnState records the state of each connection. It is part of the ConnState hook.
 func (g *GracefulServer) trackConnState(c net.Conn, state http.ConnState) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/server/listen.go
+++ b/server/listen.go
@@ -9,6 +9,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/jonboulle/clockwork"
+
+	"github.com/pomeloferry/pomeloferry/limiter"
 )
 
 // Kind classifies an Error.
@@ -41,7 +43,7 @@
 func Listen(addresses ...Address) ([]net.Listener, error) {
 	var listeners []net.Listener
 	for _, a := range addresses {
-		l, err := net.Listen("tcp", a.Addr)
+		l, err := limiter.Listen(a.Addr)
 		if err != nil {
 			for _, open := range listeners {
 				_ = open.Close()
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -15,9 +15,18 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/pomeloferry/pomeloferry/keeper"
+	"github.com/pomeloferry/pomeloferry/limiter"
 	"github.com/pomeloferry/pomeloferry/server"
 )
 
+const (
+	// maxCallBytes bounds the body of a call, in bytes: a few values of a megabyte, in
+	// base64.
+	maxCallBytes = 8 << 20
+	// maxCallElements bounds the comparisons and the writes of a call.
+	maxCallElements = 256
+)
+
 // Fault describes the faults that the emulated service injects.
 type Fault struct {
 	// Down makes every call fail with status 503.
@@ -93,13 +102,22 @@
 // serveJSON decodes the body of r, calls f with it and writes the encoded result.
 func serveJSON[Request, Response any](w http.ResponseWriter, r *http.Request, call func(Request) Response) {
 	var req Request
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !readJSON(w, r, &req) {
 		return
 	}
 	_ = json.NewEncoder(w).Encode(call(req))
 }
 
+// readJSON decodes the body of a call, or answers it with an error and returns false.
+func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	limit := limiter.BodyLimit{Bytes: maxCallBytes, Shape: limiter.Shape{Elements: maxCallElements}}
+	if err := limiter.ReadJSON(w, r, limit, v); err != nil {
+		http.Error(w, err.Error(), limiter.StatusOf(err))
+		return false
+	}
+	return true
+}
+
 func (s *Store) readRange(req keeper.RangeRequest) keeper.RangeResponse {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -157,11 +175,9 @@
 	mux.Handle("/v3/", s)
 	mux.HandleFunc("POST /fault", func(w http.ResponseWriter, r *http.Request) {
 		var f Fault
-		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
+		if readJSON(w, r, &f) {
+			s.SetFault(f)
 		}
-		s.SetFault(f)
 	})
 	mux.Handle("GET /dump", server.NewDumpHandler(s))
 	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -8,12 +8,12 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/oklog/run"
 
 	"github.com/pomeloferry/pomeloferry/executor"
+	"github.com/pomeloferry/pomeloferry/limiter"
 	"github.com/pomeloferry/pomeloferry/messenger"
 	"github.com/pomeloferry/pomeloferry/platform"
 	"github.com/pomeloferry/pomeloferry/provider"
@@ -29,6 +29,8 @@
 	askTimeout = time.Second
 	// gracePeriodMargin is the part of the grace period that remains after the drain.
 	gracePeriodMargin = 1500 * time.Millisecond
+	// headerTimeout bounds the time to read the head of a request.
+	headerTimeout = time.Second
 	// reportFlushDelay is the time after the drain in which the last reports reach the
 	// entries.
 	reportFlushDelay = 50 * time.Millisecond
@@ -77,6 +79,8 @@
 	// DrainTimeout is how long tasks may still start on a worker after it has announced
 	// that it drains.
 	DrainTimeout time.Duration
+	// Instance is what the process may take of its instance.
+	Instance limiter.Instance
 }
 
 // Supervisor is one agent process.
@@ -120,7 +124,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s.listeners.link, s.listeners.control, s.listeners.metrics = list[0], list[1], list[2]
+	const share = 50 // The rest is for the links.
+	s.listeners.link = list[0]
+	s.listeners.control = limiter.NewPool(s.deps, cfg.Instance.MainConfig("heartbeats", 1, share)).Listener(list[1])
+	s.listeners.metrics = limiter.NewPool(s.deps, cfg.Instance.OperatorConfig("metrics")).Listener(list[2])
 	return s, nil
 }
 
@@ -138,8 +145,8 @@
 		Dispatcher:  server.NewDispatcher(runCtx),
 	}, newAgentActor(s))
 	defer s.owner.Stop()
-	control := &http.Server{Handler: platform.NewHeartbeatHandler(s), ReadHeaderTimeout: time.Second}
-	metrics := &http.Server{Handler: server.NewMetricsHandler(s.deps, s), ReadHeaderTimeout: time.Second}
+	control := limiter.NewServer(platform.NewHeartbeatHandler(s), headerTimeout)
+	metrics := limiter.NewServer(server.NewMetricsHandler(s.deps, s), headerTimeout)
 
 	var g run.Group
 	g.Add(func() error { return s.drainOnShutdown(ctx, runCtx) }, func(error) { cancel() })
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/pomeloferry/pomeloferry/limiter"
 	"github.com/pomeloferry/pomeloferry/provider"
 	"github.com/pomeloferry/pomeloferry/server"
 )
@@ -189,22 +190,35 @@
 	mux.Handle("GET /dump", server.NewDumpHandler(w))
 	mux.HandleFunc("POST /behaviour", func(rw http.ResponseWriter, r *http.Request) {
 		var b Behaviour
-		if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
-			http.Error(rw, err.Error(), http.StatusBadRequest)
-			return
+		if readJSON(rw, r, &b) {
+			w.SetBehaviour(b)
 		}
-		w.SetBehaviour(b)
 	})
 	return mux
 }
 
+// maxCallBytes bounds the body of a call, in bytes. A task's payload is part of a submission,
+// which is smaller.
+const maxCallBytes = 8 << 20
+
+// readJSON decodes the body of a call, or answers it with an error and returns false. A payload
+// is kept as it is.
+func readJSON(rw http.ResponseWriter, r *http.Request, v any) bool {
+	const maxFields = 16
+	limit := limiter.BodyLimit{Bytes: maxCallBytes, Shape: limiter.Shape{Elements: maxFields, Depth: 1}}
+	if err := limiter.ReadJSON(rw, r, limit, v); err != nil {
+		http.Error(rw, err.Error(), limiter.StatusOf(err))
+		return false
+	}
+	return true
+}
+
 // TaskName returns the name of a task in the counts of starts.
 func TaskName(job string, index int) string { return fmt.Sprintf("%s#%d", job, index) }
 
 func (w *Worker) serveRun(rw http.ResponseWriter, r *http.Request) {
 	var req RunRequest
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
-		http.Error(rw, err.Error(), http.StatusBadRequest)
+	if !readJSON(rw, r, &req) {
 		return
 	}
 	_ = json.NewEncoder(rw).Encode(w.run(req))
@@ -212,8 +226,7 @@
 
 func (w *Worker) serveStop(rw http.ResponseWriter, r *http.Request) {
 	var req RunRequest
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
-		http.Error(rw, err.Error(), http.StatusBadRequest)
+	if !readJSON(rw, r, &req) {
 		return
 	}
 	w.mu.Lock()
