platform, receiver: Count the parts of a body before it is decoded

What callers saw: a hundred bodies of the legal 262,144 bytes, each a list of 87,000 empty steps, took 2,092 MB of an entry with 96 and would have ended it.

Cause: an empty step is sent in three bytes and decoded into about 150. That a job has at most 256 steps was checked after all of them had been made. The charge for a body's bytes covers what they are decoded into only where that has a bound.

Change: the elements of each list and object are counted in the bytes, and the body is refused with 400 before anything is decoded if there are more than a job can have; a few steps too many still get the answer that names them. The same for submissions, whose payloads are kept as they were sent and not looked at.

TestAJobOfVeryManyPartsIsRefusedBeforeItIsDecoded checks that refusing allocates less than the body has bytes.

--- a/receiver/http.go
+++ b/receiver/http.go
@@ -91,6 +91,9 @@
 // parse decodes and validates a submission. It returns the first problem found, or nil.
 func (r *Receiver) parse(raw []byte) (courier.Submission, *Problem) {
 	var s courier.Submission
+	if err := submissionShape.Check(raw); err != nil {
+		return s, bodyProblem(err)
+	}
 	d := json.NewDecoder(bytes.NewReader(raw))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
@@ -99,6 +102,10 @@
 	return s, checkSubmission(s, r.deps.Clock.Now())
 }
 
+// submissionShape bounds the parts of a submission: it is decoded down to the fields of its
+// tasks, and their payloads are kept as they are. A few tasks too many are reported as such.
+var submissionShape = limiter.Shape{Elements: 2 * approver.MaxTaskLimit, Depth: 3}
+
 func bodyProblem(err error) *Problem {
 	return &Problem{Field: "body", Detail: "no submission in JSON: " + err.Error()}
 }
