--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -318,6 +318,15 @@
 	return sum
 }
 
+// Tasks returns the number of tasks of all steps. The job must be valid.
+func (j Job) Tasks() int {
+	sum := 0
+	for _, s := range j.Steps {
+		sum += s.Count
+	}
+	return sum
+}
+
 // FirstStep returns the first step for the log, or an empty one if there is none.
 func (j Job) FirstStep() Step {
 	if len(j.Steps) == 0 {
