messenger, courier: Bound the messages that the links of a process hold

What was seen: two hundred connections to an agent's link port, each with a message of a megabyte that lacked its end, took 244 MB of 96; messages of 131,000 empty tasks 118 MB; 3,000 idle ones all descriptors. At the entry of a settings file twenty messages of 32 MB took 2,054 MB: their length had no bound at all.

Cause: the memory of a message was allocated as soon as its length had been read; a list in it was decoded whatever its length; and links were not counted.

Change: links belong to a pool of the limiter. A message is charged as it arrives, in a buffer that grows with what arrives, until it has been handled. A list in a message has at most 65,536 elements, more than a message of the greatest size has room for, and one message at a time is decoded. The library's codec reads any length, so it is wrapped.

TestAClaimedSizeTakesNoMemory, TestAListOfVeryManyElementsClosesTheLink and TestAMessageOverTheLimitClosesTheLink need no processes.

--- a/courier/courier.go
+++ b/courier/courier.go
@@ -70,7 +70,9 @@
 		_ = l.conn.Close()
 	})
 	ready := make(chan struct{})
-	stream := jsonrpc2.NewBufferedStream(TimeoutConn{Conn: socket, Timeout: IdleTimeout}, jsonrpc2.VarintObjectCodec{})
+	var read codec
+	read.accounted, _ = socket.(accounted)
+	stream := jsonrpc2.NewBufferedStream(TimeoutConn{Conn: socket, Timeout: IdleTimeout}, read)
 	receive := func(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) {
 		<-ready
 		l.receive(r)
--- a/courier/courier_test.go
+++ b/courier/courier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"net"
 	"sync/atomic"
@@ -52,6 +53,17 @@
 	require.Equal(t, uint64(1<<64-1), got.Tasks[0].Digest)
 }
 
+// TestAMessageOverTheLimitClosesTheLink guards against a message whose length has no bound.
+func TestAMessageOverTheLimitClosesTheLink(t *testing.T) {
+	near, far := net.Pipe()
+	box := newInbox()
+	courier.NewLink(context.Background(), near, box)
+	_, err := far.Write(binary.AppendUvarint(nil, 1<<30))
+	require.NoError(t, err)
+	<-box.closed
+	require.Empty(t, box.messages)
+}
+
 func TestLinkDeliversInOrder(t *testing.T) {
 	near, _, _, farBox := newLinkPair(t)
 	for i := range 16 {
--- a/limiter/price.go
+++ b/limiter/price.go
@@ -18,7 +18,7 @@
 func RequestPrice() Price { return Price{HeadByte: 4, HeadLine: 256, BodyByte: 8} }
 
 // MessagePrice returns the price of messages whose length precedes them, which have no head.
-func MessagePrice() Price { return Price{HeadByte: 4, BodyByte: 4} }
+func MessagePrice() Price { return Price{HeadByte: 8, BodyByte: 8} }
 
 // of returns the price of received bytes.
 func (p Price) of(b []byte, inBody bool) int64 {
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"io"
@@ -21,6 +22,9 @@
 	dialTimeout = 120 * time.Millisecond
 	// maxMessageBytes is the maximum size of one message, in bytes.
 	maxMessageBytes = 1 << 20
+	// maxListElements bounds each list in a message. A message of the greatest size has no
+	// room for as many elements as are sent.
+	maxListElements = 1 << 16
 )
 
 // messageTypes lists the message types; the index of a type is its number on the wire.
@@ -54,11 +58,22 @@
 	*courier.Sender
 	conn    courier.TimeoutConn
 	handler Handler
+	// accounted is nil if nobody accounts for what the connection holds.
+	accounted accounted
+}
+
+// accounted is a connection whose owner accounts for the memory that messages take.
+type accounted interface {
+	// Exclusively calls a function while no other connection of the owner does: decoded, a
+	// message may take many times its size.
+	Exclusively(decode func())
+	// FinishMessage is called when a message has been handled.
+	FinishMessage()
 }
 
 // NewLink starts a link over conn. The link closes conn when it ends.
 func NewLink(conn net.Conn, h Handler) *Link {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		// Data still in flight when a link is closed must not arrive later.
 		_ = tcp.SetLinger(0)
 	}
@@ -67,6 +82,7 @@
 		conn:    courier.TimeoutConn{Conn: conn, Timeout: IdleTimeout},
 		handler: h,
 	}
+	l.accounted, _ = conn.(accounted)
 	go l.write()
 	go l.read()
 	return l
@@ -107,12 +123,19 @@
 	defer l.handler.Closed(l)
 	defer l.Close()
 	in := bufio.NewReader(l.conn)
+	exclusively := func(decode func()) { decode() }
+	if l.accounted != nil {
+		exclusively = l.accounted.Exclusively
+	}
 	for {
-		msg, err := readMessage(in)
+		msg, err := readMessage(in, exclusively)
 		if err != nil {
 			return
 		}
 		l.handler.Receive(l, msg)
+		if l.accounted != nil {
+			l.accounted.FinishMessage()
+		}
 	}
 }
 
@@ -136,8 +159,9 @@
 	return append(buf, body...), nil
 }
 
-// readMessage reads one message and returns a pointer to it.
-func readMessage(r *bufio.Reader) (any, error) {
+// readMessage reads one message and returns a pointer to it. It calls exclusively to decode
+// the message.
+func readMessage(r *bufio.Reader, exclusively func(decode func())) (any, error) {
 	number, err := r.ReadByte()
 	if err != nil {
 		return nil, err
@@ -149,13 +173,27 @@
 	if int(number) >= len(messageTypes) || size > maxMessageBytes {
 		return nil, errors.Errorf("invalid message header: type %d, %d bytes", number, size)
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
+	// The buffer grows with what arrives, not with the size that is claimed.
+	var body bytes.Buffer
+	if _, err := io.CopyN(&body, r, int64(size)); err != nil {
 		return nil, err
 	}
 	msg := reflect.New(messageTypes[number]).Interface()
-	if err := cbor.Unmarshal(body, msg); err != nil {
-		return nil, errors.Wrapf(err, "decode %s", messageTypes[number].Name())
+	var decodeErr error
+	exclusively(func() { decodeErr = decoder.Unmarshal(body.Bytes(), msg) })
+	if decodeErr != nil {
+		return nil, errors.Wrapf(decodeErr, "decode %s", messageTypes[number].Name())
 	}
 	return msg, nil
 }
+
+// decoder decodes messages.
+var decoder = newDecoder()
+
+func newDecoder() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: maxListElements}.DecMode()
+	if err != nil {
+		panic(err) // The options are constant.
+	}
+	return m
+}
--- a/messenger/link_test.go
+++ b/messenger/link_test.go
@@ -1,8 +1,11 @@
 package messenger_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/binary"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -95,6 +98,36 @@
 	}
 }
 
+// TestAClaimedSizeTakesNoMemory guards against messages of which only the length is sent, and
+// that take as much memory as they claim.
+func TestAClaimedSizeTakesNoMemory(t *testing.T) {
+	const links, claimed = 64, 1 << 20
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range links {
+		near, far := net.Pipe()
+		l := messenger.NewLink(near, newInbox())
+		t.Cleanup(l.Close)
+		_, err := far.Write(append(binary.AppendUvarint([]byte{1}, claimed), 0))
+		require.NoError(t, err)
+	}
+	runtime.ReadMemStats(&after)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(links*claimed/8))
+}
+
+// TestAListOfVeryManyElementsClosesTheLink guards against a message that takes many times its
+// size once it is decoded.
+func TestAListOfVeryManyElementsClosesTheLink(t *testing.T) {
+	const place, elements = 2, 1<<16 + 1
+	body := append([]byte{0xa1, 0x05, 0x9a, 0, elements >> 16, elements >> 8 & 0xff, elements & 0xff}, bytes.Repeat([]byte{0xa0}, elements)...)
+	near, far := net.Pipe()
+	h := newInbox()
+	messenger.NewLink(near, h)
+	go func() { _, _ = far.Write(append(binary.AppendUvarint([]byte{place}, uint64(len(body))), body...)) }()
+	<-h.closed
+	require.Empty(t, h.received)
+}
+
 func TestInvalidMessageClosesTheLink(t *testing.T) {
 	for name, raw := range map[string][]byte{
 		"unknown type": {99, 1, 0},
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -96,13 +96,13 @@
 		_ = listener.Close()
 		return nil, &Error{Op: "Link", Kind: Unusable, Err: err}
 	}
-	const share = 50 // The rest is for the links.
+	const share = 50 // Of the callers, and of the links.
 	r := &Receiver{
 		deps:         deps.WithField("entry", cfg.ID).WithField("data_centre", cfg.DataCentre),
 		cfg:          cfg,
 		store:        store,
 		listener:     limiter.NewPool(deps, cfg.Instance.MainConfig("callers", 0, share)).Listener(listener),
-		linkListener: linkListener,
+		linkListener: limiter.NewPool(deps, cfg.Instance.MessageConfig("links", 0, share)).Listener(linkListener),
 		self:         courier.EntryInfo{ID: cfg.ID, Link: linkListener.Addr().String()},
 	}
 	r.peers = newPeerSet(r)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -124,8 +124,8 @@
 	if err != nil {
 		return nil, err
 	}
-	const share = 50 // The rest is for the links.
-	s.listeners.link = list[0]
+	const share = 50 // Of the links, and of the worker's heartbeats.
+	s.listeners.link = limiter.NewPool(s.deps, cfg.Instance.MessageConfig("links", 1, share)).Listener(list[0])
 	s.listeners.control = limiter.NewPool(s.deps, cfg.Instance.MainConfig("heartbeats", 1, share)).Listener(list[1])
 	s.listeners.metrics = limiter.NewPool(s.deps, cfg.Instance.OperatorConfig("metrics")).Listener(list[2])
 	return s, nil
