acceptor, platform: Keep to the configuration's limit of heads

What callers saw: a request with a head of 32 KB was served where the operators had set max_header_bytes to 16,384; up to a megabyte was read.

Cause: that limit of the configuration was not read at all.

The check of a configuration reports a limit above a megabyte, which the HTTP library does not exceed.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -122,7 +122,9 @@
 	if err != nil {
 		return nil, err
 	}
-	a.listeners.front = limiter.NewPool(a.deps, CallerLimits(cfg.Instance)).Listener(list[0])
+	callers := CallerLimits(cfg.Instance)
+	callers.MaxHeadBytes = a.maxHeadBytes
+	a.listeners.front = limiter.NewPool(a.deps, callers).Listener(list[0])
 	a.listeners.ready = limiter.NewPool(a.deps, cfg.Instance.OperatorConfig("ready")).Listener(list[1])
 	a.listeners.metrics = limiter.NewPool(a.deps, cfg.Instance.OperatorConfig("metrics")).Listener(list[2])
 	return a, nil
--- a/acceptor/jobs.go
+++ b/acceptor/jobs.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/pomeloferry/pomeloferry/limiter"
 	"github.com/pomeloferry/pomeloferry/scheduler"
 	"github.com/pomeloferry/pomeloferry/server"
 )
@@ -19,6 +20,14 @@
 	return *c, true
 }
 
+// maxHeadBytes returns the bound of the head of a request, in bytes.
+func (a *Acceptor) maxHeadBytes() int64 {
+	if c := a.configuration.Load(); c != nil {
+		return c.HeadLimit
+	}
+	return limiter.DefaultMaxHeadBytes
+}
+
 // AwaitConfiguration implements platform.JobService. The first read of the store takes
 // milliseconds, so it is better for callers who arrive meanwhile to wait for its outcome
 // than to try again later.
--- a/checker/configuration.go
+++ b/checker/configuration.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pomeloferry/pomeloferry/acceptor"
+	"github.com/pomeloferry/pomeloferry/limiter"
 	"github.com/pomeloferry/pomeloferry/platform"
 	"github.com/pomeloferry/pomeloferry/scheduler"
 )
@@ -22,6 +23,7 @@
 	}
 	findings = append(findings, d.checkUnreachableQueues(result.value.Queues)...)
 	findings = append(findings, d.checkQueueLimits(result.value.Queues)...)
+	findings = append(findings, d.checkHeadLimit(result.value)...)
 	if deployment == nil {
 		return findings, nil
 	}
@@ -33,6 +35,15 @@
 	return append(findings, d.checkResendDelay(result.value.Queues, s.MinResendDelay)...), nil
 }
 
+// checkHeadLimit finds a limit for heads that is above what an entry accepts.
+func (d document) checkHeadLimit(c scheduler.Configuration) []Finding {
+	if c.HeadLimit <= limiter.MaxServerHeadBytes {
+		return nil
+	}
+	return []Finding{d.finding(Contradiction, platform.LimitKey(platform.HeadLimitKey),
+		fmt.Sprintf("entries refuse heads of more than %d bytes", limiter.MaxServerHeadBytes))}
+}
+
 // checkBodyLimit finds a limit for bodies that an entry has no memory for.
 func (d document) checkBodyLimit(c scheduler.Configuration, s platform.Settings) []Finding {
 	largest := acceptor.CallerLimits(s.Instance()).LargestBody()
--- a/checker/configuration_test.go
+++ b/checker/configuration_test.go
@@ -74,6 +74,9 @@
 		{"valid", "", "", nil},
 		{"stretch just below one", "1.6", "0.9999999999999999", nil},
 		{"text after the value", "]}", "]} more", []string{"c.json:1: Fault: text after the end of the JSON value is refused or not read"}},
+		{"heads that no entry accepts", `"routes"`, `"limits": {"max_header_bytes": 1048577}, "routes"`, []string{
+			"c.json:1: Contradiction: limits.max_header_bytes: entries refuse heads of more than 1048576 bytes",
+		}},
 		{"objective below the estimate", "1.6", "0.5", []string{
 			"c.json:1: Contradiction: routes[0].stretch: a job whose longest chain is estimated at more than 120ms has an objective below that estimate",
 		}},
--- a/scheduler/configuration.go
+++ b/scheduler/configuration.go
@@ -15,8 +15,8 @@
 	// Revision is that of the operators' directives as a whole; it rises with each
 	// change.
 	Revision int64
-	// BodyLimit bounds the body of a request, in bytes.
-	BodyLimit int64
+	// HeadLimit bounds the head of a request, and BodyLimit its body, in bytes.
+	HeadLimit, BodyLimit int64
 	// FarFactor is the factor by which a task takes longer on a worker away from its
 	// data. It comes from the entry's settings; with 0 or 1 it makes no difference
 	// where the task runs.
