limiter: Split refusals and the server's hooks from the connections

Why: conn.go held the accounting, the refusals and the hooks of HTTP servers in one file, a finished message took the lock twice, and the log line of closed connections did not say how many are open and what they take.

Names say what they are: relist, evictablePhases.

--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -2,19 +2,12 @@
 
 import (
 	"container/list"
-	"context"
-	"errors"
-	"io"
 	"net"
-	"net/http"
 	"syscall"
 	"time"
 )
 
-// lingerTime is how long a refused connection stays open for its peer to read the refusal.
-const lingerTime = 500 * time.Millisecond
-
-// phase says for whom a connection waits. Connections are evicted in the order of the phases.
+// phase says for whom a connection waits. In the phases before busy it may be evicted.
 type phase int
 
 const (
@@ -29,7 +22,8 @@
 	busy
 	closed
 
-	phases = busy
+	// evictablePhases is the number of the phases in which connections are evicted.
+	evictablePhases = busy
 )
 
 // Conn is a connection of a pool. One goroutine at a time reads from it, and one writes.
@@ -67,12 +61,12 @@
 // setPhase changes the phase. The caller holds mu.
 func (c *Conn) setPhase(ph phase) {
 	c.phase = ph
-	c.list()
+	c.relist()
 }
 
-// list moves the connection to the end of the list in which it belongs by its phase, unless it
+// relist moves the connection to the end of the list in which it belongs by its phase, unless it
 // is there already. The caller holds mu.
-func (c *Conn) list() {
+func (c *Conn) relist() {
 	p := c.pool
 	as := c.phase
 	switch {
@@ -92,7 +86,7 @@
 		c.element = nil
 	}
 	c.listedAs = as
-	if as < phases {
+	if as < evictablePhases {
 		c.listedAt = p.deps.Clock.Now()
 		c.element = p.evictable[as].PushBack(c)
 		p.reclaimable += c.held
@@ -121,7 +115,7 @@
 func (c *Conn) evict() {
 	p := c.pool
 	c.evicted = true
-	c.list()
+	c.relist()
 	p.open.remove(c)
 	p.closing.add(c)
 	p.released.Broadcast()
@@ -177,41 +171,13 @@
 	if !c.headRead {
 		c.headBytes += int64(len(b))
 		if p.cfg.MaxHeadBytes != nil && c.headBytes > p.cfg.MaxHeadBytes()+readAheadBytes {
-			p.report.count(headTooLarge)
+			p.report.count(headTooLarge, p.open)
 			return &Error{Op: p.cfg.Name, Kind: TooLarge, Text: "head too large"}
 		}
 	}
 	return p.charge(c, price)
 }
 
-// The refusals of requests whose head has not been read. One that says 503 has not run.
-const (
-	refusedTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	refusedFull     = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-)
-
-// refuse returns the error for the reader of the connection. If the head of a request is
-// refused, no handler can answer, so it does.
-func (c *Conn) refuse(cause error) error {
-	var e *Error
-	c.pool.mu.Lock()
-	answers := c.pool.cfg.MaxHeadBytes != nil && !c.headRead && !c.evicted && errors.As(cause, &e)
-	c.refused = answers
-	c.pool.mu.Unlock()
-	if !answers {
-		return cause
-	}
-	answer := refusedFull
-	if e.Kind == TooLarge {
-		answer = refusedTooLarge
-	}
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerTime))
-	_, _ = io.WriteString(c.Conn, answer)
-	_ = c.CloseWrite()
-	// A server says nothing more on a connection that has ended.
-	return io.EOF
-}
-
 // Write implements net.Conn. While it waits for the peer to read, the connection may be
 // evicted.
 func (c *Conn) Write(b []byte) (int, error) {
@@ -224,7 +190,7 @@
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	c.writing = writing
-	c.list()
+	c.relist()
 }
 
 // Close implements net.Conn. A refused connection is closed a little later, since the peer
@@ -293,36 +259,41 @@
 	return c.pool.charge(c, n)
 }
 
-// FinishMessage records that a message of a link has been read. A connection that has carried
+// finishRequest records that the connection carries no request any more. It may have read a
+// part of the next one already.
+func (c *Conn) finishRequest() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.finish(c.lastChunkPrice)
+}
+
+// FinishMessage records that a message of a link has been handled. A connection that has carried
 // one is not evicted while it is idle.
 func (c *Conn) FinishMessage() {
 	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
 	c.established = true
-	c.lastChunkPrice = 0
-	c.pool.mu.Unlock()
-	c.finishRequest()
-}
-
-// Exclusively calls f while no other connection of the pool does.
-func (c *Conn) Exclusively(f func()) {
-	c.pool.exclusive.Lock()
-	defer c.pool.exclusive.Unlock()
-	f()
+	c.finish(0)
 }
 
-// finishRequest records that the connection carries no request any more.
-func (c *Conn) finishRequest() {
-	p := c.pool
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// finish makes the connection idle, with at most a number of bytes beside ConnBytes. The caller
+// holds mu.
+func (c *Conn) finish(kept int64) {
 	if c.phase == closed || c.phase == lingering {
 		return
 	}
-	c.setHeld(min(c.held, ConnBytes+c.lastChunkPrice))
+	c.setHeld(min(c.held, ConnBytes+kept))
 	c.headBytes = 0
 	c.headRead = false
 	c.setPhase(idle)
-	p.released.Broadcast()
+	c.pool.released.Broadcast()
+}
+
+// Exclusively calls f while no other connection of the pool does.
+func (c *Conn) Exclusively(f func()) {
+	c.pool.exclusive.Lock()
+	defer c.pool.exclusive.Unlock()
+	f()
 }
 
 // isEvicted reports whether the connection was closed to make room.
@@ -331,32 +302,3 @@
 	defer c.pool.mu.Unlock()
 	return c.evicted
 }
-
-// TrackState follows the state of a connection of an HTTP server. It is its ConnState hook.
-func TrackState(c net.Conn, state http.ConnState) {
-	conn, ok := c.(*Conn)
-	if !ok {
-		return
-	}
-	switch state {
-	case http.StateActive:
-		conn.finishHead()
-	case http.StateIdle:
-		conn.finishRequest()
-	}
-}
-
-// connKey is the key of a request's connection in its context.
-type connKey struct{}
-
-// ContextWithConn stores a connection in the context of its requests. It is the ConnContext
-// hook of a server.
-func ContextWithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
-// ConnFromContext returns the connection of a request, nil if the server does not store it.
-func ConnFromContext(ctx context.Context) net.Conn {
-	c, _ := ctx.Value(connKey{}).(net.Conn)
-	return c
-}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -67,7 +67,7 @@
 	reclaimable int64
 	// evictable has the connections of each phase that may be closed, the one that has
 	// been in it for longest first.
-	evictable [phases]list.List
+	evictable [evictablePhases]list.List
 }
 
 // usage is a number of connections and what they take of the instance's memory, in bytes.
@@ -113,7 +113,7 @@
 	defer p.mu.Unlock()
 	for p.open.conns >= p.cfg.MaxConns-p.cfg.MaxConns/closingShare || p.open.held+ConnBytes > p.cfg.maxOpenBytes() {
 		if !p.evictOne(nil) {
-			p.report.count(noConnection)
+			p.report.count(noConnection, p.open)
 			return nil
 		}
 	}
@@ -150,9 +150,9 @@
 	return nil
 }
 
-// full returns the error of a connection for which there is no room.
+// full returns the error of a connection for which there is no room. The caller holds mu.
 func (p *Pool) full(n int64) error {
-	p.report.count(noMemory)
+	p.report.count(noMemory, p.open)
 	return &Error{Op: p.cfg.Name, Kind: Full, Text: fmt.Sprintf("no room for %d bytes", n)}
 }
 
@@ -163,7 +163,7 @@
 	if victim == nil || victim == c {
 		return false
 	}
-	p.report.count(evictionReason(victim.listedAs))
+	p.report.count(evictionReason(victim.listedAs), p.open)
 	victim.evict()
 	return true
 }
--- a/limiter/report.go
+++ b/limiter/report.go
@@ -33,7 +33,7 @@
 )
 
 func evictionReason(ph phase) reason {
-	return [phases]reason{lingering: lingeringEvicted, idle: idleEvicted, unfinished: unfinishedEvicted}[ph]
+	return [evictablePhases]reason{lingering: lingeringEvicted, idle: idleEvicted, unfinished: unfinishedEvicted}[ph]
 }
 
 // report counts what a pool closes and refuses, and logs it at a bounded rate.
@@ -57,19 +57,18 @@
 	return r
 }
 
-// count counts one connection or request. What follows within logInterval of a line is logged
-// with the next one.
-func (r *report) count(why reason) {
+// count counts one connection or request, and logs it with what the connections take. What
+// follows within logInterval of a line is logged with the next one.
+func (r *report) count(why reason, now usage) {
 	r.counters[why].Inc()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.unlogged[why]++
-	now := r.deps.Clock.Now()
-	if now.Sub(r.loggedAt) < logInterval {
+	if r.deps.Clock.Since(r.loggedAt) < logInterval {
 		return
 	}
-	r.loggedAt = now
-	fields := logrus.Fields{"listener": r.name}
+	r.loggedAt = r.deps.Clock.Now()
+	fields := logrus.Fields{"listener": r.name, "connections": now.conns, "bytes": now.held}
 	for why, n := range r.unlogged {
 		fields[string(why)] = n
 	}
--- a/limiter/server.go
+++ b/limiter/server.go
@@ -1,6 +1,8 @@
 package limiter
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"time"
 )
@@ -32,3 +34,32 @@
 		ConnState:         TrackState,
 	}
 }
+
+// TrackState follows the state of a connection of an HTTP server. It is its ConnState hook.
+func TrackState(c net.Conn, state http.ConnState) {
+	conn, ok := c.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		conn.finishHead()
+	case http.StateIdle:
+		conn.finishRequest()
+	}
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// ContextWithConn stores a connection in the context of its requests. It is the ConnContext
+// hook of a server.
+func ContextWithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// ConnFromContext returns the connection of a request, nil if the server does not store it.
+func ConnFromContext(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	return c
+}
