limiter: Let the buffer of a body grow with what arrives

Cause: the reading of a body began with a buffer of up to 64 KB, as large as the head announced, before a byte of it had arrived; received bytes are charged, announced ones are not.

Change: the buffer begins with 2 KB, which the charge for a connection covers. A body that nobody reads, of a request that is refused before, is waited for as long as any other.

--- a/limiter/request.go
+++ b/limiter/request.go
@@ -16,7 +16,7 @@
 	bodyTimeout = time.Minute
 	// firstBufferBytes is the size of the buffer in which the reading of a body begins,
 	// in bytes. It grows with what arrives, not with what the head promises.
-	firstBufferBytes = 64 << 10
+	firstBufferBytes = 2 << 10
 )
 
 // BodyLimit bounds a body in JSON.
@@ -37,6 +37,9 @@
 		}
 		if r.ContentLength == 0 {
 			c.finishBody()
+		} else {
+			// A server reads the body to its end, also if the handler does not.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 		}
 		h.ServeHTTP(w, r)
 		if c.isEvicted() {
@@ -72,8 +75,6 @@
 	if r.ContentLength > maxBytes {
 		return nil, &Error{Op: op, Kind: TooLarge, Text: tooLarge(maxBytes)}
 	}
-	deadlines := http.NewResponseController(w)
-	_ = deadlines.SetReadDeadline(time.Now().Add(bodyTimeout))
 	var b bytes.Buffer
 	b.Grow(int(min(max(r.ContentLength, 0), firstBufferBytes)) + bytes.MinRead)
 	_, err := b.ReadFrom(http.MaxBytesReader(w, r.Body, maxBytes))
@@ -89,7 +90,7 @@
 		return nil, &Error{Op: op, Kind: Malformed, Err: err}
 	}
 	// A server reads on while a request is in progress, to notice that the peer leaves.
-	_ = deadlines.SetReadDeadline(time.Time{})
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	if c, ok := ConnFromContext(r.Context()).(*Conn); ok {
 		c.finishBody()
 	}
--- a/soaker/crowdtests_test.go
+++ b/soaker/crowdtests_test.go
@@ -100,6 +100,7 @@
 		{"empty lines without end after a request", 100, crowdDescriptors, withoutEnd(withBody(path, 2, []byte("{}")), []byte("\r\n")), false},
 		{"many heads of short lines left open", 2000, crowdDescriptors, sending(always(headOf("POST", path, 4096, anotherName))), false},
 		{"many heads of short lines with a tenth of the body", 2000, crowdDescriptors, sending(always(headWithTenth(path))), false},
+		{"heads that claim a body of the greatest size", 2000, crowdDescriptors, sending(always(withBody(path, maxBodyBytes, []byte("{")))), false},
 		{"bodies that stop short", 300, crowdDescriptors, sending(always(unfinishedBody(path, maxBodyBytes))), false},
 		{"bodies in pieces that stop short", 300, crowdDescriptors, inPieces(unfinishedBody(path, maxBodyBytes)), false},
 		{"chunked bodies without end", 300, crowdDescriptors, withoutEnd([]byte(requestLines("POST", path)+"Transfer-Encoding: chunked\r\n\r\n"), []byte("1\r\na\r\n")), false},
