dispatcher: Bound the payloads and results of the jobs that an entry keeps

What callers saw: a hundred callers submitted detached jobs of 3 MB, whose results are as large, and left. For 30 s afterwards no ordinary job was served; with longer tasks, in a trial, the entry took 280 MB of 256.

Cause: admission counts tasks. Payloads are kept until a job is done and results until 5 s after its deadline, also without a caller; the charge for a connection ends with it. Close to its soft limit the garbage collector took the time.

Change: the dispatcher adds up the payloads of unfinished jobs and the results of finished ones, and refuses a job that needs more than a quarter of what is left of its bound (NotRun, Overload: true, since nothing of it has started). So small jobs are admitted while large ones are refused. The entry gives a fifth of its memory to them, 30% to callers and half to links.

--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -163,6 +163,15 @@
 	return "", 0
 }
 
+// keptShare is the share, as a divisor, of the memory left for jobs that one of them may take.
+// So a small job finds room while large ones are kept.
+const keptShare = 4
+
+// hasMemoryFor reports whether the payloads of a submission can be kept.
+func (d *Dispatcher) hasMemoryFor(s courier.Submission) bool {
+	return d.cfg.MaxKeptBytes == 0 || payloadBytes(s) <= (d.cfg.MaxKeptBytes-d.keptBytes)/keptShare
+}
+
 // slotShare estimates how many slots run tasks of this owner.
 func (d *Dispatcher) slotShare() int {
 	t := d.fleet.totals
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -91,6 +91,9 @@
 	Placement Placement
 	// Order ranks the jobs with waiting tasks. Nil means VirtualFinish.
 	Order Order
+	// MaxKeptBytes bounds the payloads and results of all jobs together, in bytes; 0 means
+	// that nothing does.
+	MaxKeptBytes int64
 }
 
 // Request is one copy of a submission as its owner receives it.
@@ -140,6 +143,8 @@
 	jobs    map[string]*job
 	expiry  expiryQueue
 	waiters map[Waiter]*job
+	// keptBytes is the sum of the jobs' bytes.
+	keptBytes int64
 	// forbiddenAttempts holds the highest attempt of each job that was answered NotRun.
 	forbiddenAttempts map[string]forbiddenAttempt
 	// pendingForbids holds the NotRun answers that wait until an agent has recorded the
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -127,6 +127,38 @@
 	return h.lastWaiter
 }
 
+// TestLargeJobsThatAreKeptLeaveMemoryForSmallOnes guards against payloads and results that fill
+// the memory of an entry after their callers have left, and against a job that is forgotten but
+// still counts.
+func TestLargeJobsThatAreKeptLeaveMemoryForSmallOnes(t *testing.T) {
+	const payload, deadline = 1 << 20, 10 * time.Second
+	h := newHarness(1, 100)
+	h.dispatcher.cfg.MaxKeptBytes = 16 * payload
+	submit := func(key string, bytes int) courier.State {
+		h.lastWaiter++
+		h.dispatcher.Submit(Request{Waiter: h.lastWaiter, Digest: 1, Submission: courier.Submission{
+			Team: "team", Key: key, Service: "quote", Attempt: 1, Detached: true, Deadline: h.clock.Now().Add(deadline),
+			Tasks: []courier.Task{{Payload: make(json.RawMessage, bytes)}},
+		}})
+		h.applyEffects()
+		return h.replies[h.lastWaiter].State
+	}
+	kept := 0
+	for ; submit(fmt.Sprint("large-", kept), payload) != courier.NotRun; kept++ {
+		require.Less(t, kept, 16, "large jobs are not refused")
+	}
+	require.Equal(t, 12+1, kept, "the last quarter is for smaller jobs")
+	require.NotEqual(t, courier.NotRun, submit("small", 100))
+	require.Equal(t, int64(kept)*payload+100, h.dispatcher.keptBytes)
+	for h.finish("agent-0", courier.Succeeded) {
+	}
+	require.Equal(t, int64(kept+1)*int64(len(`"ok"`)), h.dispatcher.keptBytes, "results are kept, payloads are not")
+	h.clock.Advance(deadline + AnswerRetention + time.Second)
+	h.dispatcher.Tick()
+	require.Zero(t, h.dispatcher.keptBytes)
+	require.Empty(t, h.dispatcher.jobs)
+}
+
 func TestFailingAgentIsEjected(t *testing.T) {
 	h := newHarness(10, 4)
 	started := 0
--- a/dispatcher/job.go
+++ b/dispatcher/job.go
@@ -59,6 +59,8 @@
 	// done means that answer is final. It never becomes false again.
 	done   bool
 	answer courier.Answer
+	// bytes is the size of the payloads, and of the results once the job is done.
+	bytes int64
 	// queued and heapIndex are maintained by the queue.
 	queued    bool
 	heapIndex int
@@ -79,9 +81,28 @@
 		waitingTasks: n,
 		unfinished:   n,
 		waiters:      make(map[Waiter]struct{}),
+		bytes:        payloadBytes(r.Submission),
 	}
 }
 
+// payloadBytes returns the size of the payloads of a submission, in bytes.
+func payloadBytes(s courier.Submission) int64 {
+	var sum int64
+	for _, t := range s.Tasks {
+		sum += int64(len(t.Payload))
+	}
+	return sum
+}
+
+// resultBytes returns the size of the results in an answer, in bytes.
+func resultBytes(a courier.Answer) int64 {
+	var sum int64
+	for _, r := range a.Results {
+		sum += int64(len(r))
+	}
+	return sum
+}
+
 // takeWaiting returns the index of a waiting task, and marks it as the next task sent
 // to a.
 func (j *job) takeWaiting(a *agent, now time.Time) int {
--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -215,10 +215,17 @@
 	s := j.submission
 	s.Attempt = j.attempt
 	d.finish(j, answer)
-	delete(d.jobs, j.id)
+	d.forget(j)
 	d.refuseDurably(s, noOtherCopy, answer, waiters)
 }
 
+// forget stops tracking a job.
+func (d *Dispatcher) forget(j *job) {
+	delete(d.jobs, j.id)
+	d.keptBytes -= j.bytes
+	j.bytes = 0
+}
+
 // finish records the final answer of a job, sends it to every waiter, and stops the
 // tasks that still run.
 func (d *Dispatcher) finish(j *job, answer courier.Answer) {
@@ -230,6 +237,8 @@
 	d.stopTasks(j)
 	j.done = true
 	j.answer = answer
+	d.keptBytes += resultBytes(answer) - j.bytes
+	j.bytes = resultBytes(answer)
 	for _, w := range sortedWaiters(j) {
 		delete(d.waiters, w)
 		d.reply(w, answer)
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -283,7 +283,7 @@
 // dropJob stops tracking a job whose partition another entry owns now.
 func (d *Dispatcher) dropJob(j *job) {
 	d.queue.removeJob(j)
-	delete(d.jobs, j.id)
+	d.forget(j)
 	j.done = true
 	for _, w := range sortedWaiters(j) {
 		delete(d.waiters, w)
--- a/dispatcher/submit.go
+++ b/dispatcher/submit.go
@@ -110,6 +110,10 @@
 		d.refuse(r, reason, "the tasks waiting would take longer than the deadline allows", retryAfter)
 		return
 	}
+	if !d.hasMemoryFor(s) {
+		d.refuse(r, courier.ReasonOverload, "the jobs that are kept leave no memory for its payloads", d.admission.retryAfter(d, len(s.Tasks)))
+		return
+	}
 	j := d.addJob(r)
 	d.queue.add(j, j.waitingTasks)
 }
@@ -141,6 +145,7 @@
 func (d *Dispatcher) addJob(r Request) *job {
 	j := newJob(r, d.clock.Now())
 	d.jobs[j.id] = j
+	d.keptBytes += j.bytes
 	d.admission.addTasks(j)
 	d.addWaiter(j, r.Waiter)
 	d.scheduleExpiry(j, j.submission.Deadline)
@@ -291,7 +296,7 @@
 	switch {
 	case d.jobs[j.id] != j:
 	case j.done && !now.Before(j.submission.Deadline.Add(AnswerRetention)):
-		delete(d.jobs, j.id)
+		d.forget(j)
 	case j.done:
 		d.scheduleExpiry(j, j.submission.Deadline.Add(AnswerRetention))
 	case !now.Before(j.submission.Deadline):
--- a/limiter/plan.go
+++ b/limiter/plan.go
@@ -48,6 +48,17 @@
 	return i
 }
 
+// ShareBytes returns a share, in percent, of the memory that a process does not need for itself,
+// in bytes of what may be in use: the garbage collector needs as much again.
+func (i Instance) ShareBytes(share int) int64 {
+	const withGarbage = 2
+	l := i.limits()
+	return (l.MemoryBytes - l.ownBytes()) * int64(share) / 100 / withGarbage
+}
+
+// ownBytes is what the process takes beside the connections of its listeners, in bytes.
+func (i Instance) ownBytes() int64 { return min(maxOwnBytes, i.MemoryBytes/2) }
+
 // GoMemoryBytes returns the soft limit of the memory of the Go runtime, in bytes.
 func (i Instance) GoMemoryBytes() int64 { return i.limits().MemoryBytes * goMemoryShare / 100 }
 
@@ -77,7 +88,7 @@
 func (i Instance) MainConfig(name string, operatorListeners, share int) Config {
 	l := i.limits()
 	operator := i.OperatorConfig("")
-	memory := l.MemoryBytes - min(maxOwnBytes, l.MemoryBytes/2) - int64(operatorListeners)*operator.MaxBytes
+	memory := l.MemoryBytes - l.ownBytes() - int64(operatorListeners)*operator.MaxBytes
 	sockets := l.Sockets - min(maxOwnSockets, l.Sockets/2) - operatorListeners*operator.MaxConns
 	return Config{
 		Name:         name,
--- a/receiver/actor.go
+++ b/receiver/actor.go
@@ -115,6 +115,8 @@
 		Seed:      cfg.Seed,
 		Placement: cfg.Placement,
 		Order:     cfg.Order,
+
+		MaxKeptBytes: cfg.Instance.ShareBytes(jobsShare),
 	})
 	return &entryActor{
 		deps:           deps,
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -35,6 +35,11 @@
 	mailboxSize = 16384
 	// askTimeout limits the wait for the actor's answer to a query.
 	askTimeout = 2 * time.Second
+	// callersShare, linksShare and jobsShare divide the memory that the entry does not
+	// need for itself, in percent.
+	callersShare = 30
+	linksShare   = 50
+	jobsShare    = 20
 	// headerTimeout limits the time to read the head of a request.
 	headerTimeout = 5 * time.Second
 )
@@ -96,13 +101,12 @@
 		_ = listener.Close()
 		return nil, &Error{Op: "Link", Kind: Unusable, Err: err}
 	}
-	const share = 50 // Of the callers, and of the links.
 	r := &Receiver{
 		deps:         deps.WithField("entry", cfg.ID).WithField("data_centre", cfg.DataCentre),
 		cfg:          cfg,
 		store:        store,
-		listener:     limiter.NewPool(deps, cfg.Instance.MainConfig("callers", 0, share)).Listener(listener),
-		linkListener: limiter.NewPool(deps, cfg.Instance.MessageConfig("links", 0, share)).Listener(linkListener),
+		listener:     limiter.NewPool(deps, cfg.Instance.MainConfig("callers", 0, callersShare)).Listener(listener),
+		linkListener: limiter.NewPool(deps, cfg.Instance.MessageConfig("links", 0, linksShare)).Listener(linkListener),
 		self:         courier.EntryInfo{ID: cfg.ID, Link: linkListener.Addr().String()},
 	}
 	r.peers = newPeerSet(r)
--- a/soaker/crowdlocal_test.go
+++ b/soaker/crowdlocal_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -141,6 +142,33 @@
 	return target{pid: d.processes[name].pid, address: address, memory: localMemory * megabyte, descriptors: localDescriptors, serves: d.servesJob}
 }
 
+// TestJobsThatOutlastTheirCallersEndNoProcessOfASettingsFile guards against large submissions,
+// and answers to them, that are kept when their callers have left.
+func TestJobsThatOutlastTheirCallersEndNoProcessOfASettingsFile(t *testing.T) {
+	d := newLocalDeployment(t)
+	s := shape{send: func(ctx context.Context, c net.Conn) {
+		_, _ = c.Write(detachedSubmission(maxSubmissionBytes * 3 / 4))
+		sleep(ctx, reconnectDelay)
+		_ = c.Close()
+	}}
+	d.target("entry", d.settings.Entries[0].Listen).withstands(t, 100, s, true)
+	require.Empty(t, d.ended.violations)
+}
+
+// detachedSubmission returns a request for a job that goes on without its caller, and whose
+// result has a number of bytes.
+func detachedSubmission(resultBytes int) []byte {
+	raw, err := json.Marshal(courier.Submission{
+		Team: "team", Key: fmt.Sprint(rand.Uint64()), Service: localService, Attempt: 1, Detached: true,
+		Deadline: time.Now().Add(serveTimeout).UTC(),
+		Tasks:    []courier.Task{{Payload: json.RawMessage(`{"Millis":10,"Echo":"` + strings.Repeat("a", resultBytes) + `"}`)}},
+	})
+	if err != nil {
+		panic(err) // The value above can always be encoded.
+	}
+	return withBody("/v1/jobs", len(raw), raw)
+}
+
 // TestACrowdEndsNoProcessOfASettingsFile guards against requests and messages that fill the
 // memory of a process that runs without the platform.
 func TestACrowdEndsNoProcessOfASettingsFile(t *testing.T) {
@@ -165,6 +193,7 @@
 		{"heads at the agent", agent, 50, heads},
 		{"heads at the upstream", upstream, 50, heads},
 		{"idle connections at the entry, more than descriptors", entry, 5000, idle},
+		{"heads that claim a submission of the greatest size", entry, 2000, sending(always(withBody(submissionPath, maxSubmissionBytes, []byte("{"))))},
 		{"submissions that stop short", entry, 200, sending(always(unfinishedBody(submissionPath, maxSubmissionBytes)))},
 		{"submissions of very many parts", entry, 10, sending(always(withBody(submissionPath, maxSubmissionBytes, submissionOfParts)))},
 		{"huge bodies at the store", store, 20, hugeBody("/v3/kv/range")},
