provider, acceptor: Bound the log's buffer in bytes

What could be seen: requests whose paths have 16 KB are refused with a line each that has the path in it; with a reader of the log that stops, 4,096 of them stay buffered, 64 MB or more.

Cause: the buffer was bounded in lines only, and a rejected request's path and reason are what a caller sent.

Change: at most 4 MB are buffered; what exceeds that is dropped and counted, as lines over the number are. The path and the reason of a rejected request have at most 200 bytes in the log.

--- a/acceptor/jobs.go
+++ b/acceptor/jobs.go
@@ -118,10 +118,14 @@
 // Stopping implements platform.JobService.
 func (a *Acceptor) Stopping() bool { return a.shutdownDeadline.Load() != 0 }
 
-// RecordRejection implements platform.JobService.
+// maxLoggedBytes bounds each of a rejected request's fields in the log, in bytes.
+const maxLoggedBytes = 200
+
+// RecordRejection implements platform.JobService. The ID and the reason may have what the
+// caller sent in them.
 func (a *Acceptor) RecordRejection(id, why string) {
 	a.metrics.requestsRejected.Inc()
-	a.deps.Log.WithField("job", id).WithField("why", why).Warn("request rejected")
+	a.deps.Log.WithField("job", id[:min(len(id), maxLoggedBytes)]).WithField("why", why[:min(len(why), maxLoggedBytes)]).Warn("request rejected")
 }
 
 // ask sends a query to the actor and returns the answer, or the zero T if there is none
--- a/provider/writer.go
+++ b/provider/writer.go
@@ -7,8 +7,12 @@
 	"sync/atomic"
 )
 
-// lineBufferSize is the number of log lines that are buffered for a slow reader.
-const lineBufferSize = 4096
+// lineBufferSize is the number of log lines that are buffered for a slow reader, and
+// maxBufferedBytes their size in all, in bytes: what callers send may be part of a line.
+const (
+	lineBufferSize   = 4096
+	maxBufferedBytes = 4 << 20
+)
 
 // maxBatchBytes is the size in bytes from which a batch takes no more lines. A batch
 // is written by one call.
@@ -19,6 +23,7 @@
 // of its own once the other writer accepts lines again.
 type NonBlockingWriter struct {
 	lines     chan []byte
+	buffered  atomic.Int64
 	dropped   atomic.Uint64
 	done      chan struct{}
 	closeOnce sync.Once
@@ -34,15 +39,26 @@
 
 // Write implements io.Writer. It queues a copy of p as one line and never fails.
 func (nw *NonBlockingWriter) Write(p []byte) (int, error) {
+	size := int64(len(p))
+	if nw.buffered.Add(size) > maxBufferedBytes {
+		nw.drop(size)
+		return len(p), nil
+	}
 	line := append([]byte(nil), p...)
 	select {
 	case nw.lines <- line:
 	default:
-		nw.dropped.Add(1)
+		nw.drop(size)
 	}
 	return len(p), nil
 }
 
+// drop counts a line that is not buffered.
+func (nw *NonBlockingWriter) drop(size int64) {
+	nw.buffered.Add(-size)
+	nw.dropped.Add(1)
+}
+
 // Dropped returns the number of dropped lines that the log does not report yet.
 func (nw *NonBlockingWriter) Dropped() uint64 { return nw.dropped.Load() }
 
@@ -62,12 +78,18 @@
 		if n := nw.dropped.Swap(0); n > 0 {
 			batch = fmt.Appendf(batch, "{\"level\":\"warning\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)
 		}
-		batch = nw.appendQueued(append(batch, line...))
+		batch = nw.appendQueued(nw.appendLine(batch, line))
 		// A failure to write the log cannot be logged either.
 		_, _ = w.Write(batch)
 	}
 }
 
+// appendLine appends a line that has been taken from the buffer.
+func (nw *NonBlockingWriter) appendLine(batch, line []byte) []byte {
+	nw.buffered.Add(-int64(len(line)))
+	return append(batch, line...)
+}
+
 // appendQueued appends queued lines until batch has at least maxBatchBytes bytes.
 func (nw *NonBlockingWriter) appendQueued(batch []byte) []byte {
 	for len(batch) < maxBatchBytes {
@@ -76,7 +98,7 @@
 			if !ok {
 				return batch
 			}
-			batch = append(batch, line...)
+			batch = nw.appendLine(batch, line)
 		default:
 			return batch
 		}
--- a/provider/writer_test.go
+++ b/provider/writer_test.go
@@ -45,3 +45,20 @@
 	require.Contains(t, blocked.written.String(), "log lines dropped")
 	require.Less(t, strings.Count(blocked.written.String(), "decision"), lines)
 }
+
+// TestLongLogLinesAreBoundedInBytes guards against a log whose buffer is filled by lines that
+// have what a caller sent in them.
+func TestLongLogLinesAreBoundedInBytes(t *testing.T) {
+	const lineBytes, maxBytes = 64 << 10, 6 << 20
+	blocked := &blockedWriter{release: make(chan struct{})}
+	nonBlocking := provider.NewNonBlockingWriter(blocked)
+	line := bytes.Repeat([]byte("x"), lineBytes)
+	for range 1000 {
+		_, err := nonBlocking.Write(line)
+		require.NoError(t, err)
+	}
+	require.Positive(t, nonBlocking.Dropped())
+	close(blocked.release)
+	nonBlocking.Close()
+	require.Less(t, blocked.written.Len(), maxBytes)
+}
