limiter: Test the time-out of a body with one that is reached

Why: the test that a request in progress outlasts the time-out of its body waited for 1.5 s, with a time-out of a minute, so it could not fail.

Change: the handler takes the time-out, which the tests set to 0.5 s; a body that does not come is answered within it. net/http removes the deadline itself once the body has been read, so that removing it again is gone.

Result: both tests pass under the race detector.

--- a/limiter/request.go
+++ b/limiter/request.go
@@ -28,7 +28,9 @@
 
 // NewHandler returns a handler that passes requests to h and keeps the connection's pool
 // informed. A request whose connection has been evicted gets no answer.
-func NewHandler(h http.Handler) http.Handler {
+func NewHandler(h http.Handler) http.Handler { return newHandler(h, bodyTimeout) }
+
+func newHandler(h http.Handler, bodyTimeout time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := ConnFromContext(r.Context()).(*Conn)
 		if !ok {
@@ -38,7 +40,8 @@
 		if r.ContentLength == 0 {
 			c.finishBody()
 		} else {
-			// A server reads the body to its end, also if the handler does not.
+			// A server reads the body to its end, also if the handler does not. It
+			// removes the deadline then.
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 		}
 		h.ServeHTTP(w, r)
@@ -89,8 +92,6 @@
 	default:
 		return nil, &Error{Op: op, Kind: Malformed, Err: err}
 	}
-	// A server reads on while a request is in progress, to notice that the peer leaves.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	if c, ok := ConnFromContext(r.Context()).(*Conn); ok {
 		c.finishBody()
 	}
--- a/limiter/request_test.go
+++ b/limiter/request_test.go
@@ -61,20 +61,24 @@
 	})
 }
 
+// testBodyTimeout bounds the time to read a body in these tests.
+const testBodyTimeout = 500 * time.Millisecond
+
 // startBodyServer serves a handler that reads bodies, and returns its pool and address.
 func startBodyServer(t *testing.T, maxBytes int64, h func(w http.ResponseWriter, r *http.Request, raw []byte)) (*Pool, string) {
 	l, err := Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	cfg := Instance{}.MainConfig(t.Name(), 0, 100)
 	p := NewPool(provider.NewDeps(io.Discard), cfg)
-	s := NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := NewServer(nil, time.Second)
+	s.Handler = newHandler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		raw, err := ReadBody(w, r, maxBytes)
 		if err != nil {
 			http.Error(w, err.Error(), StatusOf(err))
 			return
 		}
 		h(w, r, raw)
-	}), time.Second)
+	}), testBodyTimeout)
 	go func() { _ = s.Serve(p.Listener(l)) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return p, l.Addr().String()
@@ -117,7 +121,7 @@
 	defer c.Close()
 	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\na")
 	require.NoError(t, err)
-	time.Sleep(1500 * time.Millisecond)
+	time.Sleep(2 * testBodyTimeout)
 	close(proceed)
 	answer := make([]byte, len("HTTP/1.1 200"))
 	_, err = io.ReadFull(c, answer)
@@ -125,6 +129,19 @@
 	require.Equal(t, "HTTP/1.1 200", string(answer))
 }
 
+func TestABodyThatDoesNotComeIsGivenUp(t *testing.T) {
+	_, address := startBodyServer(t, 1000, func(http.ResponseWriter, *http.Request, []byte) {})
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\na")
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(20*testBodyTimeout)))
+	answer, err := io.ReadAll(c)
+	require.NoError(t, err, "the connection stays open")
+	require.Contains(t, string(answer), "HTTP/1.1 400")
+}
+
 func TestWhatARequestTakesIsFreedWithItsAnswer(t *testing.T) {
 	p, address := startBodyServer(t, 1<<20, func(_ http.ResponseWriter, r *http.Request, _ []byte) { _ = Hold(r, 1<<20) })
 	for range 3 {
