limiter: State the unit of memory and the room for connections once

Why, found by reading the whole change again: the bytes of a megabyte stood in platform, commander and configurer; the connections that may be open were computed in the pool beside the function that does it for their bytes; a finished job's results were added up twice; two hooks of HTTP servers were exported that only NewServer uses.

Change: limiter.BytesPerMegabyte, Config.maxOpenConns, Dispatcher.setBytes; newHandler and trackState are the package's own.

Result: behaviour unchanged.

--- a/checker/configuration.go
+++ b/checker/configuration.go
@@ -51,7 +51,7 @@
 		return nil
 	}
 	return []Finding{d.finding(Contradiction, platform.LimitKey(platform.BodyLimitKey),
-		fmt.Sprintf("an entry of %s=%d has room for a body of %d bytes", platform.MemoryLimitKey, s.MemoryBytes/platform.BytesPerMegabyte, largest))}
+		fmt.Sprintf("an entry of %s=%d has room for a body of %d bytes", platform.MemoryLimitKey, s.MemoryBytes/limiter.BytesPerMegabyte, largest))}
 }
 
 // routeKey is the host and the path prefix of the requests that a queue accepts.
--- a/commander/process.go
+++ b/commander/process.go
@@ -24,8 +24,6 @@
 const (
 	// headerTimeout bounds the time to read the head of a request.
 	headerTimeout = 5 * time.Second
-	// bytesPerMegabyte is the unit of memory in settings and flags.
-	bytesPerMegabyte = 1_000_000
 	// shutdownTimeout is the maximum time for which an emulated upstream finishes its
 	// last tasks.
 	shutdownTimeout = 65 * time.Second
@@ -136,7 +134,7 @@
 func (c *storeCommand) Run(env *environment) error {
 	s := storer.NewStore(env.deps.Clock)
 	go server.DumpOnSignal(env.ctx, env.deps, s)
-	instance := limitMemory(limiter.Instance{MemoryBytes: c.MemoryMB * bytesPerMegabyte})
+	instance := limitMemory(limiter.Instance{MemoryBytes: c.MemoryMB * limiter.BytesPerMegabyte})
 	return serve(env.ctx, env.deps, instance, c.Listen, s.Handler(), nil)
 }
 
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -75,8 +75,7 @@
 
 // Instance returns what each process may take of its instance.
 func (s Settings) Instance() limiter.Instance {
-	const bytesPerMegabyte = 1_000_000
-	return limiter.Instance{MemoryBytes: s.Limits.MemoryMB * bytesPerMegabyte, Sockets: s.Limits.Sockets}
+	return limiter.Instance{MemoryBytes: s.Limits.MemoryMB * limiter.BytesPerMegabyte, Sockets: s.Limits.Sockets}
 }
 
 // The smallest and the largest allowed values in settings.
--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -222,8 +222,13 @@
 // forget stops tracking a job.
 func (d *Dispatcher) forget(j *job) {
 	delete(d.jobs, j.id)
-	d.keptBytes -= j.bytes
-	j.bytes = 0
+	d.setBytes(j, 0)
+}
+
+// setBytes changes what a job that is tracked counts for.
+func (d *Dispatcher) setBytes(j *job, n int64) {
+	d.keptBytes += n - j.bytes
+	j.bytes = n
 }
 
 // finish records the final answer of a job, sends it to every waiter, and stops the
@@ -237,8 +242,7 @@
 	d.stopTasks(j)
 	j.done = true
 	j.answer = answer
-	d.keptBytes += resultBytes(answer) - j.bytes
-	j.bytes = resultBytes(answer)
+	d.setBytes(j, resultBytes(answer))
 	for _, w := range sortedWaiters(j) {
 		delete(d.waiters, w)
 		d.reply(w, answer)
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -111,7 +111,7 @@
 func (p *Pool) admit(raw net.Conn) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for p.open.conns >= p.cfg.MaxConns-p.cfg.MaxConns/closingShare || p.open.held+ConnBytes > p.cfg.maxOpenBytes() {
+	for p.open.conns >= p.cfg.maxOpenConns() || p.open.held+ConnBytes > p.cfg.maxOpenBytes() {
 		if !p.evictOne(nil) {
 			p.report.count(noConnection, p.open)
 			return nil
--- a/limiter/plan.go
+++ b/limiter/plan.go
@@ -2,6 +2,9 @@
 
 import "syscall"
 
+// BytesPerMegabyte is the unit of memory in settings and flags.
+const BytesPerMegabyte = 1_000_000
+
 const (
 	// defaultMemoryBytes and defaultSockets are the limits of a process whose settings
 	// have none: its memory, in bytes, and its sockets.
@@ -62,6 +65,9 @@
 // GoMemoryBytes returns the soft limit of the memory of the Go runtime, in bytes.
 func (i Instance) GoMemoryBytes() int64 { return i.limits().MemoryBytes * goMemoryShare / 100 }
 
+// maxOpenConns bounds the connections that are not being closed.
+func (c Config) maxOpenConns() int { return c.MaxConns - c.MaxConns/closingShare }
+
 // maxOpenBytes is what connections that are not being closed may take, in bytes.
 func (c Config) maxOpenBytes() int64 { return c.MaxBytes - c.MaxBytes/closingShare }
 
--- a/limiter/request.go
+++ b/limiter/request.go
@@ -26,10 +26,8 @@
 	Shape Shape
 }
 
-// NewHandler returns a handler that passes requests to h and keeps the connection's pool
+// newHandler returns a handler that passes requests to h and keeps the connection's pool
 // informed. A request whose connection has been evicted gets no answer.
-func NewHandler(h http.Handler) http.Handler { return newHandler(h, bodyTimeout) }
-
 func newHandler(h http.Handler, bodyTimeout time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := ConnFromContext(r.Context()).(*Conn)
--- a/limiter/server.go
+++ b/limiter/server.go
@@ -25,18 +25,18 @@
 // within headerTimeout.
 func NewServer(h http.Handler, headerTimeout time.Duration) *http.Server {
 	return &http.Server{
-		Handler:           NewHandler(h),
+		Handler:           newHandler(h, bodyTimeout),
 		MaxHeaderBytes:    MaxServerHeadBytes,
 		ReadHeaderTimeout: headerTimeout,
 		WriteTimeout:      answerTimeout,
 		IdleTimeout:       idleConnTimeout,
 		ConnContext:       ContextWithConn,
-		ConnState:         TrackState,
+		ConnState:         trackState,
 	}
 }
 
-// TrackState follows the state of a connection of an HTTP server. It is its ConnState hook.
-func TrackState(c net.Conn, state http.ConnState) {
+// trackState follows the state of a connection of an HTTP server. It is its ConnState hook.
+func trackState(c net.Conn, state http.ConnState) {
 	conn, ok := c.(*Conn)
 	if !ok {
 		return
