--- a/review/harness-3/deployment.go
+++ b/review/harness-3/deployment.go
@@ -109,6 +109,8 @@
 	dir     string
 	program string
 	net     int
+	// reused is the address of the next machine; "" for a new one.
+	reused  string
 	hosts   int
 	entries []*process
 	sides   []*side
@@ -177,8 +179,12 @@
 	return d, nil
 }
 
-// address returns a loopback address that no other machine of the deployment has.
+// address returns the loopback address of the next machine.
 func (d *deployment) address() string {
+	if ip := d.reused; ip != "" {
+		d.reused = ""
+		return ip
+	}
 	d.hosts++
 	return fmt.Sprintf("127.%d.%d.%d", d.net, d.hosts/200, 1+d.hosts%200)
 }
--- a/review/harness-3/worker.go
+++ b/review/harness-3/worker.go
@@ -71,8 +71,10 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{id: id, service: service, zone: zone, labels: labels, capacity: capacity, rec: rec, app: app, control: control, born: time.Now(),
-		runs: map[string]*taskRun{}, highest: map[string]int{}, changed: make(chan struct{})}
+	w := &worker{
+		id: id, service: service, zone: zone, labels: labels, capacity: capacity, rec: rec, app: app, control: control, born: time.Now(),
+		runs: map[string]*taskRun{}, highest: map[string]int{}, changed: make(chan struct{}),
+	}
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(l) }()
 	go w.beat()
