executor, acceptor: Let an agent learn of evacuations that its entries do not know

Cause: an agent takes what an entry tells of the evacuations for what is so. An entry that is cut off from the store cannot know that it is told nothing newer, and its heartbeats did not say since when. So with no other entry the agents followed old news without an end, although they reached the store all the while.

Ruled out: that agents know of the evacuation and start nevertheless, and that the store does not tell. Their logs have no "evacuation changed" during the cut, and with one entry that reaches the store nothing starts.

Change: what is known of the evacuations has the store's revision and an age (package evacuator). An age counts from the timestamp that a message echoes, so that no clock is shared and a message that was held up counts as old. An agent that nobody has told anything recent (two to three fifths of the time that an evacuation may take, by a hash of its name) reads the store itself, but only while the store answers its other calls: in an outage of the store what the entries know goes on to be followed. It tells entries that know less what it has read, so that they stop offering tasks there, and the other agents need not read. An agent that has just started reads the evacuations before it starts a task, unless an entry has confirmed them or the store does not answer.

Why it works: the store's revision only rises, so of two views the one with the higher revision is at least as new as the time at which the other was right (TestMergedViewsAreAtLeastAsNewAsTheyClaim). So an agent whose view is younger than 3 s, and whose next read takes less than 2 s, knows of each evacuation within 5 s.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -76,6 +76,7 @@
 	owner *server.Owner
 	// configuration is the one in force; nil before the first one.
 	configuration atomic.Pointer[scheduler.Configuration]
+	inForce       inForce
 	// witnessList is the list of witnesses in force; nil before the first one.
 	witnessList atomic.Pointer[messenger.WitnessList]
 	// keptWitnesses are the scheduler.WitnessesChanged.Kept of that list.
--- a/acceptor/actor.go
+++ b/acceptor/actor.go
@@ -6,6 +6,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/sirupsen/logrus"
 
+	"github.com/pomeloferry/pomeloferry/evacuator"
 	"github.com/pomeloferry/pomeloferry/messenger"
 	"github.com/pomeloferry/pomeloferry/scheduler"
 )
@@ -24,8 +25,8 @@
 	}
 	// callerDisconnected reports that the caller of a job has disconnected.
 	callerDisconnected struct{ ticket uint64 }
-	// configurationChanged carries a new configuration.
-	configurationChanged struct{ configuration scheduler.Configuration }
+	// configurationChanged reports that another configuration is in force.
+	configurationChanged struct{}
 	// stateQuery asks for a job's state, cancelJob cancels a job, and waitingQuery
 	// asks for the number of a queue's waiting jobs.
 	stateQuery   struct{ job string }
@@ -98,6 +99,7 @@
 		c.acceptor.lag.observeTick(m.sentAt)
 		c.scheduler.Tick()
 		c.sendHeartbeats()
+		c.acceptor.metrics.setEvacuationsAge(c.acceptor.evacuations(), c.acceptor.deps.Clock.Now())
 	case submitJob:
 		c.replies[m.ticket] = m.reply
 		c.scheduler.Submit(m.ticket, m.job)
@@ -105,7 +107,7 @@
 		delete(c.replies, m.ticket)
 		c.scheduler.CallerLeft(m.ticket)
 	case configurationChanged:
-		c.scheduler.Configure(m.configuration)
+		c.configure()
 	case witnessesRead:
 		c.scheduler.ReadWitnesses(m.list)
 	case linkOpened:
@@ -115,7 +117,7 @@
 	case linkClosed:
 		c.handleLinkClosed(m.link)
 	case dumpQuery:
-		ctx.Respond(c.scheduler.Dump())
+		ctx.Respond(c.dump())
 	case needQuery:
 		ctx.Respond(c.scheduler.CapacityNeed())
 	case releaseLinks:
@@ -186,6 +188,42 @@
 	}).Info(n.What)
 }
 
+// entryDump is the state of the entry in a form for operators.
+type entryDump struct {
+	scheduler.Dump
+	// EvacuationsRevision is the store's revision as of which Evacuated is known, and
+	// EvacuationsAgeMS the time since that was certainly right, in milliseconds; zero if it
+	// never was.
+	EvacuationsRevision int64
+	EvacuationsAgeMS    int64
+}
+
+func (c *entryActor) dump() entryDump {
+	known := c.acceptor.evacuations().Message(c.acceptor.deps.Clock.Now())
+	return entryDump{Dump: c.scheduler.Dump(), EvacuationsRevision: known.Revision, EvacuationsAgeMS: known.Age.Milliseconds()}
+}
+
+// configure makes the scheduler follow the configuration in force.
+func (c *entryActor) configure() {
+	if configuration, ok := c.acceptor.Configuration(); ok {
+		c.scheduler.Configure(configuration)
+	}
+}
+
+// receiveEvacuations processes what an agent tells of the evacuations in a report.
+func (c *entryActor) receiveEvacuations(agent string, r *messenger.Report) {
+	if r.Evacuations == nil {
+		return
+	}
+	var notBefore time.Time
+	if r.Echo > 0 {
+		notBefore = c.links[agent].openedAt.Add(r.Echo)
+	}
+	if c.acceptor.follow(nil, evacuator.Received(*r.Evacuations, notBefore), agent) {
+		c.configure()
+	}
+}
+
 func (c *entryActor) handleLinkMessage(m linkMessage) {
 	name, ok := c.agentByLink[m.link]
 	if !ok {
@@ -195,6 +233,7 @@
 	case *messenger.Report:
 		if msg.Agent == name {
 			c.links[name].recordTimestamp(msg.Timestamp)
+			c.receiveEvacuations(name, msg)
 			c.scheduler.HandleReport(*msg)
 		}
 	case *messenger.WitnessList:
--- a/acceptor/directives.go
+++ b/acceptor/directives.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
+	"github.com/pomeloferry/pomeloferry/evacuator"
 	"github.com/pomeloferry/pomeloferry/platform"
 	"github.com/pomeloferry/pomeloferry/scheduler"
 	"github.com/pomeloferry/pomeloferry/server"
@@ -24,9 +24,7 @@
 	// zero if they have to be listed anew.
 	revision int64
 	// lastError is the text of the store's last error; "" if the last call succeeded.
-	lastError        string
-	configuration    scheduler.Configuration
-	hasConfiguration bool
+	lastError string
 	// evacuated holds the data centres under evacuation.
 	evacuated map[string]bool
 }
@@ -58,66 +56,49 @@
 // sync applies the result of one list, or of one watch if the directives have been
 // listed before.
 func (d *directives) sync(ctx context.Context) error {
-	store := d.acceptor.store
-	if d.revision == 0 {
-		items, revision, err := store.List(ctx, platform.OperatorPrefix)
-		if err != nil {
-			return err
-		}
-		d.revision = revision
-		d.evacuated = make(map[string]bool)
-		d.apply(items)
-		return nil
-	}
-	items, revision, err := store.Watch(ctx, platform.OperatorPrefix, d.revision, directiveWatchTimeout)
+	beganAt := d.acceptor.deps.Clock.Now()
+	items, revision, err := d.read(ctx)
 	if err != nil {
 		return err
 	}
+	if d.revision == 0 {
+		d.evacuated = make(map[string]bool)
+	}
 	d.revision = revision
-	if len(items) > 0 {
-		d.apply(items)
+	configuration := d.apply(items)
+	evacuations := evacuator.NewView(revision, slices.Collect(maps.Keys(d.evacuated)), beganAt)
+	if d.acceptor.follow(configuration, evacuations, storeSource) {
+		d.acceptor.post(configurationChanged{})
 	}
 	return nil
 }
 
-// apply parses items and puts all of them into force in one configuration.
-func (d *directives) apply(items []platform.Item) {
-	log := d.acceptor.deps.Log
+// read lists the directives, or waits for changes of those that were listed before. It
+// returns the revision as of which they are known.
+func (d *directives) read(ctx context.Context) ([]platform.Item, int64, error) {
+	store := d.acceptor.store
+	if d.revision == 0 {
+		return store.List(ctx, platform.OperatorPrefix)
+	}
+	return store.Watch(ctx, platform.OperatorPrefix, d.revision, directiveWatchTimeout)
+}
+
+// apply applies items to evacuated, and returns the configuration among them, or nil if
+// there is none.
+func (d *directives) apply(items []platform.Item) *scheduler.Configuration {
+	var configuration *scheduler.Configuration
 	for _, item := range items {
 		directive, err := platform.ParseDirective(item)
 		switch {
 		case err != nil:
-			log.WithError(err).WithField("key", item.Key).Warn("invalid directive ignored")
+			d.acceptor.deps.Log.WithError(err).WithField("key", item.Key).Warn("invalid directive ignored")
 		case directive.Configuration != nil:
-			d.setConfiguration(*directive.Configuration)
+			configuration = directive.Configuration
 		case directive.DataCentre != "" && directive.EndEvacuation:
 			delete(d.evacuated, directive.DataCentre)
 		case directive.DataCentre != "":
 			d.evacuated[directive.DataCentre] = true
 		}
 	}
-	if !d.hasConfiguration {
-		return
-	}
-	a := d.acceptor
-	next := d.configuration.WithEvacuated(maps.Clone(d.evacuated), d.revision).WithFarFactor(a.cfg.FarFactor)
-	a.configuration.Store(&next)
-	a.deps.BundleVersion.Store(next.Version)
-	a.post(configurationChanged{configuration: next})
-	log.WithFields(logrus.Fields{
-		"version":   next.Version,
-		"queues":    len(next.Queues),
-		"evacuated": len(next.Evacuated),
-		"revision":  d.revision,
-	}).Info("configuration in force")
-}
-
-// setConfiguration sets the configuration, unless c is older than the present one.
-func (d *directives) setConfiguration(c scheduler.Configuration) {
-	if d.hasConfiguration && c.Version < d.configuration.Version {
-		d.acceptor.deps.Log.WithField("version", c.Version).Warn("older configuration ignored")
-		return
-	}
-	d.configuration = c
-	d.hasConfiguration = true
+	return configuration
 }
--- a/acceptor/link.go
+++ b/acceptor/link.go
@@ -1,8 +1,6 @@
 package acceptor
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/pomeloferry/pomeloferry/messenger"
@@ -40,8 +38,7 @@
 	if len(due) == 0 {
 		return
 	}
-	configuration, _ := c.acceptor.Configuration()
-	evacuated := slices.Sorted(maps.Keys(configuration.Evacuated))
+	evacuations := c.acceptor.evacuations()
 	backlog := c.scheduler.Backlog()
 	now := c.acceptor.deps.Clock.Now()
 	for _, l := range due {
@@ -49,8 +46,7 @@
 		l.Send(messenger.Heartbeat{
 			Timestamp:    now.Sub(l.openedAt),
 			Echo:         l.lastTimestamp,
-			Revision:     configuration.Revision,
-			Evacuated:    evacuated,
+			Evacuations:  evacuations.Message(now),
 			Backlog:      backlog,
 			AckedOutcome: c.scheduler.LastOutcome(c.agentByLink[l.Link]),
 			Unlocked:     c.scheduler.TakeUnlocked(c.agentByLink[l.Link]),
--- a/acceptor/metrics.go
+++ b/acceptor/metrics.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/pomeloferry/pomeloferry/evacuator"
 	"github.com/pomeloferry/pomeloferry/scheduler"
 )
 
@@ -13,6 +15,9 @@
 	set              *metrics.Set
 	messagesSent     *metrics.Counter
 	requestsRejected *metrics.Counter
+	// evacuationsAge is the time in seconds since the evacuations that the entry knows were
+	// certainly right.
+	evacuationsAge *metrics.Gauge
 }
 
 func newEntryMetrics(set *metrics.Set) entryMetrics {
@@ -20,6 +25,14 @@
 		set:              set,
 		messagesSent:     set.NewCounter("pomeloferry_entry_messages_out_total"),
 		requestsRejected: set.NewCounter("pomeloferry_entry_requests_turned_down_total"),
+		evacuationsAge:   set.NewGauge("pomeloferry_entry_evacuations_age_seconds", nil),
+	}
+}
+
+// setEvacuationsAge sets the gauge of the age of the known evacuations.
+func (m entryMetrics) setEvacuationsAge(v evacuator.View, now time.Time) {
+	if !v.ConfirmedAt.IsZero() {
+		m.evacuationsAge.Set(now.Sub(v.ConfirmedAt).Seconds())
 	}
 }
 
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -95,21 +95,23 @@
 	instance := limitMemory(s.Instance())
 	reloadOnHangup(env, deps, s)
 	link := hostPort(s.IP, s.FirstInternalPort)
-	directory := platform.NewRegistrar(platform.NewStore(s.StoreAddr), platform.Registration{
+	store := platform.NewStore(s.StoreAddr)
+	directory := platform.NewRegistrar(store, platform.Registration{
 		Agent:      s.NodeName,
 		DataCentre: s.DataCentre,
 		Link:       link,
 	})
 	a, err := supervisor.NewSupervisor(deps, supervisor.Config{
-		ID:           s.NodeName,
-		DataCentre:   s.DataCentre,
-		LinkAddr:     link,
-		ControlAddr:  s.ControlAddr,
-		MetricsAddr:  hostPort(s.IP, s.LastInternalPort),
-		GracePeriod:  s.GracePeriod,
-		DrainTimeout: s.DrainTimeout,
-		Instance:     instance,
-	}, platform.NewWorkerClient(deps.Clock, s.UpstreamAddr), directory)
+		ID:                s.NodeName,
+		DataCentre:        s.DataCentre,
+		LinkAddr:          link,
+		ControlAddr:       s.ControlAddr,
+		MetricsAddr:       hostPort(s.IP, s.LastInternalPort),
+		GracePeriod:       s.GracePeriod,
+		DrainTimeout:      s.DrainTimeout,
+		EvacuationTimeout: s.EvacuationTimeout,
+		Instance:          instance,
+	}, platform.NewWorkerClient(deps.Clock, s.UpstreamAddr), directory, store)
 	if err != nil {
 		return errors.Wrapf(err, "agent %s", s.NodeName)
 	}
--- a/executor/dump.go
+++ b/executor/dump.go
@@ -22,6 +22,13 @@
 	CoreSeconds map[string]float64
 	Runs        []RunDump
 	Entries     []string
+	// Evacuated is whether the data centre is evacuated, as of EvacuationsRevision, which
+	// EvacuationsFrom has told. EvacuationsAgeMS is the time since that was certainly right,
+	// in milliseconds; zero if it never was.
+	Evacuated           bool
+	EvacuationsRevision int64
+	EvacuationsFrom     string
+	EvacuationsAgeMS    int64
 }
 
 // RunDump is the state of one run.
@@ -47,6 +54,11 @@
 		Kept:       x.ReservedCapacity(),
 		Leaving:    x.shuttingDown,
 		Unanswered: x.poll.unanswered,
+
+		Evacuated:           x.evacuated(),
+		EvacuationsRevision: x.evacuations.Revision,
+		EvacuationsFrom:     x.evacuations.source,
+		EvacuationsAgeMS:    x.EvacuationsAge().Milliseconds(),
 	}
 	if x.reservation.active() {
 		d.Holder = x.reservation.holder.name
--- a/executor/effect.go
+++ b/executor/effect.go
@@ -8,7 +8,7 @@
 )
 
 // Effect is an action for the agent process: a Start, Stop, Poll, SendReport,
-// SendLockReply, SendWitnesses, TickAfter or Note.
+// SendLockReply, SendWitnesses, ReadEvacuations, TickAfter or Note.
 type Effect interface{ effect() }
 
 // Start sends a start to the worker.
@@ -67,6 +67,10 @@
 	List  messenger.WitnessList
 }
 
+// ReadEvacuations reads the evacuations from the store. The answer goes to
+// HandleEvacuationsRead, a failure to HandleEvacuationsUnread.
+type ReadEvacuations struct{}
+
 // TickAfter asks for a call of Tick after a delay.
 type TickAfter struct {
 	Delay time.Duration
@@ -83,14 +87,15 @@
 	Age    time.Duration
 }
 
-func (Start) effect()         {}
-func (Stop) effect()          {}
-func (Poll) effect()          {}
-func (SendLockReply) effect() {}
-func (SendWitnesses) effect() {}
-func (SendReport) effect()    {}
-func (TickAfter) effect()     {}
-func (Note) effect()          {}
+func (Start) effect()           {}
+func (Stop) effect()            {}
+func (Poll) effect()            {}
+func (SendLockReply) effect()   {}
+func (SendWitnesses) effect()   {}
+func (SendReport) effect()      {}
+func (ReadEvacuations) effect() {}
+func (TickAfter) effect()       {}
+func (Note) effect()            {}
 
 func compareRuns(a, b messenger.Run) int {
 	if c := strings.Compare(a.Task, b.Task); c != 0 {
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
+	"github.com/pomeloferry/pomeloferry/evacuator"
 	"github.com/pomeloferry/pomeloferry/messenger"
 )
 
@@ -61,6 +61,8 @@
 	// holder is the present incarnation as the holder of locks. Those of an earlier
 	// incarnation, whose runs may go on, expire on their own.
 	holder *lockHolder
+	// evacuations are those that the entry has told on the present link.
+	evacuations evacuator.View
 }
 
 // HandleHello processes a Hello, which opens a link of an entry. Runs of an earlier
@@ -98,6 +100,7 @@
 	e.reportedHolders = 0
 	e.stateChanged = true
 	e.backlog = messenger.Backlog{}
+	e.evacuations = evacuator.View{}
 	x.tellWitnesses(e)
 	x.noteCrashesOf(h)
 	if x.upstream.Born == 0 && x.upstream.ID == "" && h.Upstream.Born != 0 {
@@ -125,7 +128,7 @@
 	}
 	e.lastTimestamp = h.Timestamp
 	e.outcomes.acknowledge(h.AckedOutcome)
-	x.applyDirectives(name, h)
+	x.receiveEvacuations(e, h)
 	x.updateBacklog(e, h.Backlog)
 	x.contactHolder(e)
 	x.unlockJobs(e, h.Unlocked)
@@ -173,22 +176,14 @@
 	}
 }
 
-// applyDirectives applies the operators' directives in a heartbeat, unless newer ones
-// are known.
-func (x *Executor) applyDirectives(name string, h messenger.Heartbeat) {
-	if h.Revision < x.directivesRevision {
-		return
-	}
-	evacuated := slices.Contains(h.Evacuated, x.identity.DataCentre)
-	if evacuated != x.evacuated {
-		x.emit(Note{Owner: name, What: "evacuation changed", Why: strconv.FormatBool(evacuated)})
-	}
-	x.directivesRevision = h.Revision
-	x.evacuated = evacuated
-	if evacuated {
-		x.endReservation("data centre evacuated")
-		x.refuseWaiting(messenger.RefusedEvacuated)
-	}
+// receiveEvacuations processes what an entry tells of the evacuations in a heartbeat.
+func (x *Executor) receiveEvacuations(e *entry, h messenger.Heartbeat) {
+	var notBefore time.Time
+	if h.Echo > 0 {
+		notBefore = x.startedAt.Add(h.Echo)
+	}
+	e.evacuations = evacuator.Received(h.Evacuations, notBefore)
+	x.learnEvacuations(e.evacuations, e.name)
 }
 
 // expireTimedOut cancels the runs of entries that have timed out, so that their callers
@@ -310,6 +305,7 @@
 	if e.backlog.WantsForecast {
 		r.Forecast = x.forecast(now)
 	}
+	r.Evacuations = x.evacuationsFor(e, now)
 	s := x.speedToReport(e, now, heartbeat)
 	r.Speed, r.SpeedJobs = s.value, s.jobs
 	if holders := x.locks.listedHash; holders != e.reportedHolders {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -83,6 +83,9 @@
 	// DrainTimeout is how long after the upstream's drain notice a task may still be
 	// started on it.
 	DrainTimeout time.Duration
+	// EvacuationTimeout is how long after the operators have evacuated the data centre a
+	// task may still be started there; DefaultEvacuationTimeout if it is not positive.
+	EvacuationTimeout time.Duration
 }
 
 // Executor makes the decisions for one worker. It is not safe for concurrent use.
@@ -112,10 +115,7 @@
 	// drainingSince is when the upstream first announced that it drains.
 	drainingSince time.Time
 	shuttingDown  bool
-	// directivesRevision is the revision of the newest directives received; evacuated
-	// is whether they evacuate the agent's data centre.
-	directivesRevision int64
-	evacuated          bool
+	evacuations   evacuationState
 
 	// token is sent with each call. Calls with a lower one have no effect at the worker
 	// once it has seen this one.
@@ -179,6 +179,8 @@
 		losses:    make(map[messenger.Incarnation]*loss),
 		unclaimed: make(map[messenger.Run]unclaimedEnd),
 		locks:     newLockTable(),
+
+		evacuations: newEvacuationState(identity.Agent, cfg.EvacuationTimeout),
 	}
 }
 
@@ -222,6 +224,7 @@
 	x.expireUnclaimedEnds(now)
 	x.expireLosses(now)
 	x.locks.expire(now)
+	x.readOldEvacuations(now)
 	x.sendDuePoll()
 	x.sendHeartbeats(now)
 }
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -41,6 +41,7 @@
 	clock := clockwork.NewFakeClock()
 	h := &harness{t: t, clock: clock}
 	h.x = executor.NewExecutor(clock, executor.Identity{Agent: "a", DataCentre: "dc", Incarnation: 1, Token: 100}, executor.Config{DrainTimeout: 2 * time.Second})
+	h.x.HandleEvacuationsUnread()
 	h.x.HandleHello(messenger.Hello{Entry: "e", Incarnation: 1})
 	h.x.SetUpstream(upstream(1))
 	h.collect()
@@ -388,7 +389,7 @@
 	h := newHarness(t)
 	h.x.HandleHello(messenger.Hello{Entry: "cut off", Incarnation: 1})
 	sendHeartbeat := func(entry string, revision int64, evacuated ...string) {
-		h.x.HandleHeartbeat(entry, messenger.Heartbeat{Timestamp: 1, Echo: h.timestamp, Revision: revision, Evacuated: evacuated})
+		h.x.HandleHeartbeat(entry, messenger.Heartbeat{Timestamp: 1, Echo: h.timestamp, Evacuations: messenger.Evacuations{Revision: revision, DataCentres: evacuated}})
 	}
 	starts := func(number int) int {
 		h.place(messenger.Run{Task: "j.0.0.0", Number: number}, 100)
--- a/executor/forecast.go
+++ b/executor/forecast.go
@@ -32,7 +32,7 @@
 
 // acceptsRuns reports whether capacity that becomes free may be used for new runs.
 func (x *Executor) acceptsRuns() bool {
-	return !x.shuttingDown && !x.evacuated && !x.departed && !x.upstream.Draining && x.upstream.Born != 0
+	return !x.shuttingDown && !x.evacuated() && !x.departed && !x.upstream.Draining && x.upstream.Born != 0
 }
 
 // endIsPredictable reports whether the run has an estimate or enough progress to
--- a/executor/forecast_test.go
+++ b/executor/forecast_test.go
@@ -104,7 +104,7 @@
 			h.x.SetUpstream(up)
 		}},
 		{"data centre evacuated", func(h *harness) {
-			h.x.HandleHeartbeat("e", messenger.Heartbeat{Timestamp: 1, Echo: h.timestamp, Revision: 1, Evacuated: []string{"dc"}})
+			h.x.HandleHeartbeat("e", messenger.Heartbeat{Timestamp: 1, Echo: h.timestamp, Evacuations: messenger.Evacuations{Revision: 1, DataCentres: []string{"dc"}}})
 		}},
 	}
 	for _, tt := range tests {
--- a/executor/reservation.go
+++ b/executor/reservation.go
@@ -86,7 +86,7 @@
 	switch {
 	case x.reservation.active():
 		return "capacity is already reserved for " + x.reservation.holder.name
-	case x.shuttingDown, x.departed, x.evacuated, x.upstream.Draining, x.upstream.Born == 0:
+	case x.shuttingDown, x.departed, x.evacuated(), x.upstream.Draining, x.upstream.Born == 0:
 		return "no new runs are admitted"
 	case !d.FitsIn(x.upstream.Capacity):
 		return "demand exceeds the worker's capacity"
--- a/executor/reservation_test.go
+++ b/executor/reservation_test.go
@@ -192,7 +192,7 @@
 		"unknown entry":    func(h *reservationHarness) { h.reserve("unknown", 1, time.Second) },
 		"agent shuts down": func(h *reservationHarness) { h.x.BeginShutdown(); h.reserve("e", 1, time.Second) },
 		"evacuated": func(h *reservationHarness) {
-			h.x.HandleHeartbeat("o", messenger.Heartbeat{Timestamp: 1, Echo: h.timestamp, Revision: 3, Evacuated: []string{"dc"}})
+			h.x.HandleHeartbeat("o", messenger.Heartbeat{Timestamp: 1, Echo: h.timestamp, Evacuations: messenger.Evacuations{Revision: 3, DataCentres: []string{"dc"}}})
 			h.reserve("e", 1, time.Second)
 		},
 		"worker drains": func(h *reservationHarness) {
@@ -252,7 +252,7 @@
 		},
 		"worker left": func(h *reservationHarness) { h.x.HandleWorkerDeparture("w") },
 		"evacuated": func(h *reservationHarness) {
-			h.x.HandleHeartbeat("o", messenger.Heartbeat{Timestamp: 1, Echo: h.timestamp, Revision: 3, Evacuated: []string{"dc"}})
+			h.x.HandleHeartbeat("o", messenger.Heartbeat{Timestamp: 1, Echo: h.timestamp, Evacuations: messenger.Evacuations{Revision: 3, DataCentres: []string{"dc"}}})
 		},
 		"agent shuts down": func(h *reservationHarness) { h.x.BeginShutdown() },
 		"placement":        func(h *reservationHarness) { h.placeFor("e", large, time.Second) },
--- a/executor/start.go
+++ b/executor/start.go
@@ -129,7 +129,7 @@
 		return messenger.RefusedWithdrawn, false
 	case x.shuttingDown:
 		return messenger.RefusedLeaving, false
-	case x.evacuated:
+	case x.evacuated():
 		return messenger.RefusedEvacuated, false
 	case x.departed || x.upstream.Born == 0 || x.upstream.Service != p.Service:
 		return messenger.RefusedNoWorker, false
@@ -175,7 +175,7 @@
 	now := x.clock.Now()
 	x.expireTimedOut(now)
 	x.refuseExpired(now)
-	if x.leaseWithheld(now) || x.usageUnknown() || x.capacityUnknown() {
+	if x.leaseWithheld(now) || x.usageUnknown() || x.capacityUnknown() || !x.evacuations.known(now) {
 		return
 	}
 	x.updateReservation(now)
--- a/executor/workerloss_test.go
+++ b/executor/workerloss_test.go
@@ -126,6 +126,7 @@
 	clock := clockwork.NewFakeClock()
 	h := &harness{t: t, clock: clock}
 	h.x = executor.NewExecutor(clock, executor.Identity{Agent: "a", DataCentre: "dc", Incarnation: 2, Token: 100}, executor.Config{})
+	h.x.HandleEvacuationsUnread()
 	h.x.HandleHello(messenger.Hello{Entry: "e", Incarnation: 1, Upstream: known})
 	h.collect()
 	return h
--- a/messenger/link_test.go
+++ b/messenger/link_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/pomeloferry/pomeloferry/messenger"
@@ -152,3 +153,24 @@
 		})
 	}
 }
+
+// TestProcessesOfEarlierVersionsFollowEvacuations guards against a data centre that is not
+// evacuated while a new version is rolled out.
+func TestProcessesOfEarlierVersionsFollowEvacuations(t *testing.T) {
+	type earlierHeartbeat struct {
+		Timestamp time.Duration `cbor:"1,keyasint,omitempty"`
+		Revision  int64         `cbor:"3,keyasint,omitempty"`
+		Evacuated []string      `cbor:"4,keyasint,omitempty"`
+	}
+	raw, err := cbor.Marshal(messenger.Heartbeat{Timestamp: 1, Evacuations: messenger.Evacuations{Revision: 5, DataCentres: []string{"dc"}, Age: 2}})
+	require.NoError(t, err)
+	var earlier earlierHeartbeat
+	require.NoError(t, cbor.Unmarshal(raw, &earlier))
+	require.Equal(t, earlierHeartbeat{Timestamp: 1, Revision: 5, Evacuated: []string{"dc"}}, earlier)
+
+	raw, err = cbor.Marshal(earlier)
+	require.NoError(t, err)
+	var h messenger.Heartbeat
+	require.NoError(t, cbor.Unmarshal(raw, &h))
+	require.Equal(t, messenger.Evacuations{Revision: 5, DataCentres: []string{"dc"}}, h.Evacuations)
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -96,13 +96,9 @@
 type Heartbeat struct {
 	Timestamp time.Duration `cbor:"1,keyasint,omitempty"`
 	Echo      time.Duration `cbor:"2,keyasint,omitempty"`
-	// Revision is the revision of the operators' directives known to the entry, and
-	// Evacuated lists the data centres in which nothing may start. The agent applies
-	// the directives with the highest Revision that it has received, so that an entry
-	// cut off from the store starts nothing there either.
-	Revision  int64    `cbor:"3,keyasint,omitempty"`
-	Evacuated []string `cbor:"4,keyasint,omitempty"`
-	Backlog   Backlog  `cbor:"5,keyasint,omitempty"`
+	// Evacuations are those known to the entry. Their fields are among the heartbeat's own.
+	Evacuations
+	Backlog Backlog `cbor:"5,keyasint,omitempty"`
 	// AckedOutcome is the LastOutcome of the last Report on the link. The agent drops
 	// the outcomes up to it.
 	AckedOutcome uint64 `cbor:"6,keyasint,omitempty"`
@@ -111,6 +107,18 @@
 	Unlocked []UnlockedJob `cbor:"8,keyasint,omitempty"`
 }
 
+// Evacuations is what a process knows of the evacuations. The agent applies what has the
+// highest revision, whoever tells it.
+type Evacuations struct {
+	// Revision is the store's revision at which these data centres, and no others, were
+	// evacuated.
+	Revision    int64    `cbor:"3,keyasint,omitempty"`
+	DataCentres []string `cbor:"4,keyasint,omitempty"`
+	// Age is the time, as of the sending, since the store certainly held nothing newer.
+	// Zero means that it is not known, as with processes of earlier versions.
+	Age time.Duration `cbor:"9,keyasint,omitempty"`
+}
+
 // JobOutcome is the final outcome of a job, or "" if it has none: the job has not run to
 // its end, so another entry may run it.
 type JobOutcome string
@@ -403,6 +411,8 @@
 	// Backfill is capacity, in addition to Free, that only tasks which end soon may
 	// use.
 	Backfill Backfill `cbor:"30,keyasint,omitempty"`
+	// Evacuations are sent to an entry that knows older ones, or none that is confirmed.
+	Evacuations *Evacuations `cbor:"31,keyasint,omitempty"`
 }
 
 // ForecastHorizons are the times after a report that the items of Report.Forecast stand
--- a/scheduler/simagent_test.go
+++ b/scheduler/simagent_test.go
@@ -15,6 +15,7 @@
 		Agent: a.name, DataCentre: a.dataCentre, Incarnation: a.incarnation, Token: uint64(now.UnixMilli()) * 1000,
 	}, executor.Config{DrainTimeout: 2 * time.Second})
 	core := a.core
+	a.core.HandleEvacuationsUnread()
 	a.core.RestoreUpstream(a.worker.registered())
 	var tick func()
 	tick = func() {
--- a/soaker/deployment_test.go
+++ b/soaker/deployment_test.go
@@ -363,12 +363,13 @@
 // not start the process.
 func (d *deployment) newProcess(name, command, settings, dc string) *process {
 	path := filepath.Join(d.dir, name+".conf")
+	store := newProxy(d.t, d.storeAddr)
 	text := fmt.Sprintf("node_name=%s\nip=127.0.0.1\nzone=%s\nplatform.address=%s\nbounds.grace_period_s=%d\n%s%s",
-		name, dc, d.storeAddr, int(gracePeriod.Seconds()), settings, d.limits)
+		name, dc, store.address, int(gracePeriod.Seconds()), settings, d.limits)
 	require.NoError(d.t, os.WriteFile(path, []byte(text), 0o600))
 	log, err := os.Create(filepath.Join(d.dir, name+".log"))
 	require.NoError(d.t, err)
-	return &process{name: name, args: []string{"serve", command}, settings: path, text: text, descriptors: d.descriptors, log: log, onUnexpectedExit: d.checker.recordUnexpectedExit}
+	return &process{name: name, args: []string{"serve", command}, settings: path, text: text, descriptors: d.descriptors, storeProxy: store, log: log, onUnexpectedExit: d.checker.recordUnexpectedExit}
 }
 
 // close kills all processes of the deployment, and saves their logs when the test has
--- a/soaker/process_test.go
+++ b/soaker/process_test.go
@@ -32,7 +32,9 @@
 	settings, text string
 	// descriptors is the kernel's limit of its descriptors, 0 for none.
 	descriptors int
-	log         *os.File
+	// storeProxy forwards the process's connections to the store; nil if it has no store.
+	storeProxy *proxy
+	log        *os.File
 	// onUnexpectedExit is called when the process exits without having been killed or
 	// stopped, and when it cannot be restarted.
 	onUnexpectedExit func(name, status string)
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -216,11 +216,9 @@
 			return
 		}
 		defer d.evacuationMu.Unlock()
-		d.store.Put("op/evacuate/dc-1", []byte("{}"))
-		d.checker.setEvacuated("dc-1", true)
+		d.evacuate("dc-1")
 		time.Sleep(duration + evacuationDelay)
-		d.checker.setEvacuated("dc-1", false)
-		d.store.Delete("op/evacuate/dc-1")
+		d.endEvacuation("dc-1")
 	}},
 }
 
--- a/supervisor/actor.go
+++ b/supervisor/actor.go
@@ -6,6 +6,7 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/sirupsen/logrus"
 
+	"github.com/pomeloferry/pomeloferry/evacuator"
 	"github.com/pomeloferry/pomeloferry/executor"
 	"github.com/pomeloferry/pomeloferry/messenger"
 	"github.com/pomeloferry/pomeloferry/platform"
@@ -35,6 +36,12 @@
 	upstreamRestored struct{ upstream messenger.Upstream }
 	// workerDeparted reports that the worker has left.
 	workerDeparted struct{ id string }
+	// evacuationsRead carries the evacuations in the store, and evacuationsUnread reports
+	// that they could not be read.
+	evacuationsRead   struct{ view evacuator.View }
+	evacuationsUnread struct{}
+	// storeCalled reports whether the store has answered a call for the registration.
+	storeCalled struct{ answered bool }
 	// startResult carries the call result of a start.
 	startResult struct {
 		start  executor.Start
@@ -81,7 +88,8 @@
 	return &agentActor{
 		supervisor: s,
 		executor: executor.NewExecutor(s.deps.Clock, s.identity, executor.Config{
-			DrainTimeout: s.cfg.DrainTimeout,
+			DrainTimeout:      s.cfg.DrainTimeout,
+			EvacuationTimeout: s.cfg.EvacuationTimeout,
 		}),
 		links:       make(map[string]*messenger.Link),
 		entryByLink: make(map[*messenger.Link]string),
@@ -95,6 +103,7 @@
 	switch m := ctx.Message().(type) {
 	case tick:
 		c.executor.Tick()
+		c.metrics.evacuationsAge.Set(c.executor.EvacuationsAge().Seconds())
 	case shutdown:
 		c.executor.BeginShutdown()
 	case idleQuery:
@@ -112,6 +121,12 @@
 	case workerDeparted:
 		c.supervisor.deps.Log.WithField("worker", m.id).Info("worker left")
 		c.executor.HandleWorkerDeparture(m.id)
+	case evacuationsRead:
+		c.executor.HandleEvacuationsRead(m.view)
+	case evacuationsUnread:
+		c.executor.HandleEvacuationsUnread()
+	case storeCalled:
+		c.executor.HandleStoreCall(m.answered)
 	case startResult:
 		c.executor.HandleStartResult(m.start.Run, m.start.Token, m.result)
 	case pollResult:
@@ -269,6 +284,9 @@
 			if l := c.links[e.Entry]; l != nil {
 				l.Send(e.List)
 			}
+		case executor.ReadEvacuations:
+			c.metrics.evacuationReads.Inc()
+			s.requestEvacuations()
 		case executor.TickAfter:
 			s.deps.Clock.AfterFunc(e.Delay, func() { s.post(tick{}) })
 		case executor.Note:
--- a/supervisor/metrics.go
+++ b/supervisor/metrics.go
@@ -15,6 +15,10 @@
 	stops   *metrics.Counter
 	polls   *metrics.Counter
 	reports *metrics.Counter
+	// evacuationReads counts the agent's own reads of the evacuations after its start, and
+	// evacuationsAge is the time in seconds since those that it knows were certainly right.
+	evacuationReads *metrics.Counter
+	evacuationsAge  *metrics.Gauge
 	// reservedMillicores is the capacity reserved for a large task, in thousandths of
 	// a core.
 	reservedMillicores *metrics.Gauge
@@ -33,6 +37,8 @@
 		stops:              set.NewCounter("pomeloferry_agent_stops_total"),
 		polls:              set.NewCounter("pomeloferry_agent_looks_total"),
 		reports:            set.NewCounter("pomeloferry_agent_reports_total"),
+		evacuationReads:    set.NewCounter("pomeloferry_agent_evacuation_reads_total"),
+		evacuationsAge:     set.NewGauge("pomeloferry_agent_evacuations_age_seconds", nil),
 		reservedMillicores: set.NewGauge("pomeloferry_agent_reserved_millicores", nil),
 		coreSeconds:        coreSeconds,
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -12,6 +12,7 @@
 
 	"github.com/oklog/run"
 
+	"github.com/pomeloferry/pomeloferry/evacuator"
 	"github.com/pomeloferry/pomeloferry/executor"
 	"github.com/pomeloferry/pomeloferry/limiter"
 	"github.com/pomeloferry/pomeloferry/messenger"
@@ -64,6 +65,13 @@
 	Deregister(ctx context.Context) error
 }
 
+// EvacuationReader reads what the operators have evacuated.
+type EvacuationReader interface {
+	// Evacuations returns the evacuated data centres, and the store's revision at which
+	// they are.
+	Evacuations(ctx context.Context) ([]string, int64, error)
+}
+
 // Config configures one agent.
 type Config struct {
 	ID         string
@@ -79,6 +87,9 @@
 	// DrainTimeout is how long tasks may still start on a worker after it has announced
 	// that it drains.
 	DrainTimeout time.Duration
+	// EvacuationTimeout is how long after an evacuation tasks may still start in the data
+	// centre.
+	EvacuationTimeout time.Duration
 	// Instance is what the process may take of its instance.
 	Instance limiter.Instance
 }
@@ -89,6 +100,7 @@
 	cfg       Config
 	worker    WorkerClient
 	directory Directory
+	operators EvacuationReader
 	listeners struct{ link, control, metrics net.Listener }
 	// owner is set by Run.
 	owner    *server.Owner
@@ -97,18 +109,22 @@
 	ctx context.Context
 	// upstreamUpdates holds the newest worker until it is registered.
 	upstreamUpdates chan messenger.Upstream
+	// evacuationReads holds a request for a read of the evacuations until it begins.
+	evacuationReads chan struct{}
 }
 
 // NewSupervisor returns an agent whose listeners are open. It fails if an address cannot
 // be listened on.
-func NewSupervisor(deps provider.Deps, cfg Config, w WorkerClient, d Directory) (*Supervisor, error) {
+func NewSupervisor(deps provider.Deps, cfg Config, w WorkerClient, d Directory, o EvacuationReader) (*Supervisor, error) {
 	now := deps.Clock.Now()
 	s := &Supervisor{
 		deps:            deps.WithField("agent", cfg.ID).WithField("data_centre", cfg.DataCentre),
 		cfg:             cfg,
 		worker:          w,
 		directory:       d,
+		operators:       o,
 		upstreamUpdates: make(chan messenger.Upstream, 1),
+		evacuationReads: make(chan struct{}, 1),
 		identity: executor.Identity{
 			Agent:       cfg.ID,
 			DataCentre:  cfg.DataCentre,
@@ -156,6 +172,7 @@
 	g.Add(func() error { return s.acceptLinks(runCtx) }, func(error) { _ = s.listeners.link.Close() })
 	g.Add(func() error { return s.tick(runCtx) }, func(error) { cancel() })
 	g.Add(func() error { return s.keepRegistered(runCtx) }, func(error) { cancel() })
+	g.Add(func() error { return s.readEvacuations(runCtx) }, func(error) { cancel() })
 	s.deps.Log.WithField("link", s.cfg.LinkAddr).WithField("token", s.identity.Token).Info("agent started")
 	err := g.Run()
 	s.deps.Log.Info("agent stopped")
@@ -219,6 +236,7 @@
 	for {
 		delay, err := s.directory.Renew(ctx)
 		lastError = server.LogDependency(s.deps, "store", lastError, err)
+		s.post(storeCalled{answered: err == nil})
 		select {
 		case <-ctx.Done():
 			return nil
@@ -229,6 +247,34 @@
 	}
 }
 
+// readEvacuations reads the evacuations from the store at the start and whenever the executor
+// asks for it, until ctx ends.
+func (s *Supervisor) readEvacuations(ctx context.Context) error {
+	for {
+		beganAt := s.deps.Clock.Now()
+		dataCentres, revision, err := s.operators.Evacuations(ctx)
+		if err != nil {
+			s.deps.Log.WithError(err).Warn("evacuations not read")
+			s.post(evacuationsUnread{})
+		} else {
+			s.post(evacuationsRead{view: evacuator.NewView(revision, dataCentres, beganAt)})
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.evacuationReads:
+		}
+	}
+}
+
+// requestEvacuations makes readEvacuations read them again. It does not block.
+func (s *Supervisor) requestEvacuations() {
+	select {
+	case s.evacuationReads <- struct{}{}:
+	default:
+	}
+}
+
 // publishUpstream makes keepRegistered register u. It replaces an update that is still
 // pending, and does not block.
 func (s *Supervisor) publishUpstream(u messenger.Upstream) {
