executor: Repeat no start where none is admitted any more

A start that gets no answer and had no effect is sent again once a poll has shown so, up to 0.6 s later. It was sent again although the data centre had been evacuated, or the worker had drained for as long as tasks may start on it, meanwhile.

Cause: only the admission of a run asked whether its worker may start it.

Change: admission and repetition ask in one place (startAllowed).

Failed before: TestAStartIsNotRepeatedOnceNoRunIsAdmitted, both parts (one start each); green now.

--- a/executor/evacuations_test.go
+++ b/executor/evacuations_test.go
@@ -237,3 +237,51 @@
 		})
 	}
 }
+
+// TestAStartIsNotRepeatedOnceNoRunIsAdmitted guards against a start that had no effect and is
+// sent again when the data centre is evacuated or the worker has drained for too long.
+func TestAStartIsNotRepeatedOnceNoRunIsAdmitted(t *testing.T) {
+	drain := func(h *harness) {
+		draining := upstream(1)
+		draining.Draining, draining.Remaining = true, time.Minute
+		h.x.SetUpstream(draining)
+		h.collect()
+		h.waitInTouch(1400 * time.Millisecond)
+	}
+	for _, tt := range []struct {
+		name           string
+		before, during func(h *harness)
+		reason         messenger.RefusalReason
+	}{
+		{"the data centre is evacuated", func(*harness) {}, func(h *harness) {
+			h.x.HandleEvacuationsRead(evacuator.NewView(11, []string{"dc"}, h.clock.Now()))
+			h.collect()
+		}, messenger.RefusedEvacuated},
+		{"the worker has drained for too long", drain, func(h *harness) { h.waitInTouch(500 * time.Millisecond) }, messenger.RefusedLeaving},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t)
+			tt.before(h)
+			h.place(run1, 1000)
+			require.Len(t, h.starts, 1)
+			h.x.HandleStartResult(run1, h.starts[0].Token, executor.Unanswered)
+			h.collect()
+			poll := h.lastPoll
+			tt.during(h)
+			h.answerPoll(poll, nil)
+			require.Empty(t, h.starts)
+			require.Equal(t, []messenger.Refusal{{Run: run1, Reason: tt.reason}}, h.refused())
+		})
+	}
+}
+
+// waitInTouch lets time pass in which the entry sends heartbeats.
+func (h *harness) waitInTouch(d time.Duration) {
+	const step = 100 * time.Millisecond
+	for range int(d / step) {
+		h.clock.Advance(step)
+		h.x.HandleHeartbeat("e", messenger.Heartbeat{Timestamp: 1, Echo: h.timestamp})
+		h.x.Tick()
+		h.collect()
+	}
+}
--- a/executor/start.go
+++ b/executor/start.go
@@ -124,23 +124,33 @@
 
 // admit reports whether a new run may wait here, and if not, the reason.
 func (x *Executor) admit(t messenger.Task, p messenger.Place, stale bool) (messenger.RefusalReason, bool) {
-	switch {
+	switch reason, ok := x.startAllowed(t); {
 	case stale:
 		return messenger.RefusedWithdrawn, false
 	case x.shuttingDown:
 		return messenger.RefusedLeaving, false
-	case x.evacuated():
-		return messenger.RefusedEvacuated, false
+	case !ok:
+		return reason, false
 	case x.departed || x.upstream.Born == 0 || x.upstream.Service != p.Service:
 		return messenger.RefusedNoWorker, false
-	case x.upstream.Draining && !x.endsBeforeWorkerLeaves(t):
-		return messenger.RefusedLeaving, false
 	case !t.Demand.FitsIn(x.upstream.Capacity):
 		return messenger.RefusedNoRoom, false
 	}
 	return "", true
 }
 
+// startAllowed reports whether a start of a task may be sent now, also again, and if not, the
+// reason.
+func (x *Executor) startAllowed(t messenger.Task) (messenger.RefusalReason, bool) {
+	switch {
+	case x.evacuated():
+		return messenger.RefusedEvacuated, false
+	case x.upstream.Draining && !x.endsBeforeWorkerLeaves(t):
+		return messenger.RefusedLeaving, false
+	}
+	return "", true
+}
+
 // endsBeforeWorkerLeaves reports whether a task may still be started on a draining
 // worker.
 func (x *Executor) endsBeforeWorkerLeaves(t messenger.Task) bool {
@@ -309,9 +319,11 @@
 func (x *Executor) retryStart(r *run) {
 	now := x.clock.Now()
 	x.expireTimedOut(now)
-	switch {
+	switch reason, ok := x.startAllowed(r.Task); {
 	case r.cancelled:
 		x.refuse(r, messenger.RefusedWithdrawn)
+	case !ok:
+		x.refuse(r, reason)
 	case r.attempts >= maxStartAttempts || x.leaseWithheld(now):
 		x.refuse(r, messenger.RefusedUnhealthy)
 	default:
