evacuator: Take a message that echoes a time to come for unconfirmed

What callers would have seen: nothing; a guard. If a message echoed a timestamp of an earlier link, its evacuations could count as confirmed in the future, and nobody would ask the store again for that long.

The real processes don't: a report goes out on the link whose Hello the agent has handled last, and an entry drops what comes on an older one.

Failed before: TestViewWithoutAnEchoConfirmsNothing, "an echo of the future".

--- a/acceptor/actor.go
+++ b/acceptor/actor.go
@@ -219,7 +219,7 @@
 	if r.Echo > 0 {
 		notBefore = c.links[agent].openedAt.Add(r.Echo)
 	}
-	if c.acceptor.follow(nil, evacuator.Received(*r.Evacuations, notBefore), agent) {
+	if c.acceptor.follow(nil, evacuator.Received(*r.Evacuations, notBefore, c.acceptor.deps.Clock.Now()), agent) {
 		c.configure()
 	}
 }
--- a/evacuator/evacuator.go
+++ b/evacuator/evacuator.go
@@ -37,10 +37,11 @@
 
 // Received returns the view that another process has sent. notBefore is a time at or before
 // which it was sent, by the clock of this process: that of a timestamp which the message
-// echoes. Without one, the zero time, the age of the view is not known.
-func Received(m messenger.Evacuations, notBefore time.Time) View {
+// echoes. Without one, the zero time, or with one that is later than now, the age of the view
+// is not known.
+func Received(m messenger.Evacuations, notBefore, now time.Time) View {
 	v := NewView(m.Revision, m.DataCentres, time.Time{})
-	if m.Age > 0 && !notBefore.IsZero() {
+	if m.Age > 0 && !notBefore.IsZero() && !notBefore.After(now) {
 		v.ConfirmedAt = notBefore.Add(-m.Age)
 	}
 	return v
--- a/evacuator/evacuator_test.go
+++ b/evacuator/evacuator_test.go
@@ -81,7 +81,7 @@
 				if sentAt.Before(from.ConfirmedAt) {
 					continue
 				}
-				learnt = evacuator.Received(from.Message(sentAt), notBefore)
+				learnt = evacuator.Received(from.Message(sentAt), notBefore, sentAt)
 			}
 			known[to] = known[to].Merge(learnt)
 			require.True(t, known[to].ConfirmedAt.IsZero() || rightSince(known[to], history), "%+v", known[to])
@@ -93,9 +93,10 @@
 // earlier version, whose evacuations count as new.
 func TestViewWithoutAnEchoConfirmsNothing(t *testing.T) {
 	for name, v := range map[string]evacuator.View{
-		"no echo":                evacuator.Received(messenger.Evacuations{Revision: 5, Age: time.Second}, time.Time{}),
-		"no age":                 evacuator.Received(messenger.Evacuations{Revision: 5}, epoch),
-		"a view that is unknown": evacuator.Received(evacuator.View{}.Message(epoch), epoch),
+		"no echo":                evacuator.Received(messenger.Evacuations{Revision: 5, Age: time.Second}, time.Time{}, epoch),
+		"no age":                 evacuator.Received(messenger.Evacuations{Revision: 5}, epoch, epoch),
+		"an echo of the future":  evacuator.Received(messenger.Evacuations{Revision: 5, Age: 1}, epoch.Add(time.Second), epoch),
+		"a view that is unknown": evacuator.Received(evacuator.View{}.Message(epoch), epoch, epoch),
 	} {
 		t.Run(name, func(t *testing.T) {
 			require.True(t, v.OlderThan(time.Hour, epoch))
@@ -109,7 +110,7 @@
 // as sent when it was read.
 func TestAgeCountsFromTheEchoedTimestamp(t *testing.T) {
 	sent := evacuator.NewView(5, []string{"b", "a"}, epoch).Message(epoch.Add(2 * time.Second))
-	v := evacuator.Received(sent, epoch.Add(time.Minute))
+	v := evacuator.Received(sent, epoch.Add(time.Minute), epoch.Add(time.Hour))
 	require.Equal(t, epoch.Add(time.Minute-2*time.Second), v.ConfirmedAt)
 	require.True(t, v.Evacuated("a") && v.Evacuated("b") && !v.Evacuated("c"))
 	require.Equal(t, map[string]bool{"a": true, "b": true}, v.Set())
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -182,7 +182,7 @@
 	if h.Echo > 0 {
 		notBefore = x.startedAt.Add(h.Echo)
 	}
-	e.evacuations = evacuator.Received(h.Evacuations, notBefore)
+	e.evacuations = evacuator.Received(h.Evacuations, notBefore, x.clock.Now())
 	x.learnEvacuations(e.evacuations, e.name)
 }
 
