--- a/scheduler/simagent_test.go
+++ b/scheduler/simagent_test.go
@@ -15,7 +15,11 @@
 		Agent: a.name, DataCentre: a.dataCentre, Incarnation: a.incarnation, Token: uint64(now.UnixMilli()) * 1000,
 	}, executor.Config{DrainTimeout: 2 * time.Second})
 	core := a.core
-	a.core.HandleEvacuationsUnread()
+	if a.sim.store == nil {
+		a.core.HandleEvacuationsUnread()
+	} else {
+		a.followStore()
+	}
 	a.core.RestoreUpstream(a.worker.registered())
 	var tick func()
 	tick = func() {
@@ -96,6 +100,8 @@
 					}
 				})
 			})
+		case executor.ReadEvacuations:
+			a.readEvacuations()
 		case executor.SendReport:
 			if l := a.links[e.Entry]; l != nil && l.open {
 				l.toEntry(e.Report)
--- a/scheduler/simcluster_test.go
+++ b/scheduler/simcluster_test.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/pomeloferry/pomeloferry/evacuator"
 	"github.com/pomeloferry/pomeloferry/executor"
 	"github.com/pomeloferry/pomeloferry/messenger"
 	"github.com/pomeloferry/pomeloferry/scheduler"
@@ -129,6 +130,11 @@
 	placedRuns, capacityRefusals int
 	// witnesses is the list of witnesses in the store.
 	witnesses messenger.WitnessList
+	// store has the operators' evacuations; nil if the operators evacuate nothing.
+	store *simStore
+	// startsInEvacuated lists the runs that began in a data centre which had been evacuated
+	// for too long.
+	startsInEvacuated []string
 	// lockRequests counts the jobs that agents were asked to lock.
 	lockRequests int
 	// linkDelay is the delay of a message between an entry and an agent.
@@ -169,8 +175,14 @@
 	activeAt time.Time
 	// cutUntil is until when the entry can open no link to an agent, by the agent's name.
 	cutUntil map[string]time.Time
-	// watchCut means that the entry is not told what changes in the store.
+	// watchCut means that the entry is not told what changes in the list of witnesses.
 	watchCut bool
+	// evacuations are those that the entry knows, and configured is whether it has read the
+	// configuration in simulation.store.
+	evacuations evacuator.View
+	configured  bool
+	// storeCutUntil is until when the entry cannot reach simulation.store.
+	storeCutUntil time.Time
 }
 
 // simAgent is an agent process with its worker.
@@ -185,6 +197,8 @@
 	pausedUntil time.Time
 	links       map[string]*simLink
 	dataCentre  string
+	// storeCutUntil is until when the agent cannot reach simulation.store.
+	storeCutUntil time.Time
 }
 
 // simLink is a link between an entry and an agent. A cut link delivers nothing.
@@ -193,6 +207,8 @@
 	agent *simAgent
 	open  bool
 	cut   bool
+	// greeted means that the agent has handled the Hello.
+	greeted bool
 	// openedAt is when the link was opened; the timestamps of heartbeats count from there.
 	openedAt        time.Time
 	lastHeartbeatAt time.Time
@@ -310,6 +326,7 @@
 // records runs that break a rule.
 func (sim *simulation) runStarted(w *simWorker, r messenger.Run) {
 	sim.runningCount[r.Task]++
+	sim.checkEvacuation(w, r)
 	if _, ok := sim.firstStartAt[r.Task]; !ok {
 		sim.firstStartAt[r.Task] = sim.clock.Now()
 	}
--- a/scheduler/simentry_test.go
+++ b/scheduler/simentry_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/pomeloferry/pomeloferry/evacuator"
 	"github.com/pomeloferry/pomeloferry/messenger"
 	"github.com/pomeloferry/pomeloferry/scheduler"
 )
@@ -19,11 +20,18 @@
 	e.down = false
 	e.activeAt = e.sim.clock.Now()
 	core := e.core
-	core.Configure(e.sim.configuration())
+	e.evacuations = evacuator.View{}
+	e.configured = false
+	if e.sim.store == nil {
+		core.Configure(e.sim.configuration())
+	}
 	core.ReadWitnesses(e.sim.witnesses)
 	for _, a := range e.sim.agents {
 		e.connect(a, core)
 	}
+	if e.sim.store != nil {
+		e.watchStore()
+	}
 	var tick func()
 	tick = func() {
 		if e.core != core || e.down {
@@ -168,7 +176,7 @@
 		}
 		if early || now.Sub(l.lastHeartbeatAt) >= messenger.HeartbeatInterval {
 			l.lastHeartbeatAt = now
-			l.toAgent(messenger.Heartbeat{Timestamp: now.Sub(l.openedAt), Echo: l.echo, Backlog: e.core.Backlog(), AckedOutcome: e.core.LastOutcome(a.name), Unlocked: e.core.TakeUnlocked(a.name)})
+			l.toAgent(messenger.Heartbeat{Timestamp: now.Sub(l.openedAt), Echo: l.echo, Evacuations: e.evacuations.Message(now), Backlog: e.core.Backlog(), AckedOutcome: e.core.LastOutcome(a.name), Unlocked: e.core.TakeUnlocked(a.name)})
 		}
 	}
 }
--- a/scheduler/simlink_test.go
+++ b/scheduler/simlink_test.go
@@ -31,6 +31,7 @@
 		}
 		switch m := msg.(type) {
 		case messenger.Hello:
+			l.greeted = true
 			core.HandleHello(m)
 		case messenger.Heartbeat:
 			core.HandleHeartbeat(l.entry.name, m)
@@ -58,11 +59,15 @@
 	if l.agent.sim.withoutSpeeds {
 		r.Speed, r.SpeedJobs = 0, 0
 	}
+	if !l.greeted {
+		r.Evacuations = nil // It echoes timestamps of the link before, to which it would go.
+	}
 	core := l.entry.core
 	l.sendToEntry(func() {
 		l.lastReportAt = l.entry.sim.clock.Now()
 		l.echo = r.Timestamp
 		l.agent.sim.countCapacityRefusals(r.Refused)
+		l.entry.receiveEvacuations(l, r)
 		core.HandleReport(r)
 	})
 }
