soaker: Cut processes off from the store beside evacuations

The soak's evacuations never met entries that had lost the store: every process reached it by one address, and its faults were those of the store as a whole, for 2 s at most.

--- a/soaker/evacuation_test.go
+++ b/soaker/evacuation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -40,6 +42,65 @@
 	}
 }
 
+// cutEntriesFromStore cuts entries off from the store, one after the other, and reconnects
+// them together.
+func (d *deployment) cutEntriesFromStore(rng *rand.Rand, entries []*process, duration time.Duration) {
+	for _, p := range entries {
+		cutFromStore(p)
+		time.Sleep(randomDuration(rng, 0, duration/4))
+	}
+	time.Sleep(3 * duration)
+	reconnectToStore(entries...)
+}
+
+// storeFaults cut processes off from the store, or evacuate a data centre meanwhile.
+var storeFaults = []fault{
+	{"all entries cut off from the store", func(d *deployment, rng *rand.Rand, duration time.Duration) {
+		d.cutEntriesFromStore(rng, d.entries, duration)
+	}},
+	{"an entry cut off from the store", func(d *deployment, rng *rand.Rand, duration time.Duration) {
+		d.cutEntriesFromStore(rng, []*process{pick(rng, d.entries)}, duration)
+	}},
+	{"agent cut off from the store", func(d *deployment, rng *rand.Rand, duration time.Duration) {
+		inst := pick(rng, d.allInstances())
+		cutFromStore(inst.agent)
+		d.checker.setStoreCut(inst.workerID, time.Now().Add(time.Hour))
+		time.Sleep(duration)
+		reconnectToStore(inst.agent)
+		d.checker.setStoreCut(inst.workerID, time.Now())
+	}},
+	{"data centre evacuated while all entries lose the store", func(d *deployment, rng *rand.Rand, duration time.Duration) {
+		if !d.evacuationMu.TryLock() {
+			return
+		}
+		defer d.evacuationMu.Unlock()
+		cutFromStore(d.entries...)
+		d.evacuate("dc-1")
+		time.Sleep(evacuationDelay + duration)
+		d.endEvacuation("dc-1")
+		reconnectToStore(d.entries...)
+	}},
+}
+
+// TestEvacuationsHoldWhileProcessesLoseTheStore runs the soak with processes that lose the
+// store, and without faults of the store as a whole.
+func TestEvacuationsHoldWhileProcessesLoseTheStore(t *testing.T) {
+	sc := smallScenario
+	sc.series = 3
+	sc.faults = slices.Concat(slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return f.name == "store faulty" }), storeFaults, storeFaults)
+	// Seeds 3 and 4 have failed before.
+	first, n := uint64(3), uint64(2)
+	if *seeds > 0 {
+		first, n = *firstSeed, uint64(*seeds)
+	}
+	for seed := first; seed < first+n; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runParallel(t)
+			runSeed(t, seed, sc)
+		})
+	}
+}
+
 // TestNothingStartsInAnEvacuatedDataCentreForEntriesThatAreCutOff guards against agents that
 // start tasks there on the word of entries that know nothing newer.
 func TestNothingStartsInAnEvacuatedDataCentreForEntriesThatAreCutOff(t *testing.T) {
