scheduler: Test that few agents read the evacuations for all

What an agent reads it tells its entries, and they tell the others, so that the store is not asked by each agent. The bound of the test is a third of a read by each agent every 3 s.

--- a/scheduler/evacuation_test.go
+++ b/scheduler/evacuation_test.go
@@ -134,3 +134,35 @@
 		})
 	}
 }
+
+// TestFewAgentsReadTheStoreForAll guards against a call to the store by each agent whenever the
+// entries lose it.
+func TestFewAgentsReadTheStoreForAll(t *testing.T) {
+	const (
+		agents = 66
+		span   = 30 * time.Second
+		// readInterval is the time between two reads of an agent that nobody tells anything.
+		readInterval = 3 * time.Second
+	)
+	for _, entries := range []int{1, 4} {
+		t.Run(fmt.Sprintf("%d entries", entries), func(t *testing.T) {
+			sim := newSimulationIn(t, 1, 3, entries, agents, workerCPU)
+			sim.addStore()
+			sim.run(5 * time.Second)
+			require.Equal(t, agents, sim.store.agentReads, "one at the start of each")
+			for _, e := range sim.entries {
+				e.storeCutUntil = sim.clock.Now().Add(span)
+			}
+			sim.run(span)
+			reads := sim.store.agentReads - agents
+			t.Logf("%d reads of %d agents in %s", reads, agents, span)
+			require.Less(t, reads, agents*int(span/readInterval)/3)
+
+			sim.store.downUntil = sim.clock.Now().Add(span)
+			sim.run(span + 2*time.Second)
+			outage := sim.store.agentReads - agents - reads
+			t.Logf("%d in an outage of the store, and in 2 s after it", outage)
+			require.LessOrEqual(t, outage, agents)
+		})
+	}
+}
--- a/scheduler/simstore_test.go
+++ b/scheduler/simstore_test.go
@@ -30,6 +30,8 @@
 	revision, changedAt int64
 	evacuatedAt         map[string]time.Time
 	downUntil           time.Time
+	// agentReads counts the reads of agents.
+	agentReads int
 }
 
 // addStore gives the simulation a store. Entries know the configuration and the evacuations
@@ -145,6 +147,7 @@
 func (a *simAgent) readEvacuations() {
 	core, store := a.core, a.sim.store
 	beganAt := a.sim.clock.Now()
+	store.agentReads++
 	handle := func(f func()) func() {
 		return func() {
 			a.do(func() {
