--- a/executor/run.go
+++ b/executor/run.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -141,7 +142,11 @@
 // reportRefusal queues the refusal of a run for an entry.
 func (x *Executor) reportRefusal(owner string, r messenger.Run, reason messenger.RefusalReason) {
 	x.queueOutcome(owner, outcome{refused: messenger.Refusal{Run: r, Reason: reason}})
-	x.emit(Note{Run: r, Owner: owner, What: "run refused", Why: string(reason)})
+	why := string(reason)
+	if reason == messenger.RefusedEvacuated {
+		why = fmt.Sprintf("%s at revision %d, told by %s", reason, x.evacuations.Revision, x.evacuations.source)
+	}
+	x.emit(Note{Run: r, Owner: owner, What: "run refused", Why: why})
 }
 
 // refuseWaiting refuses all waiting runs.
