--- a/executor/evacuations.go
+++ b/executor/evacuations.go
@@ -53,6 +53,14 @@
 // storeSource is the source of what the agent has read itself.
 const storeSource = "store"
 
+// entryOf returns the entry that a source names, or "" if the agent has read the store itself.
+func entryOf(source string) string {
+	if source == storeSource {
+		return ""
+	}
+	return source
+}
+
 func newEvacuationState(agent string, timeout time.Duration) evacuationState {
 	if timeout <= 0 {
 		timeout = DefaultEvacuationTimeout
@@ -81,9 +89,9 @@
 	evacuated := x.evacuated()
 	if evacuated != wasEvacuated {
 		x.emit(Note{
-			What: "evacuation changed",
-			Why:  fmt.Sprintf("%t at revision %d, told by %s", evacuated, x.evacuations.Revision, source),
-			Age:  x.evacuations.age(now),
+			Owner: entryOf(source), What: "evacuation changed",
+			Why: fmt.Sprintf("%t at revision %d, told by %s", evacuated, x.evacuations.Revision, source),
+			Age: x.evacuations.age(now),
 		})
 		x.markCapacityChanged()
 	}
