--- a/acceptor/actor.go
+++ b/acceptor/actor.go
@@ -6,7 +6,6 @@
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/sirupsen/logrus"
 
-	"github.com/pomeloferry/pomeloferry/evacuator"
 	"github.com/pomeloferry/pomeloferry/messenger"
 	"github.com/pomeloferry/pomeloferry/scheduler"
 )
@@ -188,42 +187,6 @@
 	}).Info(n.What)
 }
 
-// entryDump is the state of the entry in a form for operators.
-type entryDump struct {
-	scheduler.Dump
-	// EvacuationsRevision is the store's revision as of which Evacuated is known, and
-	// EvacuationsAgeMS the time since that was certainly right, in milliseconds; zero if it
-	// never was.
-	EvacuationsRevision int64
-	EvacuationsAgeMS    int64
-}
-
-func (c *entryActor) dump() entryDump {
-	known := c.acceptor.evacuations().Message(c.acceptor.deps.Clock.Now())
-	return entryDump{Dump: c.scheduler.Dump(), EvacuationsRevision: known.Revision, EvacuationsAgeMS: known.Age.Milliseconds()}
-}
-
-// configure makes the scheduler follow the configuration in force.
-func (c *entryActor) configure() {
-	if configuration, ok := c.acceptor.Configuration(); ok {
-		c.scheduler.Configure(configuration)
-	}
-}
-
-// receiveEvacuations processes what an agent tells of the evacuations in a report.
-func (c *entryActor) receiveEvacuations(agent string, r *messenger.Report) {
-	if r.Evacuations == nil {
-		return
-	}
-	var notBefore time.Time
-	if r.Echo > 0 {
-		notBefore = c.links[agent].openedAt.Add(r.Echo)
-	}
-	if c.acceptor.follow(nil, evacuator.Received(*r.Evacuations, notBefore, c.acceptor.deps.Clock.Now()), agent) {
-		c.configure()
-	}
-}
-
 func (c *entryActor) handleLinkMessage(m linkMessage) {
 	name, ok := c.agentByLink[m.link]
 	if !ok {
--- a/acceptor/directives.go
+++ b/acceptor/directives.go
@@ -67,7 +67,7 @@
 	d.revision = revision
 	configuration := d.apply(items)
 	evacuations := evacuator.NewView(revision, slices.Collect(maps.Keys(d.evacuated)), beganAt)
-	if d.acceptor.follow(configuration, evacuations, storeSource) {
+	if d.acceptor.putInForce(configuration, evacuations, evacuator.FromStore) {
 		d.acceptor.post(configurationChanged{})
 	}
 	return nil
--- a/acceptor/directives_test.go
+++ b/acceptor/directives_test.go
@@ -24,7 +24,7 @@
 	a.owner = a.startOwner(t.Context(), actor.ReceiveFunc(func(actor.Context) {}))
 	t.Cleanup(a.owner.Stop)
 	for version := range uint64(2) {
-		require.True(t, a.follow(&scheduler.Configuration{Version: version + 1}, evacuator.View{}, storeSource))
+		require.True(t, a.putInForce(&scheduler.Configuration{Version: version + 1}, evacuator.View{}, evacuator.FromStore))
 		require.Equal(t, version+1, a.configuration.Load().Version)
 		require.InDelta(t, 2, a.configuration.Load().FarFactor, 0)
 	}
@@ -89,8 +89,8 @@
 // TestOlderConfigurationIsIgnored guards against a configuration that reverts.
 func TestOlderConfigurationIsIgnored(t *testing.T) {
 	a := &Acceptor{deps: provider.NewDeps(io.Discard)}
-	require.True(t, a.follow(&scheduler.Configuration{Version: 2}, evacuator.View{}, storeSource))
-	require.False(t, a.follow(&scheduler.Configuration{Version: 1}, evacuator.View{}, storeSource))
-	require.True(t, a.follow(&scheduler.Configuration{Version: 1}, evacuator.NewView(1, []string{"dc"}, time.Time{}), storeSource))
+	require.True(t, a.putInForce(&scheduler.Configuration{Version: 2}, evacuator.View{}, evacuator.FromStore))
+	require.False(t, a.putInForce(&scheduler.Configuration{Version: 1}, evacuator.View{}, evacuator.FromStore))
+	require.True(t, a.putInForce(&scheduler.Configuration{Version: 1}, evacuator.NewView(1, []string{"dc"}, time.Time{}), evacuator.FromStore))
 	require.EqualValues(t, 2, a.configuration.Load().Version)
 }
--- a/acceptor/inforce.go
+++ b/acceptor/inforce.go
@@ -6,12 +6,10 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/pomeloferry/pomeloferry/evacuator"
+	"github.com/pomeloferry/pomeloferry/messenger"
 	"github.com/pomeloferry/pomeloferry/scheduler"
 )
 
-// storeSource is the source of the directives that the entry has read itself.
-const storeSource = "store"
-
 // inForce holds the directives that the entry follows. The evacuations come from the store
 // and from agents, which may know newer ones while the entry is cut off from it.
 type inForce struct {
@@ -29,10 +27,10 @@
 	return a.inForce.evacuations
 }
 
-// follow puts a configuration into force, unless it is nil or older than the present one, and
+// putInForce puts a configuration into force, unless it is nil or older than the present one, and
 // evacuations, unless newer ones are known. It reports whether that changed the entry's
 // configuration. source names who has told the directives.
-func (a *Acceptor) follow(c *scheduler.Configuration, v evacuator.View, source string) bool {
+func (a *Acceptor) putInForce(c *scheduler.Configuration, v evacuator.View, source string) bool {
 	f := &a.inForce
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -62,3 +60,21 @@
 	}).Info("configuration in force")
 	return true
 }
+
+// configure makes the scheduler follow the configuration in force.
+func (c *entryActor) configure() {
+	if configuration, ok := c.acceptor.Configuration(); ok {
+		c.scheduler.Configure(configuration)
+	}
+}
+
+// receiveEvacuations processes what an agent tells of the evacuations in a report.
+func (c *entryActor) receiveEvacuations(agent string, r *messenger.Report) {
+	if r.Evacuations == nil {
+		return
+	}
+	told := evacuator.Received(*r.Evacuations, c.links[agent].openedAt, r.Echo, c.acceptor.deps.Clock.Now())
+	if c.acceptor.putInForce(nil, told, agent) {
+		c.configure()
+	}
+}
--- a/evacuator/evacuator.go
+++ b/evacuator/evacuator.go
@@ -14,6 +14,10 @@
 	"github.com/pomeloferry/pomeloferry/messenger"
 )
 
+// FromStore is the source of what a process has read in the store itself. What others have
+// told it has the sender's name as its source.
+const FromStore = "store"
+
 // View is what a process knows of the evacuations. It is immutable; the zero value knows
 // nothing.
 type View struct {
@@ -35,14 +39,14 @@
 	return View{Revision: revision, DataCentres: sorted, ConfirmedAt: beganAt}
 }
 
-// Received returns the view that another process has sent. notBefore is a time at or before
-// which it was sent, by the clock of this process: that of a timestamp which the message
-// echoes. Without one, the zero time, or with one that is later than now, the age of the view
-// is not known.
-func Received(m messenger.Evacuations, notBefore, now time.Time) View {
+// Received returns the view that another process has sent at or after the time of the
+// timestamp that its message echoes. The timestamps of this process count from epoch. Without
+// an echo (zero), or with one that is later than now, the age of the view is not known.
+func Received(m messenger.Evacuations, epoch time.Time, echo time.Duration, now time.Time) View {
 	v := NewView(m.Revision, m.DataCentres, time.Time{})
-	if m.Age > 0 && !notBefore.IsZero() && !notBefore.After(now) {
-		v.ConfirmedAt = notBefore.Add(-m.Age)
+	sentAt := epoch.Add(echo)
+	if m.Age > 0 && echo > 0 && !sentAt.After(now) {
+		v.ConfirmedAt = sentAt.Add(-m.Age)
 	}
 	return v
 }
--- a/evacuator/evacuator_test.go
+++ b/evacuator/evacuator_test.go
@@ -76,12 +76,12 @@
 				learnt = evacuator.NewView(state.revision, state.dataCentres, beganAt)
 			} else {
 				sentAt := epoch.Add(time.Duration(rapid.Int64Range(0, 2*span).Draw(t, "sent")))
-				notBefore := sentAt.Add(-time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "echoed")))
+				echo := sentAt.Add(-time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "echoed"))).Sub(epoch)
 				from := known[rapid.IntRange(0, len(known)-1).Draw(t, "from")]
 				if sentAt.Before(from.ConfirmedAt) {
 					continue
 				}
-				learnt = evacuator.Received(from.Message(sentAt), notBefore, sentAt)
+				learnt = evacuator.Received(from.Message(sentAt), epoch, echo, sentAt)
 			}
 			known[to] = known[to].Merge(learnt)
 			require.True(t, known[to].ConfirmedAt.IsZero() || rightSince(known[to], history), "%+v", known[to])
@@ -93,10 +93,10 @@
 // earlier version, whose evacuations count as new.
 func TestViewWithoutAnEchoConfirmsNothing(t *testing.T) {
 	for name, v := range map[string]evacuator.View{
-		"no echo":                evacuator.Received(messenger.Evacuations{Revision: 5, Age: time.Second}, time.Time{}, epoch),
-		"no age":                 evacuator.Received(messenger.Evacuations{Revision: 5}, epoch, epoch),
-		"an echo of the future":  evacuator.Received(messenger.Evacuations{Revision: 5, Age: 1}, epoch.Add(time.Second), epoch),
-		"a view that is unknown": evacuator.Received(evacuator.View{}.Message(epoch), epoch, epoch),
+		"no echo":                evacuator.Received(messenger.Evacuations{Revision: 5, Age: time.Second}, epoch, 0, epoch),
+		"no age":                 evacuator.Received(messenger.Evacuations{Revision: 5}, epoch, 1, epoch.Add(1)),
+		"an echo of the future":  evacuator.Received(messenger.Evacuations{Revision: 5, Age: 1}, epoch, time.Second, epoch),
+		"a view that is unknown": evacuator.Received(evacuator.View{}.Message(epoch), epoch, 1, epoch.Add(1)),
 	} {
 		t.Run(name, func(t *testing.T) {
 			require.True(t, v.OlderThan(time.Hour, epoch))
@@ -110,7 +110,7 @@
 // as sent when it was read.
 func TestAgeCountsFromTheEchoedTimestamp(t *testing.T) {
 	sent := evacuator.NewView(5, []string{"b", "a"}, epoch).Message(epoch.Add(2 * time.Second))
-	v := evacuator.Received(sent, epoch.Add(time.Minute), epoch.Add(time.Hour))
+	v := evacuator.Received(sent, epoch, time.Minute, epoch.Add(time.Hour))
 	require.Equal(t, epoch.Add(time.Minute-2*time.Second), v.ConfirmedAt)
 	require.True(t, v.Evacuated("a") && v.Evacuated("b") && !v.Evacuated("c"))
 	require.Equal(t, map[string]bool{"a": true, "b": true}, v.Set())
--- a/executor/entry.go
+++ b/executor/entry.go
@@ -178,11 +178,7 @@
 
 // receiveEvacuations processes what an entry tells of the evacuations in a heartbeat.
 func (x *Executor) receiveEvacuations(e *entry, h messenger.Heartbeat) {
-	var notBefore time.Time
-	if h.Echo > 0 {
-		notBefore = x.startedAt.Add(h.Echo)
-	}
-	e.evacuations = evacuator.Received(h.Evacuations, notBefore, x.clock.Now())
+	e.evacuations = evacuator.Received(h.Evacuations, x.startedAt, h.Echo, x.clock.Now())
 	x.learnEvacuations(e.evacuations, e.name)
 }
 
--- a/executor/evacuations.go
+++ b/executor/evacuations.go
@@ -50,12 +50,9 @@
 	storeRegainedAt time.Time
 }
 
-// storeSource is the source of what the agent has read itself.
-const storeSource = "store"
-
 // entryOf returns the entry that a source names, or "" if the agent has read the store itself.
 func entryOf(source string) string {
-	if source == storeSource {
+	if source == evacuator.FromStore {
 		return ""
 	}
 	return source
@@ -108,7 +105,7 @@
 func (x *Executor) HandleEvacuationsRead(v evacuator.View) {
 	x.evacuations.firstReadDone = true
 	x.evacuations.reading = false
-	x.learnEvacuations(v, storeSource)
+	x.learnEvacuations(v, evacuator.FromStore)
 	x.markStateChanged()
 	x.startWaiting()
 }
--- a/scheduler/cut_test.go
+++ b/scheduler/cut_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -278,28 +277,15 @@
 // TestNoTaskRunsTwiceAtOnceAroundADrawnCut searches for an order of events around the cut of
 // an entry in which a late copy of a request runs a job that another entry is running.
 func TestNoTaskRunsTwiceAtOnceAroundADrawnCut(t *testing.T) {
-	forDrawnCuts(t, func(t *testing.T, seed uint64) {
+	forSeeds(t, *firstCutSeed, *cutSeeds, func(t *testing.T, seed uint64) {
 		require.Empty(t, playDrawnCut(t, seed).duplicates, "seed %d", seed)
 	})
 }
 
-// forDrawnCuts calls play with each seed, some at a time.
-func forDrawnCuts(t *testing.T, play func(t *testing.T, seed uint64)) {
-	const parts = 4
-	for part := range uint64(parts) {
-		t.Run(fmt.Sprintf("part %d", part), func(t *testing.T) {
-			t.Parallel()
-			for seed := *firstCutSeed + part; seed < *firstCutSeed+*cutSeeds; seed += parts {
-				play(t, seed)
-			}
-		})
-	}
-}
-
 // TestNoTaskRunsTwiceAtOnceAfterAListOfAnotherWriter guards against two entries that each have
 // a quorum, since another writer has put other agents in place of the list of witnesses.
 func TestNoTaskRunsTwiceAtOnceAfterAListOfAnotherWriter(t *testing.T) {
-	forDrawnCuts(t, func(t *testing.T, seed uint64) {
+	forSeeds(t, *firstCutSeed, *cutSeeds, func(t *testing.T, seed uint64) {
 		d := newDrawnCut(t, seed)
 		d.anotherWriter = true
 		d.drawChange()
--- a/scheduler/evacuation_test.go
+++ b/scheduler/evacuation_test.go
@@ -124,15 +124,7 @@
 // TestNothingStartsInAnEvacuatedDataCentreWhoeverIsCutOff searches for an order of events in
 // which agents follow entries that know nothing newer.
 func TestNothingStartsInAnEvacuatedDataCentreWhoeverIsCutOff(t *testing.T) {
-	const parts = 4
-	for part := range uint64(parts) {
-		t.Run(fmt.Sprintf("part %d", part), func(t *testing.T) {
-			t.Parallel()
-			for seed := *firstEvacuationSeed + part; seed < *firstEvacuationSeed+*evacuationSeeds; seed += parts {
-				playDrawnEvacuations(t, seed)
-			}
-		})
-	}
+	forSeeds(t, *firstEvacuationSeed, *evacuationSeeds, playDrawnEvacuations)
 }
 
 // TestFewAgentsReadTheStoreForAll guards against a call to the store by each agent whenever the
--- a/scheduler/simstore_test.go
+++ b/scheduler/simstore_test.go
@@ -118,8 +118,8 @@
 
 // receiveEvacuations merges what an agent tells.
 func (e *simEntry) receiveEvacuations(l *simLink, r messenger.Report) {
-	if r.Evacuations != nil && r.Echo > 0 {
-		e.learnEvacuations(evacuator.Received(*r.Evacuations, l.openedAt.Add(r.Echo), e.sim.clock.Now()), false)
+	if r.Evacuations != nil {
+		e.learnEvacuations(evacuator.Received(*r.Evacuations, l.openedAt, r.Echo, e.sim.clock.Now()), false)
 	}
 }
 
