--- a/soaker/process_test.go
+++ b/soaker/process_test.go
@@ -32,7 +32,8 @@
 	settings, text string
 	// descriptors is the kernel's limit of its descriptors, 0 for none.
 	descriptors int
-	// storeProxy forwards the process's connections to the store; nil if it has no store.
+	// storeProxy forwards the process's connections to the store, if options.storeProxies is
+	// set.
 	storeProxy *proxy
 	log        *os.File
 	// onUnexpectedExit is called when the process exits without having been killed or
