--- a/executor/evacuations.go
+++ b/executor/evacuations.go
@@ -44,8 +44,8 @@
 	// one.
 	reading    bool
 	nextReadAt time.Time
-	// storeAnswers is whether the store has answered the agent's last call, and
-	// storeRegainedAt when it did so for the first time after a failure.
+	// storeAnswers is whether the store has answered the last call for the agent's
+	// registration, and storeRegainedAt when it did so for the first time after a failure.
 	storeAnswers    bool
 	storeRegainedAt time.Time
 }
