soaker: Hang up on a process only once it minds the signal

Cause: the fault "settings reloaded" waits for the lock that the start of a process holds, and sends SIGHUP as soon as the exec has returned. From the exec until the first instruction of a program's own the kernel ends it, whatever the program does; hangup.go ignores the signal from its first moment on.

--- a/soaker/process_test.go
+++ b/soaker/process_test.go
@@ -117,6 +117,16 @@
 	}
 }
 
+// hangUp tells the process that its settings have changed.
+func (p *process) hangUp() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		awaitMinded(p.cmd.Process.Pid, syscall.SIGHUP)
+		_ = p.cmd.Process.Signal(syscall.SIGHUP)
+	}
+}
+
 // kill kills the process, which is then restarted after the restart delay.
 func (p *process) kill() {
 	p.mu.Lock()
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -168,7 +168,7 @@
 	}},
 	{"settings reloaded", func(d *deployment, _ *rand.Rand, _ time.Duration) {
 		for _, p := range d.processes() {
-			p.signal(syscall.SIGHUP)
+			p.hangUp()
 		}
 	}},
 	{"links reset", func(d *deployment, rng *rand.Rand, _ time.Duration) {
