soaker: Give a crowd of callers a process of its own

The entry stayed within its bounds.

Cause: the 300 members that write without a pause were goroutines of the test's own process, beside the stand-ins of the store and the workers. Go lets a ready goroutine wait for its turn after all others, up to 10 ms each. The agents' polls and the calls to the store time out by that; it says nothing of the entry.

Change: a crowd is this test program once more, as a process of its own that is told what to send and ends with its standard input. A shape of a crowd is data therefore, instead of a function, and an ID that each connection makes anew has a placeholder. Shapes, numbers of members, bounds and times are the same; the kernel divides the processors, so that the crowd cannot starve the stand-ins, only press the entry.

--- a/soaker/crowd_test.go
+++ b/soaker/crowd_test.go
@@ -2,17 +2,18 @@
 
 import (
 	"bufio"
-	"context"
+	"encoding/gob"
 	"fmt"
 	"io"
 	"net"
 	"os"
+	"os/exec"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 )
 
@@ -33,66 +34,91 @@
 	abortMemory = 3_000 * megabyte
 )
 
-// shape is what one member of a crowd does on its connection. It returns when the member
-// has nothing more to send; the connection then stays open.
-type shape struct {
-	send func(ctx context.Context, c net.Conn)
-	// deaf means that the members read no answers.
-	deaf bool
+// crowd is a process of its own, this test program once more, that keeps a set of
+// connections open which all do the same. In the process of the test, hundreds of members
+// that never pause would keep the stand-ins of store and workers from answering in time.
+type crowd struct {
+	t   *testing.T
+	cmd *exec.Cmd
+	// orders is the crowd's standard input. The crowd ends when it is closed, so that
+	// it does not outlive the test.
+	orders io.WriteCloser
 }
 
-// crowd is a set of connections that are open at once and do the same.
-type crowd struct {
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
-}
-
-// startCrowd opens a number of connections to an address. A member whose connection is
-// closed opens another one, until the crowd is ended.
-func startCrowd(address string, members int, s shape) *crowd {
-	ctx, cancel := context.WithCancel(context.Background())
-	c := &crowd{cancel: cancel}
-	for range members {
-		c.wg.Go(func() {
-			for ctx.Err() == nil {
-				s.attend(ctx, address)
-				sleep(ctx, reconnectDelay)
-			}
-		})
-	}
-	return c
+// crowdVariable is the environment variable that makes the test program a crowd.
+const crowdVariable = "POMELOFERRY_SOAKER_CROWD"
+
+// crowdOrders is what a crowd is told on its standard input.
+type crowdOrders struct {
+	Address string
+	Members int
+	Shape   shape
 }
 
-// end closes all connections.
+// startCrowd starts a process that opens a number of connections to an address. A member
+// whose connection is closed opens another one, until the crowd is ended.
+func startCrowd(t *testing.T, address string, members int, s shape) *crowd {
+	t.Helper()
+	program, err := os.Executable()
+	require.NoError(t, err)
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), crowdVariable+"=1")
+	cmd.Stderr = os.Stderr
+	in, err := cmd.StdinPipe()
+	require.NoError(t, err)
+	out, err := cmd.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, cmd.Start())
+	require.NoError(t, gob.NewEncoder(in).Encode(crowdOrders{address, members, s}))
+	_, err = io.ReadFull(out, make([]byte, len(crowdHasCome)))
+	require.NoError(t, err, "the crowd did not start")
+	return &crowd{t: t, cmd: cmd, orders: in}
+}
+
+// end ends the process and with it all connections.
 func (c *crowd) end() {
-	c.cancel()
-	c.wg.Wait()
+	c.t.Helper()
+	require.NoError(c.t, c.orders.Close())
+	require.NoError(c.t, c.cmd.Wait(), "the crowd ended early")
 }
 
-// attend keeps one connection open until the other side closes it or ctx ends.
-func (s shape) attend(ctx context.Context, address string) {
-	d := net.Dialer{Timeout: time.Second}
-	conn, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return
+// crowdHasCome is what a crowd writes to its standard output once its members begin.
+const crowdHasCome = "here\n"
+
+// beCrowd is the main function of a crowd's process.
+func beCrowd() error {
+	var orders crowdOrders
+	if err := gob.NewDecoder(os.Stdin).Decode(&orders); err != nil {
+		return errors.Wrap(err, "read a crowd's orders")
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	defer conn.Close()
-	if s.deaf {
-		s.send(ctx, conn)
-		<-ctx.Done()
-		return
+	for range orders.Members {
+		go func() {
+			for {
+				orders.Shape.attend(orders.Address)
+				time.Sleep(reconnectDelay)
+			}
+		}()
 	}
-	go s.send(ctx, conn)
-	_, _ = io.Copy(io.Discard, conn)
+	if _, err := os.Stdout.WriteString(crowdHasCome); err != nil {
+		return errors.Wrap(err, "say that the crowd has come")
+	}
+	_, err := io.Copy(io.Discard, os.Stdin)
+	return err
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+// attend keeps one connection open until the other side closes it.
+func (s shape) attend(address string) {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	if s.Deaf {
+		s.send(c)
+		select {}
 	}
+	go s.send(c)
+	_, _ = io.Copy(io.Discard, c)
 }
 
 // target is a process that a crowd is sent to, with what it may hold of its machine.
@@ -115,7 +141,7 @@
 	t.Helper()
 	pid := g.pid()
 	w := startWatcher(pid, g.address)
-	c := startCrowd(g.address, members, s)
+	c := startCrowd(t, g.address, members, s)
 	for end := time.Now().Add(crowdTime); time.Now().Before(end) && w.memory("VmRSS:") < abortMemory; {
 		time.Sleep(sampleInterval)
 	}
--- a/soaker/crowdlocal_test.go
+++ b/soaker/crowdlocal_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -146,11 +145,8 @@
 // and answers to them, that are kept when their callers have left.
 func TestJobsThatOutlastTheirCallersEndNoProcessOfASettingsFile(t *testing.T) {
 	d := newLocalDeployment(t)
-	s := shape{send: func(ctx context.Context, c net.Conn) {
-		_, _ = c.Write(detachedSubmission(maxSubmissionBytes * 3 / 4))
-		sleep(ctx, reconnectDelay)
-		_ = c.Close()
-	}}
+	s := sending(detachedSubmission(maxSubmissionBytes * 3 / 4))
+	s.Closes = true
 	d.target("entry", d.settings.Entries[0].Listen).withstands(t, 100, s, true)
 	require.Empty(t, d.ended.violations)
 }
@@ -159,7 +155,7 @@
 // result has a number of bytes.
 func detachedSubmission(resultBytes int) []byte {
 	raw, err := json.Marshal(courier.Submission{
-		Team: "team", Key: fmt.Sprint(rand.Uint64()), Service: localService, Attempt: 1, Detached: true,
+		Team: "team", Key: anyID, Service: localService, Attempt: 1, Detached: true,
 		Deadline: time.Now().Add(serveTimeout).UTC(),
 		Tasks:    []courier.Task{{Payload: json.RawMessage(`{"Millis":10,"Echo":"` + strings.Repeat("a", resultBytes) + `"}`)}},
 	})
@@ -172,8 +168,8 @@
 // TestACrowdEndsNoProcessOfASettingsFile guards against requests and messages that fill the
 // memory of a process that runs without the platform.
 func TestACrowdEndsNoProcessOfASettingsFile(t *testing.T) {
-	heads := sending(always(ended(headOf("GET", "/dump", oversizeHead, anotherName))))
-	hugeBody := func(path string) shape { return sending(always(unfinishedBody(path, hugeBytes))) }
+	heads := sending(ended(headOf("GET", "/dump", oversizeHead, anotherName)))
+	hugeBody := func(path string) shape { return sending(unfinishedBody(path, hugeBytes)) }
 	hugeMessage := frame(0, hugeBytes, []byte(`{"jsonrpc":"2.0","method":"Claim","params":"`+strings.Repeat("a", hugeBytes-missingBytes)))[1:]
 	store := func(d *localDeployment) (string, string) { return "store", d.store }
 	entry := func(d *localDeployment) (string, string) { return "entry", d.settings.Entries[0].Listen }
@@ -193,13 +189,13 @@
 		{"heads at the agent", agent, 50, heads},
 		{"heads at the upstream", upstream, 50, heads},
 		{"idle connections at the entry, more than descriptors", entry, 5000, idle},
-		{"heads that claim a submission of the greatest size", entry, 2000, sending(always(withBody(submissionPath, maxSubmissionBytes, []byte("{"))))},
-		{"submissions that stop short", entry, 200, sending(always(unfinishedBody(submissionPath, maxSubmissionBytes)))},
-		{"submissions of very many parts", entry, 10, sending(always(withBody(submissionPath, maxSubmissionBytes, submissionOfParts)))},
+		{"heads that claim a submission of the greatest size", entry, 2000, sending(withBody(submissionPath, maxSubmissionBytes, []byte("{")))},
+		{"submissions that stop short", entry, 200, sending(unfinishedBody(submissionPath, maxSubmissionBytes))},
+		{"submissions of very many parts", entry, 10, sending(withBody(submissionPath, maxSubmissionBytes, submissionOfParts))},
 		{"huge bodies at the store", store, 20, hugeBody("/v3/kv/range")},
 		{"huge bodies at the agent", agent, 20, hugeBody("/announce")},
 		{"huge bodies at the upstream", upstream, 20, hugeBody("/run")},
-		{"huge messages at the link", link, 20, sending(always(hugeMessage))},
+		{"huge messages at the link", link, 20, sending(hugeMessage)},
 		{"dumps that are not read", entry, 300, deaf(withoutEnd(nil, []byte(requestLines("GET", "/dump")+"\r\n")))},
 	}
 	for _, tt := range tests {
--- a/soaker/crowdshapes_test.go
+++ b/soaker/crowdshapes_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
@@ -28,58 +27,84 @@
 	dribbleDelay = 300 * time.Millisecond
 )
 
-// sending returns the shape that sends what a function returns, which is called for each
-// connection.
-func sending(what func() []byte) shape {
-	return shape{send: func(_ context.Context, c net.Conn) { _, _ = c.Write(what()) }}
+// shape is what each member of a crowd does on its connection. After that it has nothing
+// more to send; the connection then stays open. The fields are exported since a crowd's
+// process is told them.
+type shape struct {
+	// Beginning is sent first, with an ID of its own on each connection in place of
+	// anyID.
+	Beginning []byte
+	// PieceBytes is the size of the pieces in which the beginning is sent, with
+	// pieceDelay between two; 0 means all at once.
+	PieceBytes int
+	// Rest is sent again and again after the beginning, with a pause of RestDelay before
+	// each time. Nothing is sent again if it is empty.
+	Rest      []byte
+	RestDelay time.Duration
+	// Closes means that the member closes its connection, reconnectDelay after it has
+	// sent all.
+	Closes bool
+	// Deaf means that the members read no answers.
+	Deaf bool
 }
 
-// always returns a function for sending that returns the same each time.
-func always(b []byte) func() []byte { return func() []byte { return b } }
+// anyID stands in a shape for an ID that each connection makes anew. It has the form of one.
+const anyID = "fedcba9876543210"
 
-// inPieces returns the shape that sends the same piece by piece.
-func inPieces(b []byte) shape {
-	return shape{send: func(ctx context.Context, c net.Conn) {
-		for rest := b; len(rest) > 0; sleep(ctx, pieceDelay) {
-			n := min(len(rest), pieceBytes)
-			if _, err := c.Write(rest[:n]); err != nil {
-				return
-			}
-			rest = rest[n:]
+// send does on a connection what the shape says.
+func (s shape) send(c net.Conn) {
+	rest := s.Beginning
+	if bytes.Contains(rest, []byte(anyID)) {
+		rest = bytes.ReplaceAll(rest, []byte(anyID), fmt.Appendf(nil, "%016x", rand.Uint64()))
+	}
+	if s.PieceBytes == 0 {
+		s.PieceBytes = len(rest)
+	}
+	for len(rest) > 0 {
+		n := min(len(rest), s.PieceBytes)
+		if _, err := c.Write(rest[:n]); err != nil {
+			return
+		}
+		if rest = rest[n:]; len(rest) > 0 {
+			time.Sleep(pieceDelay)
 		}
-	}}
+	}
+	for len(s.Rest) > 0 {
+		time.Sleep(s.RestDelay)
+		if _, err := c.Write(s.Rest); err != nil {
+			return
+		}
+	}
+	if s.Closes {
+		time.Sleep(reconnectDelay)
+		_ = c.Close()
+	}
 }
 
+// sending returns the shape that sends some bytes.
+func sending(b []byte) shape { return shape{Beginning: b} }
+
+// inPieces returns the shape that sends the same piece by piece.
+func inPieces(b []byte) shape { return shape{Beginning: b, PieceBytes: pieceBytes} }
+
 // withoutEnd returns the shape that sends a beginning, and then the rest again and again.
 func withoutEnd(beginning, rest []byte) shape {
-	rest = bytes.Repeat(rest, 1+1<<14/len(rest))
-	return shape{send: func(_ context.Context, c net.Conn) {
-		_, err := c.Write(beginning)
-		for err == nil {
-			_, err = c.Write(rest)
-		}
-	}}
+	return shape{Beginning: beginning, Rest: bytes.Repeat(rest, 1+1<<14/len(rest))}
 }
 
 // keptUnfinished returns the shape that sends a beginning, and then one byte after the other.
 func keptUnfinished(beginning []byte) shape {
-	return shape{send: func(ctx context.Context, c net.Conn) {
-		_, err := c.Write(beginning)
-		for err == nil && ctx.Err() == nil {
-			sleep(ctx, dribbleDelay)
-			_, err = c.Write([]byte(" "))
-		}
-	}}
+	return shape{Beginning: beginning, Rest: []byte(" "), RestDelay: dribbleDelay}
 }
 
 // deaf returns the shape without the reading of answers.
 func deaf(s shape) shape {
-	s.deaf = true
+	s.Deaf = true
 	return s
 }
 
 // idle sends nothing.
-var idle = shape{send: func(context.Context, net.Conn) {}}
+var idle shape
 
 // requestLines returns the first lines of a request's head.
 func requestLines(method, path string) string {
@@ -126,13 +151,13 @@
 
 // jobOfParts returns a request for a job of very many steps.
 func jobOfParts() []byte {
-	return withBody(jobPath(), maxBodyBytes, bodyOfParts(`{"best_effort":true,"spec":"","steps":[`, "]}", maxBodyBytes))
+	return withBody(pathPrefix+anyID, maxBodyBytes, bodyOfParts(`{"best_effort":true,"spec":"","steps":[`, "]}", maxBodyBytes))
 }
 
-// jobRequest returns a whole request for a job of one step, whose caller waits for a minute.
+// jobRequest returns a whole request for a new job of one step, whose caller waits for a minute.
 func jobRequest(count, cpu, estimateMillis int) []byte {
 	body := fmt.Sprintf(`{"best_effort":true,"spec":"spec","steps":[{"count":%d,"cpu":%d,"mem_mb":64,"estimate_ms":%d}]}`, count, cpu, estimateMillis)
-	return fmt.Appendf(nil, "%sDeadline-Ms: 60000\r\nContent-Length: %d\r\n\r\n%s", requestLines("POST", jobPath()), len(body), body)
+	return fmt.Appendf(nil, "%sDeadline-Ms: 60000\r\nContent-Length: %d\r\n\r\n%s", requestLines("POST", pathPrefix+anyID), len(body), body)
 }
 
 // frame returns the beginning of a message of a link between an entry and an agent: its
--- a/soaker/crowdtests_test.go
+++ b/soaker/crowdtests_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -91,24 +90,24 @@
 		shape       shape
 		takesRoom   bool
 	}{
-		{"heads of very many names", 100, crowdDescriptors, sending(always(ended(names))), false},
-		{"heads of one name again and again", 100, crowdDescriptors, sending(always(ended(headOf("POST", path, oversizeHead, sameName)))), false},
-		{"heads that do not end", 100, crowdDescriptors, sending(always(names)), false},
+		{"heads of very many names", 100, crowdDescriptors, sending(ended(names)), false},
+		{"heads of one name again and again", 100, crowdDescriptors, sending(ended(headOf("POST", path, oversizeHead, sameName))), false},
+		{"heads that do not end", 100, crowdDescriptors, sending(names), false},
 		{"a header line without end", 300, crowdDescriptors, withoutEnd([]byte(requestLines("POST", path)+"a: "), []byte("a")), false},
 		{"a request line without end", 300, crowdDescriptors, withoutEnd([]byte("POST "+path), []byte("a")), false},
 		{"empty lines without end", 100, crowdDescriptors, withoutEnd(nil, []byte("\r\n")), false},
 		{"empty lines without end after a request", 100, crowdDescriptors, withoutEnd(withBody(path, 2, []byte("{}")), []byte("\r\n")), false},
-		{"many heads of short lines left open", 2000, crowdDescriptors, sending(always(headOf("POST", path, 4096, anotherName))), false},
-		{"many heads of short lines with a tenth of the body", 2000, crowdDescriptors, sending(always(headWithTenth(path))), false},
-		{"heads that claim a body of the greatest size", 2000, crowdDescriptors, sending(always(withBody(path, maxBodyBytes, []byte("{")))), false},
-		{"bodies that stop short", 300, crowdDescriptors, sending(always(unfinishedBody(path, maxBodyBytes))), false},
+		{"many heads of short lines left open", 2000, crowdDescriptors, sending(headOf("POST", path, 4096, anotherName)), false},
+		{"many heads of short lines with a tenth of the body", 2000, crowdDescriptors, sending(headWithTenth(path)), false},
+		{"heads that claim a body of the greatest size", 2000, crowdDescriptors, sending(withBody(path, maxBodyBytes, []byte("{"))), false},
+		{"bodies that stop short", 300, crowdDescriptors, sending(unfinishedBody(path, maxBodyBytes)), false},
 		{"bodies in pieces that stop short", 300, crowdDescriptors, inPieces(unfinishedBody(path, maxBodyBytes)), false},
 		{"chunked bodies without end", 300, crowdDescriptors, withoutEnd([]byte(requestLines("POST", path)+"Transfer-Encoding: chunked\r\n\r\n"), []byte("1\r\na\r\n")), false},
-		{"bodies of very many parts", 100, crowdDescriptors, sending(jobOfParts), false},
-		{"jobs of very many tasks", 300, crowdDescriptors, sending(func() []byte { return jobRequest(10_000, 1, 1) }), true},
+		{"bodies of very many parts", 100, crowdDescriptors, sending(jobOfParts()), false},
+		{"jobs of very many tasks", 300, crowdDescriptors, sending(jobRequest(10_000, 1, 1)), true},
 		{"requests whose answers are not read", 200, crowdDescriptors, deaf(withoutEnd(nil, []byte(requestLines("GET", pathPrefix)+"\r\n"))), false},
 		{"idle connections, more than descriptors", 600, fewDescriptors, idle, false},
-		{"bodies that stop short, more than descriptors", 600, fewDescriptors, sending(always(unfinishedBody(path, maxBodyBytes))), false},
+		{"bodies that stop short, more than descriptors", 600, fewDescriptors, sending(unfinishedBody(path, maxBodyBytes)), false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -132,7 +131,7 @@
 		shape shape
 	}{
 		{"idle connections", idle},
-		{"bodies that stop short", sending(always(unfinishedBody(jobPath(), maxBodyBytes)))},
+		{"bodies that stop short", sending(unfinishedBody(jobPath(), maxBodyBytes))},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -150,16 +149,14 @@
 func TestBytesAfterARequestEndNoEntry(t *testing.T) {
 	d := newCrowdDeployment(t, crowdDescriptors)
 	d.checker.fixedWork.Store(int64(crowdWork))
-	s := shape{send: func(ctx context.Context, c net.Conn) {
-		withoutEnd(jobRequest(1, taskCPU(""), int(crowdWork.Milliseconds())), []byte("a")).send(ctx, c)
-	}}
+	s := withoutEnd(jobRequest(1, taskCPU(""), int(crowdWork.Milliseconds())), []byte("a"))
 	d.target(d.entries[0], d.fronts[0]).withstands(t, 100, s, true)
 }
 
 // TestACrowdAtTheInternalPortsEndsNoEntry guards against an entry that limits only what its
 // callers send.
 func TestACrowdAtTheInternalPortsEndsNoEntry(t *testing.T) {
-	heads := sending(always(ended(headOf("GET", "/api/readyz", oversizeHead, anotherName))))
+	heads := sending(ended(headOf("GET", "/api/readyz", oversizeHead, anotherName)))
 	tests := []struct {
 		name    string
 		address func(d crowdDeployment) string
@@ -193,7 +190,7 @@
 	const place, parts = 2, 131_000
 	placeOfParts := append([]byte{0xa1, 0x05, 0x9a, 0, parts >> 16, parts >> 8 & 0xff, parts & 0xff}, strings.Repeat("\xa0", parts)...)
 	heartbeat := unfinishedBody(heartbeatPath, 4<<20)
-	heads := sending(always(ended(headOf("GET", "/metrics", oversizeHead, anotherName))))
+	heads := sending(ended(headOf("GET", "/metrics", oversizeHead, anotherName)))
 	tests := []struct {
 		name    string
 		address func(d crowdDeployment, p *process) string
@@ -201,8 +198,8 @@
 		shape   shape
 	}{
 		{"heads of heartbeats", crowdDeployment.controlAddress, 100, heads},
-		{"heartbeats that stop short", crowdDeployment.controlAddress, 100, sending(always(append([]byte("PUT"), heartbeat[len("POST"):]...)))},
-		{"heartbeats of very many parts", crowdDeployment.controlAddress, 30, sending(always(heartbeatOfParts(heartbeatPath)))},
+		{"heartbeats that stop short", crowdDeployment.controlAddress, 100, sending(append([]byte("PUT"), heartbeat[len("POST"):]...))},
+		{"heartbeats of very many parts", crowdDeployment.controlAddress, 30, sending(heartbeatOfParts(heartbeatPath))},
 		{"idle connections for heartbeats", crowdDeployment.controlAddress, 3000, idle},
 		{"heads at the metrics", crowdDeployment.agentMetrics, 100, heads},
 		{"messages that claim a megabyte", crowdDeployment.linkAddress, 1000, keptUnfinished(frame(place, 1<<20, nil))},
@@ -242,9 +239,9 @@
 		head  int
 		body  int
 	}{
-		{"a head of the greatest size", func(b []byte) shape { return sending(always(b)) }, maxHeadBytes, 1000},
+		{"a head of the greatest size", sending, maxHeadBytes, 1000},
 		{"a head of the greatest size in pieces", inPieces, maxHeadBytes, 1000},
-		{"a body of the greatest size", func(b []byte) shape { return sending(always(b)) }, 1000, maxBodyBytes},
+		{"a body of the greatest size", sending, 1000, maxBodyBytes},
 		{"a body of the greatest size in pieces", inPieces, 1000, maxBodyBytes},
 	}
 	for _, tt := range tests {
@@ -270,7 +267,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			status, closed := d.send(sending(always(largeRequest(tt.head, tt.body))))
+			status, closed := d.send(sending(largeRequest(tt.head, tt.body)))
 			require.Contains(t, []int{http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge}, status)
 			require.True(t, closed, "the connection stays open")
 		})
@@ -294,7 +291,7 @@
 	require.NoError(d.t, err)
 	defer c.Close()
 	require.NoError(d.t, c.SetDeadline(time.Now().Add(serveTimeout)))
-	go s.send(context.Background(), c)
+	go s.send(c)
 	in := bufio.NewReader(c)
 	resp, err := http.ReadResponse(in, nil)
 	if err != nil {
@@ -307,7 +304,7 @@
 // TestAnEntryUnderACrowdStops guards against a planned stop that waits for a crowd.
 func TestAnEntryUnderACrowdStops(t *testing.T) {
 	d := newCrowdDeployment(t, crowdDescriptors)
-	c := startCrowd(d.fronts[0], 300, sending(always(unfinishedBody(jobPath(), maxBodyBytes))))
+	c := startCrowd(t, d.fronts[0], 300, sending(unfinishedBody(jobPath(), maxBodyBytes)))
 	time.Sleep(crowdTime)
 	entry := d.entries[0]
 	entry.mu.Lock()
--- a/soaker/deployment_test.go
+++ b/soaker/deployment_test.go
@@ -42,6 +42,12 @@
 var programPath string
 
 func TestMain(m *testing.M) {
+	if os.Getenv(crowdVariable) != "" {
+		if err := beCrowd(); err != nil {
+			panic(err)
+		}
+		return
+	}
 	nextPort.Store(int64(os.Getpid()) * portsPerProcess)
 	dir, err := os.MkdirTemp("", "soaker")
 	if err != nil {
